Lay out the kernel's shared vocabulary

Cause: nothing stood yet, and the modules to come need one set of values to talk in: outcomes, findings, the store's answers, the bundle, settings, messages between processes, named steps for faults, and the plug-in table.

One message codec against two; msgspec for datagrams and heads, protobuf where gRPC carries the call.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# Targets for a fresh machine: `make demo` and `make test`.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: demo demo-up test test-long lint format generate clean
+
+$(VENV)/installed: requirements.txt requirements-dev.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements-dev.txt
+	$(BIN)/pip install --quiet --no-deps --editable .
+	touch $@
+
+demo: $(VENV)/installed
+	$(BIN)/python -m marigoldramp_standins.demo
+
+demo-up: $(VENV)/installed
+	$(BIN)/python -m marigoldramp_standins.demo --stay
+
+test: $(VENV)/installed
+	$(BIN)/python -m pytest
+
+test-long: $(VENV)/installed
+	HYPOTHESIS_PROFILE=long $(BIN)/python -m pytest
+
+lint: $(VENV)/installed
+	$(BIN)/black --check --quiet . || $(BIN)/black --check .
+	$(BIN)/isort --check-only .
+	$(BIN)/flake8
+	$(BIN)/mypy
+
+format: $(VENV)/installed
+	$(BIN)/isort .
+	$(BIN)/black --quiet .
+
+generate: $(VENV)/installed
+	$(BIN)/python -m grpc_tools.protoc --proto_path=. --python_out=. \
+	    --pyi_out=. --grpc_python_out=. marigoldramp/peers.proto
+
+clean:
+	rm -rf $(VENV) build *.egg-info out
--- /dev/null
+++ b/marigoldramp/bundle.py
@@ -0,0 +1,152 @@
+"""The configuration bundle: what operators decide, as typed values.
+
+A bundle is one numbered document.  Its number only ever grows; a roll-back
+is a newer bundle with older contents.  This module holds the data classes;
+``documents`` reads them from YAML with places, ``manifests`` cuts them into
+content-addressed parts, and ``configuration`` distributes them.
+"""
+
+import dataclasses
+import enum
+from typing import ClassVar
+
+import pydantic
+
+STRICT = pydantic.ConfigDict(extra='forbid')
+
+
+class Priority(enum.IntEnum):
+    """Order in which queued calls are served; a lower value goes first."""
+
+    URGENT = 0
+    NORMAL = 1
+    BACKGROUND = 2
+
+
+class MapMode(enum.StrEnum):
+    """What weighs more when experts are moved between ranks."""
+
+    SKEW = 'skew'
+    DISRUPTION = 'disruption'
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Customer:
+    """A customer, its keys by digest, and its limits.
+
+    :ivar key_digests: hexadecimal SHA-256 digests of its caller keys; the
+        keys themselves never stand in a bundle.
+    :ivar services: names of the services that it may call.
+    :ivar requests_per_second: sustained rate over all entries.
+    :ivar concurrent_calls: calls in flight over all entries.
+    :ivar tokens_per_second: generated tokens over all entries.
+    :ivar weight: share relative to other customers under contention.
+    :ivar entries: how many entry instances serve this customer.
+    """
+
+    __pydantic_config__: ClassVar[pydantic.ConfigDict] = STRICT
+
+    name: str
+    key_digests: tuple[str, ...]
+    services: tuple[str, ...]
+    requests_per_second: float = 100.0
+    concurrent_calls: int = 200
+    tokens_per_second: float = 50_000.0
+    weight: float = 1.0
+    entries: int = 2
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Service:
+    """A service that endpoints run.
+
+    :ivar kind: name of the endpoint-kind plug-in (``model_engine``,
+        ``plain_service``).
+    :ivar model: model name that callers ask for; empty for plain services.
+    :ivar routing: name of the routing-policy plug-in.
+    :ivar retry_share: retries allowed per first attempt, as a fraction.
+    :ivar hedge_after_seconds: start a second attempt of an idempotent call
+        after this long without an answer; 0 switches hedging off.
+    """
+
+    __pydantic_config__: ClassVar[pydantic.ConfigDict] = STRICT
+
+    name: str
+    kind: str
+    model: str = ''
+    routing: str = 'two_choices'
+    retry_share: float = 0.1
+    hedge_after_seconds: float = 0.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Route:
+    """Maps a method and path, and a model where one is named, to a service.
+
+    :ivar path: exact path, or a prefix when it ends in ``/*``.
+    :ivar model: only requests whose JSON body names this model match.
+    :ivar idempotent: ``False`` means that the call may run at most once.
+    """
+
+    __pydantic_config__: ClassVar[pydantic.ConfigDict] = STRICT
+
+    method: str
+    path: str
+    service: str
+    model: str = ''
+    idempotent: bool = True
+    default_deadline_seconds: float = 10.0
+    longest_deadline_seconds: float = 60.0
+    priority: Priority = Priority.NORMAL
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Group:
+    """An expert-parallel group of ranks and how its experts are moved.
+
+    :ivar service: the service whose endpoints carry the ranks.
+    :ivar slots: expert replicas that one rank holds in a layer.
+    :ivar rebalancing: name of the rebalancing-policy plug-in.
+    :ivar mode: what weighs more, skew or disruption.
+    :ivar skew_threshold: largest rank load over the mean above which a
+        layer is rebalanced.
+    :ivar moves_per_interval: most expert moves begun in one interval.
+    :ivar interval_seconds: time between two plans.
+    :ivar expert_bytes: size of one expert's weights.
+    :ivar weight_bytes_per_second: share of the weight store's rate that
+        moves of this group may use.
+    """
+
+    __pydantic_config__: ClassVar[pydantic.ConfigDict] = STRICT
+
+    name: str
+    service: str
+    ranks: int
+    experts: int
+    layers: int
+    slots: int
+    rebalancing: str = 'incremental'
+    mode: MapMode = MapMode.SKEW
+    skew_threshold: float = 1.2
+    moves_per_interval: int = 6
+    interval_seconds: float = 30.0
+    expert_bytes: int = 50_000_000
+    weight_bytes_per_second: float = 500_000_000.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Bundle:
+    """A whole configuration under one number.
+
+    :ivar number: strictly increasing; decides which bundle is newer.
+    :ivar note: why it was changed, for the audit trail.
+    """
+
+    __pydantic_config__: ClassVar[pydantic.ConfigDict] = STRICT
+
+    number: int
+    note: str = ''
+    services: tuple[Service, ...] = ()
+    routes: tuple[Route, ...] = ()
+    groups: tuple[Group, ...] = ()
+    customers: tuple[Customer, ...] = ()
--- /dev/null
+++ b/marigoldramp_measure/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments that drive the real decision code and write CSV and plots."""
--- /dev/null
+++ b/marigoldramp_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems, for tests and the demo."""
