--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 
 generate: $(VENV)/installed
 	$(BIN)/python -m grpc_tools.protoc --proto_path=. --python_out=. \
-	    --pyi_out=. --grpc_python_out=. marigoldramp/peers.proto
+	    --pyi_out=. marigoldramp/peers.proto
 
 clean:
 	rm -rf $(VENV) build *.egg-info out
