Add the agent's side of a call and its records

Cause: nothing ran a call yet. A call has to run at most once, and its answer has to survive the loss of the connection or entry that asked.

No timing was measured yet.

--- /dev/null
+++ b/marigoldramp/endpoint_kinds.py
@@ -0,0 +1,147 @@
+"""Kinds of endpoint: how an agent hands a call on and reads the answer.
+
+The base class speaks plain HTTP/1.1.  A plug-in adds what its endpoints
+offer besides: the end mark of a stream, resuming, orders, cache events.
+"""
+
+import dataclasses
+from typing import Awaitable
+from typing import Callable
+from typing import Protocol
+
+import anyio
+import httpcore
+
+from . import asgi
+from . import connections
+from . import plugins
+from . import settings
+
+#: Bytes at the end of a body that are kept to look for its end mark.
+TAIL_BYTES = 64
+CONNECT_SECONDS = 1.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class EndpointRequest:
+    """A request as the endpoint gets it.
+
+    :ivar call: identifier of the call, sent as ``x-request-id``.
+    """
+
+    call: str
+    method: str
+    target: bytes
+    headers: asgi.Headers
+    body: bytes
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Whole:
+    """The endpoint answered in full."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Withheld:
+    """Nothing was sent: the caller's last check said no."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Broken:
+    """The request was sent and its answer is not whole."""
+
+    detail: str
+
+
+Result = Whole | connections.Unreached | Withheld | Broken
+
+
+class Sink(Protocol):
+    """Takes an answer as it comes."""
+
+    size: int
+
+    async def begin(self, status: int, headers: asgi.Headers) -> None:
+        """Take the head of the answer."""
+
+    async def append(self, chunk: bytes) -> None:
+        """Take the next bytes of the body."""
+
+
+class EndpointKind(plugins.Plugin, kind=True):
+    """Kind of plug-in that speaks to the endpoint beside an agent."""
+
+    def __init__(self, *, settings: settings.Agent) -> None:
+        self.settings = settings
+        origin = httpcore.URL(settings.endpoint).origin
+        self.host = origin.host.decode()
+        self.port = origin.port
+
+    async def exchange(
+        self,
+        *,
+        request: EndpointRequest,
+        sink: Sink,
+        hand_over: Callable[[], Awaitable[bool]],
+    ) -> Result:
+        """Hand a request to the endpoint and its answer to the sink.
+
+        Each exchange has a connection of its own.  An endpoint that answers
+        twice, or late, would leave bytes on a shared connection which the
+        next caller would take for its own answer.
+
+        :param hand_over: awaited when the connection stands, right before
+            the first byte of the request is sent; ``False`` withholds it.
+        """
+        opened = await connections.connect(
+            host=self.host, port=self.port, seconds=CONNECT_SECONDS
+        )
+        if isinstance(opened, connections.Unreached):
+            return opened
+        try:
+            if not await hand_over():
+                return Withheld()
+            return await self.transfer(opened, request, sink)
+        except connections.LOST as error:
+            return Broken(detail=connections.explain(error))
+        finally:
+            with anyio.CancelScope(shield=True):
+                await opened.aclose()
+
+    async def watch(self) -> None:
+        """Follow what the endpoint publishes, for as long as it runs."""
+
+    def is_end(self, *, headers: asgi.Headers, tail: bytes) -> bool:
+        """Whether a body whose last bytes are ``tail`` was whole."""
+        return True
+
+    async def transfer(
+        self,
+        connection: httpcore.AsyncHTTP11Connection,
+        request: EndpointRequest,
+        sink: Sink,
+    ) -> Result:
+        """Send the request and read its answer to the end."""
+        headers = [
+            *request.headers,
+            (b'x-request-id', request.call.encode()),
+        ]
+        response = await connection.handle_async_request(
+            connections.build(
+                host=self.host,
+                port=self.port,
+                method=request.method,
+                target=request.target,
+                headers=headers,
+                body=request.body,
+            )
+        )
+        answered = asgi.keep_end_to_end(connections.lower(response.headers))
+        await sink.begin(response.status, answered)
+        tail = b''
+        async for chunk in response.aiter_stream():
+            tail = (tail + chunk)[-TAIL_BYTES:]
+            await sink.append(chunk)
+        if not self.is_end(headers=answered, tail=tail):
+            return Broken(detail='the stream ended without its end mark')
+        return Whole()
--- /dev/null
+++ b/marigoldramp/servers.py
@@ -0,0 +1,183 @@
+"""HTTP servers: uvicorn inside our own task group, with bounded heads.
+
+uvicorn bounds neither the size of a request's head nor the time that it
+may take, and answers broken requests in plain text.  A caller that sends
+half a head would hold its connection for ever.  The protocol class here
+adds both bounds and answers with problem details, so that each caller
+learns that nothing ran.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import logging
+import socket
+from typing import Any
+from typing import Iterator
+
+import anyio.abc
+import uvicorn
+from uvicorn.protocols.http import httptools_impl
+
+from . import outcomes
+from . import problems
+
+#: Seconds that a kept-alive connection may be idle.
+KEEP_ALIVE = 60
+BACKLOG = 1024
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Bounds:
+    """Bounds of one HTTP server.
+
+    :ivar head_bytes: longest request head.
+    :ivar head_seconds: longest wait for a whole head.
+    :ivar connections: connections open at once.
+    """
+
+    head_bytes: int
+    head_seconds: float
+    connections: int
+
+
+class _Server(uvicorn.Server):
+    """uvicorn's server without its signal handlers; ours are the runtime's."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
+
+
+class _Protocol(httptools_impl.HttpToolsProtocol):
+    """HTTP/1.1 connection with a bounded head."""
+
+    bounds: Bounds
+    head_size = 0
+    head_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: Any) -> None:
+        super().connection_made(transport)
+        if len(self.connections) > self.bounds.connections:
+            self._refuse(
+                outcomes.Reason.QUEUE_FULL, 'too many connections', 1.0
+            )
+
+    def data_received(self, data: bytes) -> None:
+        if self.head_size == 0:
+            self._expect_head()
+        self.head_size += len(data)
+        super().data_received(data)
+        if self.head_timer and self.head_size > self.bounds.head_bytes:
+            limit = self.bounds.head_bytes
+            self._refuse(
+                outcomes.Reason.HEAD_TOO_LARGE,
+                f'the head is longer than {limit} bytes',
+            )
+
+    def on_headers_complete(self) -> None:
+        self._stop_timer()
+        super().on_headers_complete()
+
+    def on_message_complete(self) -> None:
+        super().on_message_complete()
+        self.head_size = 0
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._stop_timer()
+        super().connection_lost(exc)
+
+    def send_400_response(self, msg: str) -> None:
+        self._refuse(outcomes.Reason.MALFORMED, msg)
+
+    def _expect_head(self) -> None:
+        self._stop_timer()
+        self.head_timer = self.loop.call_later(
+            self.bounds.head_seconds,
+            self._refuse,
+            outcomes.Reason.BODY_TIMEOUT,
+            'the head was not whole in time',
+        )
+
+    def _stop_timer(self) -> None:
+        if self.head_timer is not None:
+            self.head_timer.cancel()
+            self.head_timer = None
+
+    def _refuse(
+        self,
+        reason: outcomes.Reason,
+        detail: str,
+        retry_after: float | None = None,
+    ) -> None:
+        """Answer that nothing ran and close the connection.
+
+        While an earlier request on the connection is being answered no
+        bytes may be put between; closing alone says enough then.
+        """
+        self._stop_timer()
+        if self.transport.is_closing():
+            return
+        if self.cycle is None or self.cycle.response_complete:
+            refusal = outcomes.NotRun(
+                reason=reason, detail=detail, retry_after=retry_after
+            )
+            self.transport.write(_render(refusal))
+        self.transport.close()
+
+
+def _render(refusal: outcomes.NotRun) -> bytes:
+    """Return a whole HTTP/1.1 answer with the refusal."""
+    problem = problems.describe(refusal=refusal, call='')
+    body = problems.encode(problem)
+    lines = [
+        b'HTTP/1.1 %d Refused' % problem.status,
+        b'content-type: ' + problems.CONTENT_TYPE,
+        b'content-length: %d' % len(body),
+        b'connection: close',
+    ]
+    if problem.retry_after is not None:
+        lines.append(b'retry-after: %d' % max(1, round(problem.retry_after)))
+    return b'\r\n'.join(lines) + b'\r\n\r\n' + body
+
+
+class Server:
+    """One listening HTTP server that runs an ASGI application."""
+
+    __slots__ = ('_server', '_socket', '_done', 'port')
+
+    def __init__(
+        self, *, application: Any, host: str, port: int, bounds: Bounds
+    ) -> None:
+        protocol = type('Protocol', (_Protocol,), {'bounds': bounds})
+        config = uvicorn.Config(
+            application,
+            http=protocol,
+            ws='none',
+            loop='none',
+            lifespan='off',
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            date_header=False,
+            timeout_keep_alive=KEEP_ALIVE,
+        )
+        # An answer that cannot be finished is ended by returning early, on
+        # purpose; uvicorn would log each one as an error.
+        logging.getLogger('uvicorn.error').setLevel(logging.CRITICAL)
+        self._server = _Server(config)
+        self._socket = socket.create_server((host, port), backlog=BACKLOG)
+        self._done = anyio.Event()
+        self.port: int = self._socket.getsockname()[1]
+
+    async def run(self) -> None:
+        """Serve until :meth:`stop`; then end the requests in flight."""
+        try:
+            await self._server.serve(sockets=[self._socket])
+        finally:
+            self._done.set()
+
+    async def stop(self) -> None:
+        """Stop listening and return when all connections have ended."""
+        self._server.should_exit = True
+        await self._done.wait()
