--- a/marigoldramp_standins/memory.py
+++ b/marigoldramp_standins/memory.py
@@ -6,6 +6,7 @@
 
 from marigoldramp import store
 
+from . import instance_list
 from . import objects
 
 
@@ -23,10 +24,10 @@
         self,
         *,
         table: objects.Table | None = None,
-        instances: objects.InstanceList | None = None,
+        instances: instance_list.InstanceList | None = None,
     ) -> None:
         self.table = table or objects.Table()
-        self.instances = instances or objects.InstanceList()
+        self.instances = instances or instance_list.InstanceList()
         self.reachable = True
 
     async def read(
--- a/marigoldramp_standins/platform.py
+++ b/marigoldramp_standins/platform.py
@@ -12,6 +12,7 @@
 
 from marigoldramp import store
 
+from . import instance_list
 from . import objects
 from . import web
 
@@ -50,7 +51,7 @@
     __slots__ = ('table', 'instances', 'silent')
 
     def __init__(
-        self, *, table: objects.Table, instances: objects.InstanceList
+        self, *, table: objects.Table, instances: instance_list.InstanceList
     ) -> None:
         self.table = table
         self.instances = instances
@@ -236,7 +237,7 @@
     flags = parser.parse_args()
     platform = Platform(
         table=objects.Table(),
-        instances=objects.InstanceList(lag=flags.instance_lag),
+        instances=instance_list.InstanceList(lag=flags.instance_lag),
     )
 
     def end_watches() -> None:
--- a/marigoldramp_standins/web.py
+++ b/marigoldramp_standins/web.py
@@ -214,8 +214,16 @@
             server.ended.set()
 
 
+def _do_nothing() -> None:
+    pass
+
+
 async def run_until_signal(
-    *, handle: Handle, host: str, port: int, closing: Callable[[], None]
+    *,
+    handle: Handle,
+    host: str,
+    port: int,
+    closing: Callable[[], None] = _do_nothing,
 ) -> None:
     """Serve as a process; SIGTERM or SIGINT ends it.
 
--- a/tests/test_object_api.py
+++ b/tests/test_object_api.py
@@ -11,6 +11,7 @@
 
 from marigoldramp import settings
 from marigoldramp import store
+from marigoldramp_standins import instance_list
 from marigoldramp_standins import objects
 from marigoldramp_standins import platform
 from marigoldramp_standins import web
@@ -76,7 +77,7 @@
 async def connected():
     limits = Limits()
     standin = platform.Platform(
-        table=objects.Table(), instances=objects.InstanceList()
+        table=objects.Table(), instances=instance_list.InstanceList()
     )
     async with web.serve(handle=standin.handle) as address:
         client = make_client(address, limits.limit)
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -6,6 +6,7 @@
 import pytest
 
 from marigoldramp import store
+from marigoldramp_standins import instance_list
 from marigoldramp_standins import memory
 from marigoldramp_standins import objects
 
@@ -226,7 +227,7 @@
 @pytest.mark.parametrize('way', ['lag', 'publish'])
 async def test_instance_list_lags(way):
     now = [0.0]
-    listed = objects.InstanceList(lag=5.0, clock=lambda: now[0])
+    listed = instance_list.InstanceList(lag=5.0, clock=lambda: now[0])
     listed.put(instance=row('a'))
     listed.put(instance=row('b'))
     now[0] = 3.0
