--- a/marigoldramp/messages.py
+++ b/marigoldramp/messages.py
@@ -39,6 +39,20 @@
     received: int = 0
 
 
+class KnownInstance(
+    msgspec.Struct, frozen=True, array_like=True, kw_only=True
+):
+    """An instance that the sender of a heartbeat hears itself."""
+
+    instance: str
+    role: Role
+    data_centre: str
+    host: str
+    control_port: int
+    datagram_port: int
+    service: str = ''
+
+
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """One datagram to a peer.
 
@@ -51,6 +65,11 @@
         the instance list, which the receiver itself may not have.
     :ivar echo: the receiver's last sequence that the sender has seen; 0 for
         none.  It shows a link that is cut in one direction.
+    :ivar receiver_incarnation: the incarnation of the receiver of which
+        ``receiver_leaving`` and ``echo`` speak; a successor ignores them.
+    :ivar wants_known: the sender's instance list is away, so the receiver is
+        asked to tell which instances it hears.
+    :ivar known: some of those, where the receiver has asked.
     """
 
     instance: str
@@ -69,6 +88,9 @@
     echo: int = 0
     service: str = ''
     load: Load | None = None
+    receiver_incarnation: int = 0
+    wants_known: bool = False
+    known: tuple[KnownInstance, ...] = ()
 
 
 class Binding(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
