--- a/marigoldramp/servers.py
+++ b/marigoldramp/servers.py
@@ -10,21 +10,31 @@
 import asyncio
 import contextlib
 import dataclasses
-import logging
+import logging as standard_logging
 import socket
 from typing import Any
+from typing import Awaitable
+from typing import Callable
 from typing import Iterator
+from typing import MutableMapping
 
-import anyio.abc
+from absl import logging
+import anyio
 import uvicorn
 from uvicorn.protocols.http import httptools_impl
 
+from . import asgi
 from . import outcomes
 from . import problems
 
 #: Seconds that a kept-alive connection may be idle.
 KEEP_ALIVE = 60
 BACKLOG = 1024
+HEAD_END = b'\r\n\r\n'
+
+Application = Callable[
+    [MutableMapping[str, Any], asgi.Receive, asgi.Send], Awaitable[None]
+]
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -66,14 +76,22 @@
     def data_received(self, data: bytes) -> None:
         if self.head_size == 0:
             self._expect_head()
-        self.head_size += len(data)
+        if self.head_timer is not None and not self._fits(data):
+            return
         super().data_received(data)
-        if self.head_timer and self.head_size > self.bounds.head_bytes:
-            limit = self.bounds.head_bytes
-            self._refuse(
-                outcomes.Reason.HEAD_TOO_LARGE,
-                f'the head is longer than {limit} bytes',
-            )
+
+    def _fits(self, data: bytes) -> bool:
+        """Count what belongs to the head; refuse one that is too long."""
+        end = data.find(HEAD_END)
+        self.head_size += len(data) if end < 0 else end
+        limit = self.bounds.head_bytes
+        if self.head_size <= limit:
+            return True
+        self._refuse(
+            outcomes.Reason.HEAD_TOO_LARGE,
+            f'the head is longer than {limit} bytes',
+        )
+        return False
 
     def on_headers_complete(self) -> None:
         self._stop_timer()
@@ -141,18 +159,69 @@
     return b'\r\n'.join(lines) + b'\r\n\r\n' + body
 
 
+def _guard(application: Application) -> Application:
+    """Return an application whose bugs are logged and told truthfully.
+
+    After a bug nobody knows what the call has done, so the answer says just
+    that; an answer that has begun is cut off by the server.
+    """
+
+    async def guarded(
+        scope: MutableMapping[str, Any],
+        receive: asgi.Receive,
+        send: asgi.Send,
+    ) -> None:
+        started = False
+
+        async def note_and_send(event: MutableMapping[str, Any]) -> None:
+            nonlocal started
+            started = True
+            await send(event)
+
+        try:
+            await application(scope, receive, note_and_send)
+        except Exception:
+            logging.exception('a request failed by a bug')
+            if not started:
+                refusal = outcomes.OutcomeUnknown(
+                    reason=outcomes.Reason.INTERNAL,
+                    detail='an internal error; the log has the details',
+                )
+                await asgi.send_refusal(send=send, refusal=refusal, call='')
+
+    return guarded
+
+
+def listen(host: str, port: int) -> socket.socket:
+    """Return a listening TCP socket.
+
+    The protocol is named because asyncio sets ``TCP_NODELAY`` only on
+    sockets that say so; ``socket.create_server`` makes one that does not.
+    An answer in two writes then waits some 40 ms for a delayed
+    acknowledgement.
+    """
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    listening = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listening.bind((host, port))
+    listening.listen(BACKLOG)
+    return listening
+
+
 class Server:
     """One listening HTTP server that runs an ASGI application."""
 
     __slots__ = ('_server', '_socket', '_done', 'port')
 
     def __init__(
-        self, *, application: Any, host: str, port: int, bounds: Bounds
+        self, *, application: Application, host: str, port: int, bounds: Bounds
     ) -> None:
         protocol = type('Protocol', (_Protocol,), {'bounds': bounds})
         config = uvicorn.Config(
-            application,
+            _guard(application),
             http=protocol,
+            interface='asgi3',
+            proxy_headers=False,
             ws='none',
             loop='none',
             lifespan='off',
@@ -164,9 +233,11 @@
         )
         # An answer that cannot be finished is ended by returning early, on
         # purpose; uvicorn would log each one as an error.
-        logging.getLogger('uvicorn.error').setLevel(logging.CRITICAL)
+        standard_logging.getLogger('uvicorn.error').setLevel(
+            standard_logging.CRITICAL
+        )
         self._server = _Server(config)
-        self._socket = socket.create_server((host, port), backlog=BACKLOG)
+        self._socket = listen(host, port)
         self._done = anyio.Event()
         self.port: int = self._socket.getsockname()[1]
 
--- a/marigoldramp_standins/web.py
+++ b/marigoldramp_standins/web.py
@@ -194,7 +194,13 @@
     async def application(scope: Scope, receive: Receive, send: Send) -> None:
         await handle(Exchange(scope=scope, receive=receive, send=send))
 
-    listener = socket.create_server((host, port), backlog=1024)
+    # asyncio sets TCP_NODELAY only on sockets that name their protocol.
+    listener = socket.socket(
+        socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP
+    )
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host, port))
+    listener.listen(1024)
     server = _Server(
         uvicorn.Config(
             application,
