Queue by weighted fairness and refuse what cannot end

Now: two levels of weighted fair queueing (priority, customer), a forecast on arrival, a latest start from the expected service time and its mean deviation, slots kept free for the urgent work of late, displacement out of a full queue, estimates that fade so that a wrong one cannot refuse for ever.

Failing without its mechanism, passing with it: a slot lost on cancellation after the grant (drawn interleavings), removal before the refusal, a late timer, the reserve, the fading estimate. Load gains waits_ms (additive).

--- a/marigoldramp/admission.py
+++ b/marigoldramp/admission.py
@@ -1,13 +1,12 @@
 """Bounded queue before an endpoint's slots.
 
 A call holds a slot while it runs on the endpoint.  Calls that find no free
-slot wait, in order of priority and of the share that each customer has had.
-A call that cannot end in time is refused at once, and one whose time runs
-out while it waits is taken out first and refused after that, so that a call
-which was told "not run" can never start.
+slot wait, in the order of :mod:`.fair_order`.  A call that cannot end in time
+is refused at once, and one whose time runs out while it waits is taken out
+first and refused after that, so that a call which was told "not run" can
+never start.
 """
 
-import collections
 import dataclasses
 import enum
 from typing import Callable
@@ -15,30 +14,20 @@
 import anyio
 
 from . import bundle
+from . import estimates
+from . import fair_order
 from . import messages
 from . import outcomes
 
-#: Weight of the newest observation in a smoothed value.
-SMOOTHING = 0.1
-MILLISECONDS = 1000.0
-
-
-@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
-class Waiting:
-    """A call that asks for a slot.
+Waiting = fair_order.Waiting
 
-    :ivar weight: share of its customer under contention.
-    :ivar deadline: clock time at which the answer is worthless.
-    :ivar cost: expected work, in any unit that is the same for all calls of
-        the queue; generated tokens, or 1 where all calls are alike.
-    """
-
-    call: str
-    customer: str
-    weight: float
-    priority: int
-    deadline: float
-    cost: float
+MILLISECONDS = 1000.0
+#: Mean deviations added to the expected service time when it is decided
+#: whether a call can still end in time.  With 0 an overloaded endpoint
+#: spends a tenth and more of its time on calls that then miss it.
+DEVIATIONS = 1.0
+LEAST_RETRY_AFTER = 0.05
+URGENT = bundle.Priority.URGENT
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -60,14 +49,15 @@
     REFUSED = enum.auto()
 
 
-class _Place:
-    """One call's place in the queue."""
+class _Place(fair_order.Place):
+    """One call's place in the queue and what became of it."""
 
-    __slots__ = ('waiting', 'arrived', 'event', 'state', 'result')
+    __slots__ = ('event', 'state', 'result')
 
-    def __init__(self, *, waiting: Waiting, arrived: float) -> None:
-        self.waiting = waiting
-        self.arrived = arrived
+    def __init__(
+        self, *, waiting: Waiting, seconds: float, arrived: float
+    ) -> None:
+        super().__init__(waiting=waiting, seconds=seconds, arrived=arrived)
         self.event = anyio.Event()
         self.state = _State.QUEUED
         self.result: Slot | outcomes.NotRun | None = None
@@ -88,19 +78,21 @@
         bound: int,
         clock: Callable[[], float],
         margin: float,
+        order: fair_order.Order[_Place] | None = None,
     ) -> None:
         self._slots = slots
         self._bound = bound
         self._clock = clock
         self._margin = margin
-        self._queues: dict[int, collections.deque[_Place]] = {
-            priority: collections.deque() for priority in bundle.Priority
-        }
+        self._order = fair_order.FairOrder() if order is None else order
         self._running: dict[int, Slot] = {}
+        self._others = 0
+        self._urgent = estimates.Rate()
         self._number = 0
         self._received = 0
-        self._service = 0.0
-        self._wait = 0.0
+        self._times = estimates.ServiceTimes(clock=clock)
+        self._service = estimates.Smoothed()
+        self._wait = estimates.Smoothed()
         self._closed = False
         self._idle = anyio.Event()
 
@@ -108,35 +100,44 @@
         """Wait for a slot; a cancelled caller leaves nothing behind."""
         self._received += 1
         now = self._clock()
-        refusal = self._refuse_on_arrival(waiting=waiting, now=now)
+        place = _Place(
+            waiting=waiting, seconds=self._expect(waiting), arrived=now
+        )
+        if waiting.priority == URGENT:
+            self._urgent.add(place.seconds, now=now)
+        refusal = self._refuse_on_arrival(place=place, now=now)
         if refusal is not None:
             return refusal
-        place = _Place(waiting=waiting, arrived=now)
-        self._queues[waiting.priority].append(place)
+        self._order.push(place)
         self._grant()
         try:
-            with anyio.move_on_after(
-                max(0.0, waiting.deadline - self._margin - now)
-            ):
+            with anyio.move_on_after(self._latest_start(place) - now):
                 await place.event.wait()
         except BaseException:
             self._abandon(place)
             raise
         if place.state is _State.QUEUED:
-            self._refuse(
-                place,
-                outcomes.NotRun(
-                    reason=outcomes.Reason.DEADLINE,
-                    detail='the deadline came while the call was queued',
-                ),
-            )
+            self._order.remove(place)
+            self._refuse(place, _expired())
         assert place.result is not None
         return place.result
 
-    def leave(self, slot: Slot, seconds: float) -> None:
-        """Give a slot back after the call ran for ``seconds``."""
-        del self._running[slot.number]
-        self._service = _smooth(self._service, seconds)
+    def leave(
+        self, slot: Slot, seconds: float, *, completed: bool = True
+    ) -> None:
+        """Give a slot back after the call ran for ``seconds``.
+
+        :param completed: false for a call that was cut short, whose time
+            says nothing about how long such calls take.
+        """
+        self._free(slot)
+        if completed:
+            self._service.observe(seconds, now=self._clock())
+            self._times.observe(
+                priority=slot.waiting.priority,
+                size=slot.waiting.cost,
+                seconds=seconds,
+            )
         self._grant()
         self._note_idle()
 
@@ -146,26 +147,38 @@
 
     def load(self) -> messages.Load:
         """Return the load report for heartbeats."""
+        waits = (self._forecast_for(priority) for priority in bundle.Priority)
         return messages.Load(
             running=len(self._running),
-            queued=self._queued(),
+            queued=len(self._order),
             slots=self._slots,
-            service_ms=round(self._service * MILLISECONDS),
-            wait_ms=round(self._wait * MILLISECONDS),
+            service_ms=round(self._service.value * MILLISECONDS),
+            wait_ms=round(self._wait.value * MILLISECONDS),
             received=self._received,
+            waits_ms=tuple(round(wait * MILLISECONDS) for wait in waits),
         )
 
     async def idle(self) -> None:
         """Wait until no call waits or runs."""
-        while self._running or self._queued():
+        while self._running or self._order:
             await self._idle.wait()
 
-    def _queued(self) -> int:
-        return sum(len(queue) for queue in self._queues.values())
+    def _expect(self, waiting: Waiting) -> float:
+        return self._times.expect(priority=waiting.priority, size=waiting.cost)
+
+    def _latest_start(self, place: _Place) -> float:
+        """Return the time after which starting the call is useless."""
+        needed = self._times.expect(
+            priority=place.waiting.priority,
+            size=place.waiting.cost,
+            deviations=DEVIATIONS,
+        )
+        return place.waiting.deadline - max(self._margin, needed)
 
     def _refuse_on_arrival(
-        self, *, waiting: Waiting, now: float
+        self, *, place: _Place, now: float
     ) -> outcomes.NotRun | None:
+        waiting = place.waiting
         if self._closed:
             return outcomes.NotRun(
                 reason=outcomes.Reason.LEAVING,
@@ -173,37 +186,114 @@
                 retry_after=0.0,
             )
         if waiting.deadline - self._margin <= now:
+            return _expired()
+        late = now + self._forecast(place) - self._latest_start(place)
+        if late > 0.0:
             return outcomes.NotRun(
-                reason=outcomes.Reason.DEADLINE,
-                detail='the deadline has passed',
-            )
-        if self._queued() >= self._bound:
-            return outcomes.NotRun(
-                reason=outcomes.Reason.QUEUE_FULL,
-                detail='as many calls wait here as may',
-                retry_after=max(0.05, self._service / self._slots),
+                reason=outcomes.Reason.CANNOT_END_IN_TIME,
+                detail='the wait for a slot is too long for the deadline',
+                retry_after=max(LEAST_RETRY_AFTER, late),
             )
+        if self._is_full(priority=waiting.priority):
+            return self._displace(place)
+        return None
+
+    def _has_free(self, *, priority: int) -> bool:
+        """Return whether a slot is free for a call of that priority."""
+        if len(self._running) >= self._slots:
+            return False
+        return priority == URGENT or not self._is_reserved()
+
+    def _is_full(self, *, priority: int) -> bool:
+        if len(self._order) < self._bound:
+            return False
+        return not self._has_free(priority=priority)
+
+    def _forecast(self, place: _Place) -> float:
+        """Return the expected seconds until the call would start."""
+        priority = place.waiting.priority
+        if self._has_free(priority=priority):
+            return 0.0
+        ahead = self._order.ahead(waiting=place.waiting, seconds=place.seconds)
+        return self._drain(ahead, priority=priority)
+
+    def _forecast_for(self, priority: int) -> float:
+        """Return the forecast for a new call of any customer."""
+        if self._has_free(priority=priority):
+            return 0.0
+        work = self._order.work(priority=priority)
+        return self._drain(work, priority=priority)
+
+    def _drain(self, work: float, *, priority: int) -> float:
+        """Return how long work takes that precedes a call, and one more."""
+        slots = self._slots
+        if priority != URGENT:
+            slots -= self._kept()
+        return (work + self._service.value) / max(1, slots)
+
+    def _displace(self, place: _Place) -> outcomes.NotRun | None:
+        """Make room in a full queue, or refuse the new call."""
+        displaced = self._order.find_displaced(
+            waiting=place.waiting, seconds=place.seconds
+        )
+        if displaced is None:
+            return self._full()
+        self._order.remove(displaced)
+        self._refuse(displaced, self._full())
         return None
 
+    def _full(self) -> outcomes.NotRun:
+        """Refuse, to come back when about half the queue has moved on."""
+        drain = len(self._order) * self._service.value / self._slots
+        return outcomes.NotRun(
+            reason=outcomes.Reason.QUEUE_FULL,
+            detail='as many calls wait here as may',
+            retry_after=max(LEAST_RETRY_AFTER, drain / 2.0),
+        )
+
     def _grant(self) -> None:
+        """Give free slots to queued calls that can still end in time."""
         now = self._clock()
-        for queue in self._queues.values():
-            while queue and len(self._running) < self._slots:
-                place = queue.popleft()
-                self._number += 1
-                slot = Slot(
-                    number=self._number,
-                    waiting=place.waiting,
-                    waited=now - place.arrived,
-                )
-                self._running[slot.number] = slot
-                self._wait = _smooth(self._wait, slot.waited)
-                place.state = _State.GRANTED
-                place.result = slot
-                place.event.set()
+        while len(self._running) < self._slots:
+            place = self._order.pop(urgent_only=self._is_reserved())
+            if place is None:
+                return
+            if now > self._latest_start(place):
+                self._refuse(place, _expired())
+                continue
+            self._number += 1
+            slot = Slot(
+                number=self._number,
+                waiting=place.waiting,
+                waited=now - place.arrived,
+            )
+            self._running[slot.number] = slot
+            self._others += place.waiting.priority != URGENT
+            self._wait.observe(slot.waited, now=now)
+            place.state = _State.GRANTED
+            place.result = slot
+            place.event.set()
+
+    def _is_reserved(self) -> bool:
+        """Return whether the slots left are kept for urgent calls.
+
+        Without a reserve every slot comes to be held by a draft for many
+        seconds, seen as urgent calls that miss their deadline while the
+        queue holds nothing but them.
+        """
+        return self._others >= self._slots - self._kept()
+
+    def _kept(self) -> int:
+        """Return the slots that the urgent calls of late would fill."""
+        demand = self._urgent.rate(now=self._clock())
+        return min(self._slots // 2, round(demand))
+
+    def _free(self, slot: Slot) -> None:
+        del self._running[slot.number]
+        self._others -= slot.waiting.priority != URGENT
 
     def _refuse(self, place: _Place, refusal: outcomes.NotRun) -> None:
-        self._queues[place.waiting.priority].remove(place)
+        """Tell a call that is out of the order already."""
         place.state = _State.REFUSED
         place.result = refusal
         place.event.set()
@@ -218,19 +308,20 @@
         """
         match place.state, place.result:
             case _State.QUEUED, _:
-                self._queues[place.waiting.priority].remove(place)
+                self._order.remove(place)
             case _State.GRANTED, Slot() as slot:
-                del self._running[slot.number]
+                self._free(slot)
                 self._grant()
         self._note_idle()
 
     def _note_idle(self) -> None:
-        if not self._running and not self._queued():
+        if not self._running and not self._order:
             self._idle.set()
             self._idle = anyio.Event()
 
 
-def _smooth(value: float, observed: float) -> float:
-    if value == 0.0:
-        return observed
-    return value + SMOOTHING * (observed - value)
+def _expired() -> outcomes.NotRun:
+    return outcomes.NotRun(
+        reason=outcomes.Reason.DEADLINE,
+        detail='the time left is too short to start the call',
+    )
--- a/marigoldramp/messages.py
+++ b/marigoldramp/messages.py
@@ -28,6 +28,8 @@
     :ivar age_ms: age of the endpoint's own report in this one.
     :ivar received: calls received since the agent started, so that a reader
         can tell which of its own calls the report already counts.
+    :ivar waits_ms: forecast of the wait of a call that arrives now, one for
+        each priority from the most urgent one; empty where none is made.
     """
 
     running: int
@@ -37,6 +39,7 @@
     wait_ms: int
     age_ms: int = 0
     received: int = 0
+    waits_ms: tuple[int, ...] = ()
 
 
 class KnownInstance(
--- a/marigoldramp_measure/fakes.py
+++ b/marigoldramp_measure/fakes.py
@@ -161,7 +161,7 @@
             self.busy += seconds
             if not whole:
                 self.wasted += seconds
-            self.queue.leave(slot, seconds)
+            self.queue.leave(slot, seconds, completed=whole)
         return seconds
 
     def _look_up(self, blocks: tuple[bytes, ...]) -> int:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,32 +1,27 @@
 """Tests of the queue before an endpoint's slots."""
 
 import anyio
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from marigoldramp import admission
 from marigoldramp import outcomes
+from marigoldramp_measure import virtual
 
+URGENT, DRAFT, BATCH = 0, 1, 2
 
-class Clock:
-    """A clock that tests set."""
 
-    def __init__(self):
-        self.now = 0.0
-
-    def __call__(self):
-        return self.now
-
-
-def make_waiting(call='c', *, priority=1, customer='a', **rest):
+def make_waiting(call='c', *, priority=DRAFT, customer='a', **rest):
     values = {'weight': 1.0, 'deadline': 1000.0, 'cost': 1.0, **rest}
     return admission.Waiting(
         call=call, customer=customer, priority=priority, **values
     )
 
 
-def make_queue(*, slots=1, bound=8, clock=None, margin=0.0):
+def make_queue(*, slots=1, bound=8, margin=0.0):
     return admission.Queue(
-        slots=slots, bound=bound, clock=clock or Clock(), margin=margin
+        slots=slots, bound=bound, clock=virtual.clock, margin=margin
     )
 
 
@@ -35,53 +30,366 @@
         await anyio.sleep(0)
 
 
-@pytest.mark.anyio
-async def test_urgent_overtakes():
-    queue = make_queue()
+async def learn(queue, *, seconds, priority=DRAFT, times=3):
+    """Let the queue see how long calls of a priority take."""
+    for _ in range(times):
+        slot = await queue.enter(waiting=make_waiting(priority=priority))
+        queue.leave(slot, seconds)
+
+
+async def run_in_order(queue, calls):
+    """Queue calls behind a running one; return the order of service."""
     order = []
 
-    async def run(call, priority):
-        slot = await queue.enter(waiting=make_waiting(call, priority=priority))
-        order.append(call)
+    async def run(waiting):
+        slot = await queue.enter(waiting=waiting)
+        if isinstance(slot, outcomes.NotRun):
+            order.append(slot.reason)
+            return
+        order.append(waiting.call)
         queue.leave(slot, 1.0)
 
     first = await queue.enter(waiting=make_waiting('first'))
     async with anyio.create_task_group() as tasks:
-        for call, priority in (('draft', 1), ('batch', 2), ('urgent', 0)):
-            tasks.start_soon(run, call, priority)
+        for waiting in calls:
+            tasks.start_soon(run, waiting)
         await settle()
         queue.leave(first, 1.0)
-    assert order == ['urgent', 'draft', 'batch']
-
-
-@pytest.mark.anyio
-async def test_refusals_on_arrival():
-    queue = make_queue(bound=0)
-    await queue.enter(waiting=make_waiting('first'))
-    full = await queue.enter(waiting=make_waiting('second'))
-    late = await queue.enter(waiting=make_waiting(deadline=0.0))
-    queue.close()
-    leaving = await queue.enter(waiting=make_waiting('third'))
-    assert [one.reason for one in (full, late, leaving)] == [
-        outcomes.Reason.QUEUE_FULL,
-        outcomes.Reason.DEADLINE,
-        outcomes.Reason.LEAVING,
-    ]
-
-
-@pytest.mark.anyio
-async def test_idle_waits_for_running_and_queued():
-    queue = make_queue()
-    first = await queue.enter(waiting=make_waiting('first'))
-    done = anyio.Event()
+    return order
 
-    async def wait():
-        await queue.idle()
-        done.set()
 
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(wait)
-        await settle()
-        assert not done.is_set()
-        queue.leave(first, 1.0)
-        await done.wait()
+@pytest.mark.parametrize(
+    ('calls', 'order'),
+    [
+        (
+            [
+                make_waiting('batch', priority=BATCH),
+                make_waiting('draft'),
+                make_waiting('urgent', priority=URGENT),
+            ],
+            ['urgent', 'draft', 'batch'],
+        ),
+        (
+            [make_waiting(f'a{one}') for one in range(6)]
+            + [make_waiting('b', customer='b')],
+            ['a0', 'a1', 'a2', 'b', 'a3', 'a4', 'a5'],
+        ),
+        (
+            [make_waiting(f'u{one}', priority=URGENT) for one in range(3)]
+            + [make_waiting('draft')],
+            ['u0', 'u1', 'u2', 'draft'],
+        ),
+    ],
+    ids=['priority', 'flooding-customer', 'draft-after-urgent'],
+)
+def test_order_of_service(calls, order):
+    async def main():
+        return await run_in_order(make_queue(), calls)
+
+    assert virtual.drive(main) == order
+
+
+def test_drafts_move_in_a_flood_of_urgent_calls():
+    """A flood of urgent calls must not hold up drafts for ever.
+
+    Symptom: no draft is answered while urgent calls keep coming.
+    Sequence: a hundred urgent calls are queued, then a draft.
+    Cause: strict priority; the weights give drafts an eighth.
+    """
+    calls = [
+        make_waiting(f'u{one}', priority=URGENT) for one in range(100)
+    ] + [make_waiting('draft')]
+
+    async def main():
+        return await run_in_order(make_queue(bound=200), calls)
+
+    assert virtual.drive(main).index('draft') < 20
+
+
+@pytest.mark.parametrize(
+    ('bound', 'deadline', 'closed', 'reason'),
+    [
+        (0, 100.0, False, outcomes.Reason.QUEUE_FULL),
+        (8, 0.01, False, outcomes.Reason.DEADLINE),
+        (8, 15.0, False, outcomes.Reason.CANNOT_END_IN_TIME),
+        (8, 100.0, True, outcomes.Reason.LEAVING),
+    ],
+    ids=['full', 'no-time', 'wait-too-long', 'closed'],
+)
+def test_refused_at_once(bound, deadline, closed, reason):
+    async def main():
+        queue = make_queue(bound=bound, margin=0.02)
+        await learn(queue, seconds=10.0)
+        await queue.enter(waiting=make_waiting('running'))
+        if closed:
+            queue.close()
+        refusal = await queue.enter(waiting=make_waiting(deadline=deadline))
+        assert virtual.clock() == 0.0
+        assert queue.load().queued == 0
+        return refusal
+
+    refusal = virtual.drive(main)
+    assert refusal.reason is reason
+    if reason is outcomes.Reason.CANNOT_END_IN_TIME:
+        assert refusal.retry_after == pytest.approx(5.0)
+
+
+def test_expired_call_never_starts():
+    """A call that is told its deadline passed must not run after it.
+
+    Symptom: a request runs although its caller was told "not run".
+    Sequence: the deadline comes while the call is queued; then a slot
+    becomes free.
+    Cause: refusing a call before taking it out of the queue.
+    """
+
+    async def main():
+        queue = make_queue(margin=0.5)
+        running = await queue.enter(waiting=make_waiting('running'))
+        refusal = await queue.enter(waiting=make_waiting(deadline=3.0))
+        assert virtual.clock() == pytest.approx(2.5)
+        queue.leave(running, 3.0)
+        load = queue.load()
+        assert (load.running, load.queued) == (0, 0)
+        return refusal
+
+    assert virtual.drive(main).reason is outcomes.Reason.DEADLINE
+
+
+def test_late_timer_does_not_start_a_hopeless_call():
+    """A call whose time has run out is not started by a late timer.
+
+    Symptom: engine time spent on an answer that is late for certain.
+    Sequence: a slot is given back after the deadline, before the event
+    loop has come round to the timer of the queued call.
+    Cause: trusting the timer alone.
+    """
+    now = 0.0
+
+    async def main():
+        nonlocal now
+        queue = admission.Queue(
+            slots=1, bound=8, clock=lambda: now, margin=0.0
+        )
+        running = await queue.enter(waiting=make_waiting('running'))
+        results = []
+
+        async def wait():
+            results.append(
+                await queue.enter(waiting=make_waiting(deadline=5.0))
+            )
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(wait)
+            await settle()
+            now = 6.0
+            queue.leave(running, 6.0)
+        return results
+
+    [refusal] = virtual.drive(main)
+    assert refusal.reason is outcomes.Reason.DEADLINE
+
+
+@pytest.mark.parametrize(
+    ('newcomer', 'served'),
+    [
+        (
+            make_waiting('new', priority=URGENT),
+            [outcomes.Reason.QUEUE_FULL, 'new', 'a0', 'a1'],
+        ),
+        (
+            make_waiting('new', customer='b'),
+            [outcomes.Reason.QUEUE_FULL, 'a0', 'a1', 'new'],
+        ),
+        (
+            make_waiting('new'),
+            [outcomes.Reason.QUEUE_FULL, 'a0', 'a1', 'a2'],
+        ),
+    ],
+    ids=['urgent', 'other-customer', 'same-customer'],
+)
+def test_full_queue_displaces(newcomer, served):
+    calls = [make_waiting(f'a{one}') for one in range(3)] + [newcomer]
+
+    async def main():
+        return await run_in_order(make_queue(bound=3), calls)
+
+    assert virtual.drive(main) == served
+
+
+def test_slots_are_kept_for_urgent_calls():
+    """Drafts must not hold every slot while urgent calls keep coming.
+
+    Symptom: urgent calls miss their deadline with nothing else queued.
+    Sequence: steady urgent work of one slot; drafts take all that is free.
+    Cause: a draft holds its slot for many seconds once it has it.
+    """
+
+    async def main():
+        queue = make_queue(slots=4)
+        for _ in range(40):
+            slot = await queue.enter(waiting=make_waiting(priority=URGENT))
+            await anyio.sleep(0.5)
+            queue.leave(slot, 0.5)
+        async with anyio.create_task_group() as tasks:
+            for one in range(4):
+                tasks.start_soon(_hold, queue, one)
+            await settle()
+            running = queue.load().running
+            urgent = await queue.enter(waiting=make_waiting(priority=URGENT))
+            tasks.cancel_scope.cancel()
+        return running, urgent
+
+    async def _hold(queue, one):
+        await queue.enter(waiting=make_waiting(f'd{one}'))
+        await anyio.sleep_forever()
+
+    running, urgent = virtual.drive(main)
+    assert running == 3
+    assert urgent.waited == 0.0
+
+
+def test_one_estimate_does_not_refuse_for_ever():
+    """A service time that was once long is given up without new input.
+
+    Symptom: calls are refused as too long while the slots stand idle.
+    Sequence: the engine was slow, is fast again, and nothing is let in.
+    Cause: an estimate that only a call let in could correct.
+    """
+
+    async def main():
+        queue = make_queue()
+        await learn(queue, seconds=30.0)
+        results = []
+        for _ in range(20):
+            deadline = virtual.clock() + 5.0
+            results.append(
+                await queue.enter(waiting=make_waiting(deadline=deadline))
+            )
+            if isinstance(results[-1], admission.Slot):
+                break
+            await anyio.sleep(5.0)
+        return results
+
+    results = virtual.drive(main)
+    assert isinstance(results[0], outcomes.NotRun)
+    assert isinstance(results[-1], admission.Slot)
+
+
+STEPS = strategies.lists(
+    strategies.one_of(
+        strategies.tuples(
+            strategies.just('enter'),
+            strategies.integers(0, 2),
+            strategies.sampled_from('abc'),
+            strategies.floats(0.1, 8.0),
+        ),
+        strategies.tuples(strategies.just('cancel'), strategies.integers()),
+        strategies.tuples(strategies.just('leave'), strategies.integers()),
+        strategies.tuples(
+            strategies.just('pass'), strategies.floats(0.0, 3.0)
+        ),
+        strategies.tuples(strategies.just('yield')),
+    ),
+    max_size=60,
+)
+
+
+class Bench:
+    """Drives a queue by drawn steps and keeps account of every call."""
+
+    def __init__(self, *, tasks):
+        self.tasks = tasks
+        self.queue = make_queue(slots=3, bound=5, margin=0.01)
+        self.scopes = []
+        self.held = []
+        self.refused = []
+
+    async def apply(self, step):
+        match step:
+            case 'enter', priority, customer, seconds:
+                scope = anyio.CancelScope()
+                self.scopes.append(scope)
+                waiting = make_waiting(
+                    f'{len(self.scopes)}',
+                    priority=priority,
+                    customer=customer,
+                    deadline=virtual.clock() + seconds,
+                )
+                self.tasks.start_soon(self._enter, waiting, scope)
+            case 'cancel', number:
+                if self.scopes:
+                    self.scopes[number % len(self.scopes)].cancel()
+            case 'leave', number:
+                if self.held:
+                    slot = self.held.pop(number % len(self.held))
+                    self.queue.leave(slot, 1.0)
+            case 'pass', seconds:
+                await anyio.sleep(seconds)
+            case _:
+                await anyio.sleep(0)
+
+    async def _enter(self, waiting, scope):
+        with scope:
+            result = await self.queue.enter(waiting=waiting)
+            match result:
+                case admission.Slot():
+                    assert virtual.clock() < waiting.deadline
+                    self.held.append(result)
+                case outcomes.NotRun():
+                    self.refused.append(waiting.call)
+
+    def check(self):
+        load = self.queue.load()
+        assert len(self.held) <= load.running <= load.slots
+        assert load.queued <= 5 or load.running < load.slots
+        held = {slot.waiting.call for slot in self.held}
+        assert not held & set(self.refused)
+
+
+@hypothesis.given(steps=STEPS)
+def test_no_slot_is_lost(steps):
+    """No interleaving of grant, cancel and expiry may lose a slot.
+
+    Symptom: an endpoint runs fewer calls at once than it has slots.
+    Sequence: any; the worst is a cancellation after the grant, before the
+    caller has run again.
+    Cause: a slot granted to a caller that never learns of it.
+    """
+
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            bench = Bench(tasks=tasks)
+            for step in steps:
+                await bench.apply(step)
+                bench.check()
+            for scope in bench.scopes:
+                scope.cancel()
+            await settle()
+            while bench.held:
+                bench.queue.leave(bench.held.pop(), 1.0)
+            load = bench.queue.load()
+            assert (load.running, load.queued) == (0, 0)
+            await bench.queue.idle()
+
+    virtual.drive(main)
+
+
+def test_idle_waits_for_running_and_queued():
+    async def main():
+        queue = make_queue()
+        first = await queue.enter(waiting=make_waiting('first'))
+        done = anyio.Event()
+
+        async def wait():
+            await queue.idle()
+            done.set()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(wait)
+            await settle()
+            assert not done.is_set()
+            queue.leave(first, 1.0)
+            await done.wait()
+
+    virtual.drive(main)
