Cut bundles into signed, content-addressed parts

Cause: configuration and the operators' commands need one form in which a bundle is stored, signed and sent. A whole bundle of 40,000 customers is some megabytes of text, and a change mostly touches one customer.

A change of one customer sends the manifest and one part of about 1 KB. Ruled out: one object for all, as it passes the store's megabyte; a tree of manifests, as one level is enough at that size.

--- /dev/null
+++ b/marigoldramp/manifests.py
@@ -0,0 +1,222 @@
+"""A bundle as it is rolled out: a manifest of content-addressed parts.
+
+A whole bundle passes a megabyte once it names tens of thousands of
+customers, and a change mostly touches one.  So customers lie in buckets by
+a hash of their name, and a process fetches only the parts that it has not.
+"""
+
+import dataclasses
+import hashlib
+from typing import Iterable
+from typing import Mapping
+import zlib
+
+import msgspec
+
+from . import bundle
+
+CUSTOMERS_PER_PART = 256
+GENERAL = 'general'
+DIGEST_BYTES = 32
+#: Longest content of a part, so that a small text cannot fill the memory.
+MOST_PART_BYTES = 8_000_000
+
+
+class SignOff(msgspec.Struct, frozen=True, kw_only=True):
+    """An operator's signature over a manifest's digest, hexadecimal."""
+
+    operator: str
+    signature: str
+
+
+class PartRef(msgspec.Struct, frozen=True, kw_only=True):
+    """Names a part.
+
+    :ivar name: ``general`` or ``customers-N``.
+    :ivar digest: hexadecimal BLAKE2b-256 of the part's JSON text.
+    :ivar size: bytes of that text.
+    """
+
+    name: str
+    digest: str
+    size: int
+
+
+class Manifest(msgspec.Struct, frozen=True, kw_only=True):
+    """What is rolled out under one number.
+
+    :ivar author: operator who rolled it.
+    :ivar rolled_at: wall clock in seconds.
+    :ivar nonce: recognises a writer's own write after a lost reply.
+    """
+
+    number: int
+    note: str
+    parts: tuple[PartRef, ...]
+    author: str = ''
+    rolled_at: float = 0.0
+    nonce: str = ''
+    sign_offs: tuple[SignOff, ...] = ()
+
+    @property
+    def digest(self) -> str:
+        """Return the hexadecimal digest that operators sign."""
+        signed = _Signed(number=self.number, note=self.note, parts=self.parts)
+        return _digest(msgspec.json.encode(signed))
+
+
+class _Signed(msgspec.Struct, frozen=True, kw_only=True):
+    """What a sign-off covers."""
+
+    number: int
+    note: str
+    parts: tuple[PartRef, ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Part:
+    """A part's content, compressed, under the digest of its text."""
+
+    digest: str
+    content: bytes
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Split:
+    """A bundle cut into parts; the manifest is not signed yet."""
+
+    manifest: Manifest
+    parts: tuple[Part, ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Broken:
+    """Parts that make no bundle."""
+
+    detail: str
+
+
+class General(msgspec.Struct, frozen=True, kw_only=True):
+    """The general part: everything but the customers."""
+
+    services: tuple[bundle.Service, ...]
+    routes: tuple[bundle.Route, ...]
+    groups: tuple[bundle.Group, ...]
+
+
+def choose_bucket(*, customer: str, buckets: int) -> int:
+    """Return the bucket in which a customer lies."""
+    digest = hashlib.blake2b(customer.encode(), digest_size=4).digest()
+    return int.from_bytes(digest, 'big') % buckets
+
+
+def split(*, whole: bundle.Bundle) -> Split:
+    """Cut a bundle into parts."""
+    buckets = _count_buckets(len(whole.customers))
+    texts = {GENERAL: _encode_general(whole)}
+    lists: list[list[bundle.Customer]] = [[] for _ in range(buckets)]
+    for customer in whole.customers:
+        bucket = choose_bucket(customer=customer.name, buckets=buckets)
+        lists[bucket].append(customer)
+    for number, customers in enumerate(lists):
+        customers.sort(key=lambda one: one.name)
+        texts[f'customers-{number}'] = msgspec.json.encode(customers)
+    refs = tuple(
+        PartRef(name=name, digest=_digest(text), size=len(text))
+        for name, text in texts.items()
+    )
+    parts = tuple(
+        Part(digest=_digest(text), content=zlib.compress(text))
+        for text in texts.values()
+    )
+    manifest = Manifest(number=whole.number, note=whole.note, parts=refs)
+    return Split(manifest=manifest, parts=parts)
+
+
+def join(
+    *, manifest: Manifest, parts: Mapping[str, bytes]
+) -> bundle.Bundle | Broken:
+    """Return the bundle of which a manifest names the parts.
+
+    :param parts: compressed contents by digest.
+    """
+    customers: list[bundle.Customer] = []
+    general = None
+    for ref in manifest.parts:
+        text = open_part(ref=ref, content=parts.get(ref.digest, b''))
+        if isinstance(text, Broken):
+            return text
+        try:
+            if ref.name == GENERAL:
+                general = msgspec.json.decode(text, type=General)
+            else:
+                customers.extend(
+                    msgspec.json.decode(text, type=list[bundle.Customer])
+                )
+        except msgspec.MsgspecError as error:
+            return Broken(detail=f'part {ref.name}: {error}')
+    if general is None:
+        return Broken(detail='the general part is missing')
+    return bundle.Bundle(
+        number=manifest.number,
+        note=manifest.note,
+        services=general.services,
+        routes=general.routes,
+        groups=general.groups,
+        customers=tuple(customers),
+    )
+
+
+def open_part(*, ref: PartRef, content: bytes) -> bytes | Broken:
+    """Return a part's text if it is the one that the manifest names."""
+    if ref.size > MOST_PART_BYTES:
+        return Broken(detail=f'part {ref.name} is too large')
+    try:
+        text = zlib.decompressobj().decompress(content, ref.size + 1)
+    except zlib.error as error:
+        return Broken(detail=f'part {ref.name}: {error}')
+    if len(text) != ref.size or _digest(text) != ref.digest:
+        return Broken(detail=f'part {ref.name} does not match its digest')
+    return text
+
+
+def encode(manifest: Manifest) -> bytes:
+    """Return a manifest's JSON text."""
+    return msgspec.json.encode(manifest)
+
+
+def decode(text: bytes) -> Manifest | Broken:
+    """Return the manifest in a JSON text."""
+    try:
+        return msgspec.json.decode(text, type=Manifest)
+    except msgspec.MsgspecError as error:
+        return Broken(detail=f'the manifest cannot be read: {error}')
+
+
+def find_missing(
+    *, manifest: Manifest, have: Iterable[str]
+) -> tuple[str, ...]:
+    """Return the digests of the parts that a process has yet to fetch."""
+    known = set(have)
+    return tuple(
+        ref.digest for ref in manifest.parts if ref.digest not in known
+    )
+
+
+def _count_buckets(customers: int) -> int:
+    buckets = 1
+    while buckets * CUSTOMERS_PER_PART < customers:
+        buckets *= 2
+    return buckets
+
+
+def _encode_general(whole: bundle.Bundle) -> bytes:
+    return msgspec.json.encode(
+        General(
+            services=whole.services, routes=whole.routes, groups=whole.groups
+        )
+    )
+
+
+def _digest(text: bytes) -> str:
+    return hashlib.blake2b(text, digest_size=DIGEST_BYTES).hexdigest()
