Read settings and documents with the place of every fault

Operators mend a file in one round only if each fault comes with its line and column, so YAML is read from parser events into nodes with places and checked by pydantic over the slotted data classes (strict, by way of JSON, as strict Python input refuses lists for tuples). Composing with PyYAML was ruled out: it recurses on nesting and expands aliases unbounded; the own stack bounds depth, size and alias expansion. Cross checks and role checks stand in settings_checks.

--- /dev/null
+++ b/marigoldramp/documents.py
@@ -0,0 +1,201 @@
+"""Typed documents from YAML, every fault with its file, line and column.
+
+The text becomes a tree of nodes with places, the tree is checked against a
+data class by pydantic, and each error is carried back to its place, so that
+an operator mends a file in one round instead of one fault at a time.
+"""
+
+import dataclasses
+import difflib
+import typing
+from typing import Any
+from typing import Generic
+from typing import TypeVar
+
+import msgspec
+import pydantic
+
+from . import findings
+from . import nodes
+
+T = TypeVar('T')
+Path = tuple[str | int, ...]
+Finding = findings.Finding
+Place = findings.Place
+
+_MESSAGES = {
+    'missing': 'is required',
+    'dataclass_type': 'must be a mapping',
+    'dict_type': 'must be a mapping',
+    'tuple_type': 'must be a list',
+    'string_type': 'must be a text; put it in quotes',
+    'int_type': 'must be a whole number',
+    'float_type': 'must be a number',
+    'bool_type': 'must be true or false',
+}
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Loaded(Generic[T]):
+    """A document as read: its value unless faults were found.
+
+    :ivar value: ``None`` if there are findings.
+    :ivar findings: every fault, in the order of the text.
+    :ivar tree: the document's own nodes, for the places of later checks.
+    """
+
+    value: T | None
+    findings: tuple[Finding, ...]
+    tree: nodes.Node | None = None
+    source: str = ''
+
+    def place(self, *path: str | int) -> Place:
+        """Return the place of the value at a path, or of its nearest kin."""
+        if self.tree is None:
+            return Place(source=self.source)
+        return self.tree.find(path).place
+
+    def finding(self, message: str, *path: str | int) -> Finding:
+        """Return a finding about the value at a path."""
+        return Finding(
+            place=self.place(*path), field=name_field(path), message=message
+        )
+
+
+def name_field(path: Path) -> str:
+    """Write a path as ``routes[2].path``."""
+    name = ''
+    for step in path:
+        if isinstance(step, int):
+            name += f'[{step}]'
+        elif name:
+            name += f'.{step}'
+        else:
+            name = step
+    return name
+
+
+def load(
+    *,
+    text: str,
+    source: str,
+    shape: type[T],
+    under: nodes.Node | None = None,
+) -> Loaded[T]:
+    """Read a YAML text into a data class.
+
+    :param source: the file's name, for places.
+    :param shape: a data class whose fields are checked by pydantic.
+    :param under: a document over which this one is laid, member by member.
+    """
+    tree = nodes.read(text=text, source=source)
+    found = list(tree.findings)
+    root = tree.root
+    if root is None or root.value is None:
+        if not found and under is None:
+            found.append(_whole(source, 'the document is empty'))
+        root = _empty(source, root)
+    elif not isinstance(root.value, dict):
+        found.append(_whole(source, 'the document must be a mapping', root))
+    if found and tree.root is None:
+        return Loaded(value=None, findings=tuple(found), source=source)
+    whole = root if under is None else merge(under=under, over=root)
+    value, errors = _validate(whole, shape)
+    if isinstance(root.value, dict):
+        found += [_translate(error, root, shape) for error in errors]
+    ordered = tuple(sorted(found))
+    return Loaded(
+        value=None if ordered else value,
+        findings=ordered,
+        tree=root,
+        source=source,
+    )
+
+
+def merge(*, under: nodes.Node, over: nodes.Node) -> nodes.Node:
+    """Lay one tree over another; mappings are merged, all else replaced."""
+    if not isinstance(under.value, dict) or not isinstance(over.value, dict):
+        return over
+    members = dict(under.value)
+    for key, member in over.value.items():
+        below = members.get(key)
+        if below is not None:
+            node = merge(under=below.node, over=member.node)
+            member = nodes.Member(place=member.place, node=node)
+        members[key] = member
+    return nodes.Node(place=over.place, value=members)
+
+
+def _empty(source: str, root: nodes.Node | None) -> nodes.Node:
+    place = Place(source=source, line=1, column=1)
+    return nodes.Node(place=root.place if root else place, value={})
+
+
+def _whole(
+    source: str, message: str, root: nodes.Node | None = None
+) -> Finding:
+    place = root.place if root else Place(source=source)
+    return Finding(place=place, field='', message=message)
+
+
+def _validate(root: nodes.Node, shape: type[T]) -> tuple[T | None, list[Any]]:
+    """Check by way of JSON, where strictness knows lists and words."""
+    text = msgspec.json.encode(root.plain())
+    try:
+        adapter = pydantic.TypeAdapter(shape)
+        return adapter.validate_json(text, strict=True), []
+    except pydantic.ValidationError as error:
+        return None, list(error.errors(include_url=False))
+
+
+def _translate(error: Any, root: nodes.Node, shape: type[Any]) -> Finding:
+    path: Path = error['loc']
+    if error['type'] == 'unexpected_keyword_argument':
+        return Finding(
+            place=root.find_key(path),
+            field=name_field(path),
+            message='unknown key' + _suggest(shape, path),
+        )
+    message = _MESSAGES.get(error['type'])
+    if message is None:
+        message = error['msg'].replace('Input should', 'must')
+    return Finding(
+        place=root.find(path).place,
+        field=name_field(path),
+        message=message,
+    )
+
+
+def _suggest(shape: Any, path: Path) -> str:
+    for step in path[:-1]:
+        shape = _step_into(shape, step)
+    if not dataclasses.is_dataclass(shape):
+        return ''
+    known = [field.name for field in dataclasses.fields(shape)]
+    near = difflib.get_close_matches(str(path[-1]), known, n=1, cutoff=0.0)
+    return f'; the nearest known key is {near[0]!r}' if near else ''
+
+
+def _step_into(shape: Any, step: str | int) -> Any:
+    if dataclasses.is_dataclass(shape):
+        return typing.get_type_hints(shape).get(str(step))
+    arguments = typing.get_args(shape)
+    if not arguments:
+        return None
+    return arguments[-1] if isinstance(step, str) else arguments[0]
+
+
+def read_file(path: str) -> str | Finding:
+    """Return the text of a file, or why it cannot be read."""
+    place = Place(source=path)
+    try:
+        with open(path, 'rb') as file:
+            content = file.read(nodes.MOST_BYTES + 1)
+    except OSError as error:
+        message = f'cannot be read: {error.strerror}'
+        return Finding(place=place, field='', message=message)
+    try:
+        return content.decode()
+    except UnicodeDecodeError as error:
+        message = f'is not UTF-8 at byte {error.start}'
+        return Finding(place=place, field='', message=message)
--- a/marigoldramp/settings.py
+++ b/marigoldramp/settings.py
@@ -6,11 +6,19 @@
 """
 
 import dataclasses
+import enum
+import functools
+import importlib.resources
 from typing import ClassVar
 from typing import Literal
 
 import pydantic
 
+from . import documents
+from . import findings
+from . import nodes
+from . import settings_checks
+
 STRICT = pydantic.ConfigDict(extra='forbid')
 
 
@@ -32,7 +40,7 @@
 class Security:
     """Keys: the fleet's own, and the operators' public ones.
 
-    :ivar fleet_key: reference to the secret, see :mod:`.secrets`.
+    :ivar fleet_key: reference to the secret, see :mod:`.credentials`.
     """
 
     __pydantic_config__: ClassVar[pydantic.ConfigDict] = STRICT
@@ -73,6 +81,7 @@
     probe_timeout: pydantic.PositiveFloat
     peers: pydantic.PositiveInt
     table: pydantic.PositiveInt
+    seeds: tuple[str, ...]
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -90,6 +99,9 @@
     head_bytes: pydantic.PositiveInt
     body_bytes: pydantic.PositiveInt
     body_timeout: pydantic.PositiveFloat
+    head_timeout: pydantic.PositiveFloat
+    linger: pydantic.NonNegativeFloat
+    silence: pydantic.PositiveFloat
     connections: pydantic.PositiveInt
     calls: pydantic.PositiveInt
     customers: pydantic.PositiveInt
@@ -107,6 +119,14 @@
     control_port: pydantic.NonNegativeInt
     datagram_port: pydantic.NonNegativeInt
     drain_limit: pydantic.PositiveFloat
+    linger: pydantic.NonNegativeFloat
+    head_bytes: pydantic.PositiveInt
+    head_timeout: pydantic.PositiveFloat
+    body_bytes: pydantic.PositiveInt
+    body_timeout: pydantic.PositiveFloat
+    connections: pydantic.PositiveInt
+    resume_seconds: pydantic.PositiveFloat
+    overtime: pydantic.PositiveFloat
     service: str
     endpoint: str
     kind: str
@@ -138,3 +158,55 @@
     membership: Membership
     entry: Entry
     agent: Agent
+
+
+class Role(enum.StrEnum):
+    """For whom the settings have to suffice."""
+
+    ENTRY = 'entry'
+    AGENT = 'agent'
+    OPERATOR = 'operator'
+
+
+def read(*, path: str) -> documents.Loaded[Settings]:
+    """Read a settings file laid over the defaults; faults are findings."""
+    text = documents.read_file(path)
+    if isinstance(text, findings.Finding):
+        return documents.Loaded(value=None, findings=(text,), source=path)
+    loaded = documents.load(
+        text=text, source=path, shape=Settings, under=_read_defaults()
+    )
+    if loaded.value is None:
+        return loaded
+    found = settings_checks.check_form(loaded.value, loaded)
+    if not found:
+        return loaded
+    return dataclasses.replace(loaded, value=None, findings=found)
+
+
+def check_role(
+    settings: Settings,
+    role: Role | str,
+    loaded: documents.Loaded[Settings] | None = None,
+) -> tuple[findings.Finding, ...]:
+    """Report what a role needs and the settings do not give.
+
+    :param loaded: as returned by :func:`read`, for the findings' places.
+    """
+    return settings_checks.check_role(
+        settings, Role(role), loaded or _without_places(settings)
+    )
+
+
+def _without_places(settings: Settings) -> documents.Loaded[Settings]:
+    return documents.Loaded(value=settings, findings=(), source='settings')
+
+
+@functools.cache
+def _read_defaults() -> nodes.Node:
+    name = 'settings_default.yaml'
+    package = importlib.resources.files(__package__)
+    text = package.joinpath(name).read_text(encoding='utf-8')
+    tree = nodes.read(text=text, source=name)
+    assert tree.root is not None and not tree.findings
+    return tree.root
