--- a/marigoldramp/settings_checks.py
+++ b/marigoldramp/settings_checks.py
@@ -104,6 +104,9 @@
                 'membership',
                 'suspect_after',
             )
+        for index, seed in enumerate(membership.seeds):
+            if not _is_seed(seed):
+                self.find('must read IP:PORT', 'membership', 'seeds', index)
         if membership.table < membership.peers:
             self.find(
                 'must not be below membership.peers', 'membership', 'table'
@@ -150,6 +153,15 @@
     return port_is_valid
 
 
+def _is_seed(text: str) -> bool:
+    host, _, port = text.rpartition(':')
+    try:
+        ipaddress.ip_address(host.strip('[]'))
+    except ValueError:
+        return False
+    return port.isascii() and port.isdigit() and 0 < int(port) < 65536
+
+
 def check_form(
     settings: '_settings.Settings',
     loaded: 'documents.Loaded[_settings.Settings]',
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -147,7 +147,8 @@
         names = ', '.join([f'*a{step - 1}'] * 10)
         lines.append(f'a{step}: &a{step} [{names}]')
     tree = nodes.read(text='\n'.join(lines), source='f')
-    assert tree.root is None
+    refused = tree.root is None  # a failure must not print the tree
+    assert refused
     assert 'aliases stand for too many' in tree.findings[0].message
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -60,6 +60,8 @@
             'membership: {suspect_after: 0.5, table: 2}',
             [('membership.suspect_after', 1), ('membership.table', 1)],
         ),
+        ('membership: {seeds: ["a:1"]}', [('membership.seeds[0]', 1)]),
+        ('membership: {seeds: ["10.0.0.1:"]}', [('membership.seeds[0]', 1)]),
         ('agent: {answer_bytes: 99999999}', [('agent.answer_bytes', 1)]),
         ('agent: {ranks: [1]}', [('agent.ranks', 1)]),
         ('agent: {ranks: [1, 1], group: g}', [('agent.ranks', 1)]),
