Submit, sign and roll bundles from the command line

Operators need one way by which a bundle comes into force, and it must hold when two of them race and when the store loses replies. The object bundle/current is replaced on the condition of its version; each manifest names its own nonce and the nonce of the roll it replaced, so a roller whose reply was lost tells its write even after another replaced it. Ruled out: reading back before writing again, which costs the same calls and leaves a late request unanswered.

The command line has entry, agent and bundle check, submit, sign and roll.

--- a/marigoldramp/bundle.py
+++ b/marigoldramp/bundle.py
@@ -8,6 +8,8 @@
 
 import dataclasses
 import enum
+from typing import Annotated
+from typing import Any
 from typing import ClassVar
 
 import pydantic
@@ -23,6 +25,17 @@
     BACKGROUND = 2
 
 
+def read_priority(value: Any) -> Any:
+    """Return the priority of that name; other values stay as they are."""
+    if isinstance(value, str) and value.upper() in Priority.__members__:
+        return Priority[value.upper()]
+    return value
+
+
+#: In a bundle file a priority stands under its name, such as ``urgent``.
+NamedPriority = Annotated[Priority, pydantic.BeforeValidator(read_priority)]
+
+
 class MapMode(enum.StrEnum):
     """What weighs more when experts are moved between ranks."""
 
@@ -97,7 +110,7 @@
     idempotent: bool = True
     default_deadline_seconds: float = 10.0
     longest_deadline_seconds: float = 60.0
-    priority: Priority = Priority.NORMAL
+    priority: NamedPriority = Priority.NORMAL
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
--- a/marigoldramp/manifests.py
+++ b/marigoldramp/manifests.py
@@ -14,7 +14,10 @@
 import msgspec
 
 from . import bundle
+from . import store
 
+#: Names the manifest of the bundle in force.
+CURRENT = store.Key(kind='bundle', name='current')
 CUSTOMERS_PER_PART = 256
 GENERAL = 'general'
 DIGEST_BYTES = 32
@@ -48,6 +51,7 @@
     :ivar author: operator who rolled it.
     :ivar rolled_at: wall clock in seconds.
     :ivar nonce: recognises a writer's own write after a lost reply.
+    :ivar replaces: nonce of the roll that this one replaced.
     """
 
     number: int
@@ -56,6 +60,7 @@
     author: str = ''
     rolled_at: float = 0.0
     nonce: str = ''
+    replaces: str = ''
     sign_offs: tuple[SignOff, ...] = ()
 
     @property
@@ -104,6 +109,21 @@
     groups: tuple[bundle.Group, ...]
 
 
+def key_part(digest: str) -> store.Key:
+    """Name a part in the store."""
+    return store.Key(kind='parts', name=digest)
+
+
+def key_proposal(digest: str) -> store.Key:
+    """Name a proposal, a manifest that has not been rolled."""
+    return store.Key(kind='proposals', name=digest)
+
+
+def key_sign_off(digest: str, operator: str) -> store.Key:
+    """Name an operator's sign-off of a proposal."""
+    return store.Key(kind='sign-offs', name=f'{digest}-{operator}')
+
+
 def choose_bucket(*, customer: str, buckets: int) -> int:
     """Return the bucket in which a customer lies."""
     digest = hashlib.blake2b(customer.encode(), digest_size=4).digest()
--- /dev/null
+++ b/marigoldramp/ui/__init__.py
@@ -0,0 +1,76 @@
+"""The command line ``marigoldramp``."""
+
+import sys
+from typing import Sequence
+
+import cyclopts
+
+from .. import __version__
+from . import agent
+from . import bundle_check
+from . import bundle_roll
+from . import bundle_sign
+from . import bundle_submit
+from . import commands
+from . import entry
+from . import exits
+
+COMMANDS: tuple[commands.Command | commands.Group, ...] = (
+    entry.COMMAND,
+    agent.COMMAND,
+    commands.Group(
+        name='bundle',
+        help='Check, submit, sign and roll configuration bundles.',
+        commands=(
+            bundle_check.COMMAND,
+            bundle_submit.COMMAND,
+            bundle_sign.COMMAND,
+            bundle_roll.COMMAND,
+        ),
+    ),
+)
+
+_HELP = 'A load balancer for expert-parallel model groups and plain services.'
+
+
+def make_application() -> cyclopts.App:
+    """Return the application with all subcommands."""
+    application = cyclopts.App(
+        name='marigoldramp',
+        help=_HELP,
+        help_epilogue=exits.HELP,
+        version=__version__,
+        help_format='plaintext',
+        result_action='return_value',
+        print_error=True,
+        exit_on_error=False,
+    )
+    for one in COMMANDS:
+        match one:
+            case commands.Command():
+                _add(application, one)
+            case commands.Group():
+                group = cyclopts.App(name=one.name, help=one.help)
+                for member in one.commands:
+                    _add(group, member)
+                application.command(group)
+    return application
+
+
+def _add(application: cyclopts.App, command: commands.Command) -> None:
+    application.command(command.function, name=command.name, help=command.help)
+
+
+def run(arguments: Sequence[str]) -> int:
+    """Carry out a command line and return its exit code."""
+    application = make_application()
+    try:
+        code = application(list(arguments))
+    except cyclopts.CycloptsError:
+        return exits.BAD_INPUT
+    return code if isinstance(code, int) else exits.DONE
+
+
+def main() -> None:
+    """Run the program."""
+    sys.exit(run(sys.argv[1:]))
--- /dev/null
+++ b/marigoldramp/ui/__main__.py
@@ -0,0 +1,5 @@
+"""Run the command line by ``python -m marigoldramp.ui``."""
+
+from . import main
+
+main()
--- /dev/null
+++ b/marigoldramp/ui/output.py
@@ -0,0 +1,110 @@
+"""What subcommands print, as text for a person or JSON for a script."""
+
+import sys
+from typing import Any
+from typing import Iterable
+from typing import Sequence
+
+import msgspec
+
+from .. import findings as findings_module
+from . import commands
+
+
+class FindingLine(msgspec.Struct, frozen=True, kw_only=True):
+    """A finding as JSON."""
+
+    file: str
+    line: int
+    column: int
+    field: str
+    message: str
+
+
+class Report(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """How a command ended, as JSON.
+
+    :ivar outcome: ``done``, ``refused``, ``bad_input``,
+        ``platform_unavailable`` or ``outcome_uncertain``.
+    """
+
+    outcome: str
+    detail: str = ''
+    findings: tuple[FindingLine, ...] = ()
+    result: Any = None
+
+
+def say(text: str) -> None:
+    """Print a line for a person."""
+    print(text)
+
+
+def complain(text: str) -> None:
+    """Print a line about a fault."""
+    print(text, file=sys.stderr)
+
+
+def write_json(value: Any) -> None:
+    """Print a value as one JSON document, indented."""
+    text = msgspec.json.format(msgspec.json.encode(value), indent=2)
+    print(text.decode())
+
+
+def report_findings(
+    findings: Iterable[findings_module.Finding], output: commands.OutputForm
+) -> None:
+    """Print every finding on its own line."""
+    found = tuple(findings)
+    if output == 'json':
+        write_json(
+            Report(
+                outcome='bad_input',
+                findings=tuple(_make_line(one) for one in found),
+            )
+        )
+        return
+    for one in found:
+        complain(str(one))
+    noun = 'finding' if len(found) == 1 else 'findings'
+    complain(f'{len(found)} {noun}')
+
+
+def _make_line(finding: findings_module.Finding) -> FindingLine:
+    return FindingLine(
+        file=finding.place.source,
+        line=finding.place.line,
+        column=finding.place.column,
+        field=finding.field,
+        message=finding.message,
+    )
+
+
+def report_fault(
+    outcome: str, detail: str, output: commands.OutputForm
+) -> None:
+    """Print why a command was not carried out."""
+    if output == 'json':
+        write_json(Report(outcome=outcome, detail=detail))
+    else:
+        complain(f'{outcome.replace("_", " ")}: {detail}')
+
+
+def report_done(text: str, result: Any, output: commands.OutputForm) -> None:
+    """Print the result of a command that was carried out."""
+    if output == 'json':
+        write_json(Report(outcome='done', result=result))
+    else:
+        say(text)
+
+
+def format_table(head: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
+    """Return rows under a head, in aligned columns."""
+    table = [head, *rows]
+    widths = [
+        max(len(row[column]) for row in table) for column in range(len(head))
+    ]
+    lines = []
+    for row in table:
+        cells = [cell.ljust(width) for cell, width in zip(row, widths)]
+        lines.append('  '.join(cells).rstrip())
+    return '\n'.join(lines)
