Check a bundle as a whole, every fault with its place

A bundle that names an unknown service, shares a key between customers, hides a route behind another or hedges a non-idempotent one would fail in service, after its sign-off. The checks run before that and go on with the sound items when single values are faulty, so one round shows all. Bounds of single numbers moved into the data classes as pydantic types; decoding of parts by msgspec ignores them, as a signed bundle has passed the checks.

Rebalancing plug-in names are not checked yet, as their base class is not there.

--- a/marigoldramp/bundle.py
+++ b/marigoldramp/bundle.py
@@ -16,6 +16,11 @@
 
 STRICT = pydantic.ConfigDict(extra='forbid')
 
+#: A fraction of a whole.
+Share = Annotated[float, pydantic.Field(ge=0.0, le=1.0)]
+#: The largest load over the mean, hence never below one.
+Skew = Annotated[float, pydantic.Field(ge=1.0)]
+
 
 class Priority(enum.IntEnum):
     """Order in which queued calls are served; a lower value goes first."""
@@ -27,9 +32,12 @@
 
 def read_priority(value: Any) -> Any:
     """Return the priority of that name; other values stay as they are."""
-    if isinstance(value, str) and value.upper() in Priority.__members__:
-        return Priority[value.upper()]
-    return value
+    if not isinstance(value, str):
+        return value
+    names = [priority.name.lower() for priority in Priority]
+    if value not in names:
+        raise ValueError('must be one of ' + ', '.join(names))
+    return Priority[value.upper()]
 
 
 #: In a bundle file a priority stands under its name, such as ``urgent``.
@@ -62,11 +70,11 @@
     name: str
     key_digests: tuple[str, ...]
     services: tuple[str, ...]
-    requests_per_second: float = 100.0
-    concurrent_calls: int = 200
-    tokens_per_second: float = 50_000.0
-    weight: float = 1.0
-    entries: int = 2
+    requests_per_second: pydantic.PositiveFloat = 100.0
+    concurrent_calls: pydantic.PositiveInt = 200
+    tokens_per_second: pydantic.PositiveFloat = 50_000.0
+    weight: pydantic.PositiveFloat = 1.0
+    entries: pydantic.PositiveInt = 2
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -88,8 +96,8 @@
     kind: str
     model: str = ''
     routing: str = 'two_choices'
-    retry_share: float = 0.1
-    hedge_after_seconds: float = 0.0
+    retry_share: Share = 0.1
+    hedge_after_seconds: pydantic.NonNegativeFloat = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -108,8 +116,8 @@
     service: str
     model: str = ''
     idempotent: bool = True
-    default_deadline_seconds: float = 10.0
-    longest_deadline_seconds: float = 60.0
+    default_deadline_seconds: pydantic.PositiveFloat = 10.0
+    longest_deadline_seconds: pydantic.PositiveFloat = 60.0
     priority: NamedPriority = Priority.NORMAL
 
 
@@ -134,17 +142,17 @@
 
     name: str
     service: str
-    ranks: int
-    experts: int
-    layers: int
-    slots: int
+    ranks: pydantic.PositiveInt
+    experts: pydantic.PositiveInt
+    layers: pydantic.PositiveInt
+    slots: pydantic.PositiveInt
     rebalancing: str = 'incremental'
     mode: MapMode = MapMode.SKEW
-    skew_threshold: float = 1.2
-    moves_per_interval: int = 6
-    interval_seconds: float = 30.0
-    expert_bytes: int = 50_000_000
-    weight_bytes_per_second: float = 500_000_000.0
+    skew_threshold: Skew = 1.2
+    moves_per_interval: pydantic.PositiveInt = 6
+    interval_seconds: pydantic.PositiveFloat = 30.0
+    expert_bytes: pydantic.PositiveInt = 50_000_000
+    weight_bytes_per_second: pydantic.PositiveFloat = 500_000_000.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -157,7 +165,7 @@
 
     __pydantic_config__: ClassVar[pydantic.ConfigDict] = STRICT
 
-    number: int
+    number: pydantic.PositiveInt
     note: str = ''
     services: tuple[Service, ...] = ()
     routes: tuple[Route, ...] = ()
--- a/marigoldramp/documents.py
+++ b/marigoldramp/documents.py
@@ -100,7 +100,7 @@
     if found and tree.root is None:
         return Loaded(value=None, findings=tuple(found), source=source)
     whole = root if under is None else merge(under=under, over=root)
-    value, errors = _validate(whole, shape)
+    value, errors = _validate(whole, pydantic.TypeAdapter(shape))
     if isinstance(root.value, dict):
         found += [_translate(error, root, shape) for error in errors]
     ordered = tuple(sorted(found))
@@ -138,11 +138,29 @@
     return Finding(place=place, field='', message=message)
 
 
-def _validate(root: nodes.Node, shape: type[T]) -> tuple[T | None, list[Any]]:
+def read_items(
+    loaded: Loaded[Any], name: str, shape: type[T]
+) -> tuple[T | None, ...]:
+    """Return the items of a list that are sound, ``None`` for the others.
+
+    With these, checks between items can go on though the document as a
+    whole has faults, and all findings come in one round.
+    """
+    if loaded.tree is None or not isinstance(loaded.tree.value, dict):
+        return ()
+    member = loaded.tree.value.get(name)
+    if member is None or not isinstance(member.node.value, list):
+        return ()
+    adapter = pydantic.TypeAdapter(shape)
+    return tuple(_validate(node, adapter)[0] for node in member.node.value)
+
+
+def _validate(
+    root: nodes.Node, adapter: pydantic.TypeAdapter[T]
+) -> tuple[T | None, list[Any]]:
     """Check by way of JSON, where strictness knows lists and words."""
     text = msgspec.json.encode(root.plain())
     try:
-        adapter = pydantic.TypeAdapter(shape)
         return adapter.validate_json(text, strict=True), []
     except pydantic.ValidationError as error:
         return None, list(error.errors(include_url=False))
@@ -158,7 +176,8 @@
         )
     message = _MESSAGES.get(error['type'])
     if message is None:
-        message = error['msg'].replace('Input should', 'must')
+        message = error['msg'].removeprefix('Value error, ')
+        message = message.replace('Input should', 'must')
     return Finding(
         place=root.find(path).place,
         field=name_field(path),
--- a/marigoldramp/settings_checks.py
+++ b/marigoldramp/settings_checks.py
@@ -18,7 +18,7 @@
 #: names in the platform's store and of addresses of its HTTP API.
 NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,63}')
 
-_NAME_FORM = (
+NAME_FORM = (
     'must be up to 64 letters, digits, dots, hyphens or underscores, '
     'beginning with a letter or digit'
 )
@@ -52,7 +52,7 @@
         for field in ('instance', 'data_centre'):
             name = getattr(settings, field)
             if name and not NAME.fullmatch(name):
-                self.find(_NAME_FORM, field)
+                self.find(NAME_FORM, field)
 
     def host(self) -> None:
         try:
@@ -78,7 +78,7 @@
         for name, key in security.operators.items():
             owners[key.lower()].append(name)
             if not NAME.fullmatch(name):
-                self.find(_NAME_FORM, 'security', 'operators', name)
+                self.find(NAME_FORM, 'security', 'operators', name)
             if not PUBLIC_KEY.fullmatch(key.lower()):
                 self.find(
                     'must be an Ed25519 public key of 64 hexadecimal digits',
