--- a/marigoldramp_standins/demo_layout.py
+++ b/marigoldramp_standins/demo_layout.py
@@ -6,18 +6,19 @@
 import secrets
 from typing import Any
 
-from cryptography.hazmat.primitives.asymmetric import ed25519
-from cryptography.hazmat.primitives import serialization
 import msgspec
 import yaml
 
 from marigoldramp import bundle
+from marigoldramp import signatures
 from marigoldramp import store
 
 from . import processes
 
 HOST = '127.0.0.1'
 MODEL = 'notes-7b'
+#: Calls that an endpoint runs at once; the engines' batch is as large.
+SLOTS = 16
 DATA_CENTRES = ('east', 'west')
 FLEET_KEY_VARIABLE = 'MARIGOLDRAMP_FLEET_KEY'
 
@@ -80,8 +81,7 @@
     """An operator who signs bundles."""
 
     name: str
-    public_key: str
-    private_key: str
+    keys: signatures.KeyPair
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -118,18 +118,7 @@
 
 def make_operator(*, name: str) -> Operator:
     """Return an operator with a new key pair."""
-    key = ed25519.Ed25519PrivateKey.generate()
-    public = key.public_key().public_bytes(
-        serialization.Encoding.Raw, serialization.PublicFormat.Raw
-    )
-    private = key.private_bytes(
-        serialization.Encoding.Raw,
-        serialization.PrivateFormat.Raw,
-        serialization.NoEncryption(),
-    )
-    return Operator(
-        name=name, public_key=public.hex(), private_key=private.hex()
-    )
+    return Operator(name=name, keys=signatures.make_key_pair())
 
 
 def make_callers() -> tuple[Caller, ...]:
@@ -171,7 +160,10 @@
 
 def write_bundle(*, path: pathlib.Path, document: bundle.Bundle) -> None:
     """Write a bundle as an operator would keep it."""
-    path.write_text(yaml.safe_dump(msgspec.to_builtins(document)))
+    plain = msgspec.to_builtins(document)
+    for route in plain['routes']:
+        route['priority'] = bundle.Priority(route['priority']).name.lower()
+    path.write_text(yaml.safe_dump(plain, sort_keys=False))
 
 
 def write_settings(
@@ -188,7 +180,7 @@
         'platform': {'address': platform, 'poll_instances': 0.5},
         'security': {
             'fleet_key': f'env:{FLEET_KEY_VARIABLE}',
-            'operators': {one.name: one.public_key for one in operators},
+            'operators': {one.name: one.keys.public for one in operators},
         },
     }
     if node is not None:
@@ -209,4 +201,5 @@
         settings['service'] = node.instance.service
         settings['endpoint'] = node.endpoint
         settings['kind'] = node.kind
+        settings['slots'] = SLOTS
     return settings
--- a/marigoldramp_standins/processes.py
+++ b/marigoldramp_standins/processes.py
@@ -125,20 +125,22 @@
     arguments: list[str],
     environment: dict[str, str] | None = None,
 ) -> str:
-    """Run ``python -m ARGUMENTS`` to its end and return its output.
+    """Run ``python -m ARGUMENTS`` to its end; return its standard output.
 
     :raises Failed: when its exit code is not 0.
     """
     done = await anyio.run_process(
         [sys.executable, '-m', *arguments],
         check=False,
-        stderr=subprocess.STDOUT,
         env={**os.environ, **(environment or {})},
     )
     output = done.stdout.decode(errors='replace')
     if done.returncode:
         command = ' '.join(arguments)
-        raise Failed(f'{command} ended with {done.returncode}:\n{output}')
+        errors = done.stderr.decode(errors='replace')
+        raise Failed(
+            f'{command} ended with {done.returncode}:\n{output}{errors}'
+        )
     return output
 
 
