--- a/marigoldramp/manifests.py
+++ b/marigoldramp/manifests.py
@@ -7,8 +7,10 @@
 
 import dataclasses
 import hashlib
+from typing import Any
 from typing import Iterable
 from typing import Mapping
+from typing import TypeVar
 import zlib
 
 import msgspec
@@ -18,11 +20,17 @@
 
 #: Names the manifest of the bundle in force.
 CURRENT = store.Key(kind='bundle', name='current')
+T = TypeVar('T')
+
 CUSTOMERS_PER_PART = 256
 GENERAL = 'general'
+CUSTOMERS = 'customers'
 DIGEST_BYTES = 32
-#: Longest content of a part, so that a small text cannot fill the memory.
+#: Longest text of a part, so that a small content cannot fill the memory.
 MOST_PART_BYTES = 8_000_000
+MOST_MANIFEST_BYTES = 4_000_000
+#: Longest value that the platform's store takes, with room to spare.
+MOST_VALUE_BYTES = 1_000_000
 
 
 class SignOff(msgspec.Struct, frozen=True, kw_only=True):
@@ -133,14 +141,19 @@
 def split(*, whole: bundle.Bundle) -> Split:
     """Cut a bundle into parts."""
     buckets = _count_buckets(len(whole.customers))
-    texts = {GENERAL: _encode_general(whole)}
+    general = General(
+        services=whole.services, routes=whole.routes, groups=whole.groups
+    )
+    texts = {GENERAL: _encode_canonical(general, General)}
     lists: list[list[bundle.Customer]] = [[] for _ in range(buckets)]
     for customer in whole.customers:
         bucket = choose_bucket(customer=customer.name, buckets=buckets)
         lists[bucket].append(customer)
     for number, customers in enumerate(lists):
         customers.sort(key=lambda one: one.name)
-        texts[f'customers-{number}'] = msgspec.json.encode(customers)
+        texts[f'{CUSTOMERS}-{number}'] = _encode_canonical(
+            customers, list[bundle.Customer]
+        )
     refs = tuple(
         PartRef(name=name, digest=_digest(text), size=len(text))
         for name, text in texts.items()
@@ -161,20 +174,19 @@
     :param parts: compressed contents by digest.
     """
     customers: list[bundle.Customer] = []
-    general = None
+    general: General | None = None
     for ref in manifest.parts:
-        text = open_part(ref=ref, content=parts.get(ref.digest, b''))
-        if isinstance(text, Broken):
-            return text
-        try:
-            if ref.name == GENERAL:
-                general = msgspec.json.decode(text, type=General)
-            else:
-                customers.extend(
-                    msgspec.json.decode(text, type=list[bundle.Customer])
-                )
-        except msgspec.MsgspecError as error:
-            return Broken(detail=f'part {ref.name}: {error}')
+        content = parts.get(ref.digest, b'')
+        if ref.name == GENERAL:
+            found = read_general(ref=ref, content=content)
+            if isinstance(found, Broken):
+                return found
+            general = found
+            continue
+        read = read_customers(ref=ref, content=content)
+        if isinstance(read, Broken):
+            return read
+        customers += read
     if general is None:
         return Broken(detail='the general part is missing')
     return bundle.Bundle(
@@ -187,6 +199,36 @@
     )
 
 
+def read_general(*, ref: PartRef, content: bytes) -> General | Broken:
+    """Return the general part in a compressed content."""
+    return _read_part(ref, content, General)
+
+
+def read_customers(
+    *, ref: PartRef, content: bytes
+) -> list[bundle.Customer] | Broken:
+    """Return the customers in a compressed content."""
+    return _read_part(ref, content, list[bundle.Customer])
+
+
+def _read_part(ref: PartRef, content: bytes, shape: type[T]) -> T | Broken:
+    text = open_part(ref=ref, content=content)
+    if isinstance(text, Broken):
+        return text
+    try:
+        value = msgspec.json.decode(text, type=shape)
+    except msgspec.MsgspecError as error:
+        return Broken(detail=f'part {ref.name}: {error}')
+    # A newer version may have written a field that this one would drop
+    # without a word, a limit for instance.  One would notice by a limit that
+    # holds at some instances only.  So such a part is not taken.
+    if msgspec.json.encode(value) != text:
+        return Broken(
+            detail=f'part {ref.name} holds what this version does not know'
+        )
+    return value
+
+
 def open_part(*, ref: PartRef, content: bytes) -> bytes | Broken:
     """Return a part's text if it is the one that the manifest names."""
     if ref.size > MOST_PART_BYTES:
@@ -201,15 +243,16 @@
 
 
 def encode(manifest: Manifest) -> bytes:
-    """Return a manifest's JSON text."""
-    return msgspec.json.encode(manifest)
+    """Return a manifest's JSON text, compressed."""
+    return zlib.compress(msgspec.json.encode(manifest))
 
 
-def decode(text: bytes) -> Manifest | Broken:
-    """Return the manifest in a JSON text."""
+def decode(content: bytes) -> Manifest | Broken:
+    """Return the manifest in a compressed JSON text."""
     try:
+        text = zlib.decompressobj().decompress(content, MOST_MANIFEST_BYTES)
         return msgspec.json.decode(text, type=Manifest)
-    except msgspec.MsgspecError as error:
+    except (zlib.error, msgspec.MsgspecError) as error:
         return Broken(detail=f'the manifest cannot be read: {error}')
 
 
@@ -230,12 +273,10 @@
     return buckets
 
 
-def _encode_general(whole: bundle.Bundle) -> bytes:
-    return msgspec.json.encode(
-        General(
-            services=whole.services, routes=whole.routes, groups=whole.groups
-        )
-    )
+def _encode_canonical(value: Any, shape: Any) -> bytes:
+    """Return the one JSON text of a value: a whole float reads 20.0."""
+    text = msgspec.json.encode(value)
+    return msgspec.json.encode(msgspec.json.decode(text, type=shape))
 
 
 def _digest(text: bytes) -> str:
--- a/marigoldramp/operations.py
+++ b/marigoldramp/operations.py
@@ -133,6 +133,13 @@
                 f'must be greater than that, not {whole.number}'
             )
         split = manifests.split(whole=whole)
+        for part in split.parts:
+            if len(part.content) > manifests.MOST_VALUE_BYTES:
+                return Refused(
+                    detail=f'a part of the bundle has {len(part.content)} '
+                    'bytes; the store takes '
+                    f'{manifests.MOST_VALUE_BYTES}'
+                )
         known = current.digests()
         parts = [part for part in split.parts if part.digest not in known]
         failure = await self._write_parts(parts)
@@ -179,10 +186,7 @@
         sign_off = manifests.SignOff(
             operator=self.operator, signature=signature
         )
-        failure = await self._create(
-            manifests.key_sign_off(digest, self.operator),
-            msgspec.json.encode(sign_off),
-        )
+        failure = await self._put_sign_off(digest, sign_off)
         if failure is not None:
             return failure
         await self.note(audit.Action.SIGNED, manifest)
@@ -192,6 +196,37 @@
         names = tuple(one.operator for one in signed)
         return Signed(manifest=manifest, operators=names)
 
+    async def _put_sign_off(
+        self, digest: str, sign_off: manifests.SignOff
+    ) -> Failure | None:
+        """Write a sign-off, also over a wrong one in the same name."""
+        key = manifests.key_sign_off(digest, sign_off.operator)
+        value = msgspec.json.encode(sign_off)
+        found = await self.store.read(key=key)
+        match found:
+            case Unavailable():
+                return PlatformAway(detail=found.detail)
+            case Stored() if found.value == value:
+                return None
+            case Stored():
+                expected = found.version
+            case Absent():
+                expected = store_module.CREATE
+        result = await self.store.write(
+            key=key, value=value, expected=expected
+        )
+        match result:
+            case store_module.Written():
+                return None
+            case store_retries.Taken():
+                return Refused(
+                    detail=f'somebody else writes sign-offs as '
+                    f'{sign_off.operator}'
+                )
+        # Signing once more does no harm, so an uncertain outcome counts as
+        # not done.
+        return PlatformAway(detail=result.detail)
+
     async def read_proposal(
         self, *, digest: str
     ) -> manifests.Manifest | Refused | PlatformAway:
--- a/marigoldramp/signatures.py
+++ b/marigoldramp/signatures.py
@@ -56,11 +56,12 @@
 ) -> Accepted | Rejected:
     """Check a manifest's sign-offs against the operators of the settings.
 
-    Two sign-offs of one operator count once; one that does not match the
-    digest is a reason to reject, as somebody has changed the content.
+    Sign-offs by one key count once, whatever names stand beside them; one
+    that does not match the digest is a reason to reject, as somebody has
+    changed the content.
     """
     digest = manifest.digest
-    operators: set[str] = set()
+    signers: dict[str, str] = {}
     for one in manifest.sign_offs:
         public = security.operators.get(one.operator)
         if public is None:
@@ -69,12 +70,12 @@
             return Rejected(
                 reason=f'the sign-off of {one.operator} does not match'
             )
-        operators.add(one.operator)
-    if len(operators) < security.sign_offs:
+        signers[public.lower()] = one.operator
+    if len(signers) < security.sign_offs:
         return Rejected(
-            reason=f'{len(operators)} of {security.sign_offs} sign-offs'
+            reason=f'{len(signers)} of {security.sign_offs} sign-offs'
         )
-    return Accepted(operators=tuple(sorted(operators)))
+    return Accepted(operators=tuple(sorted(signers.values())))
 
 
 def verify(*, digest: str, signature: str, public: str) -> bool:
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -8,6 +8,7 @@
 from fake_roll_store import RollStore
 import hypothesis
 from hypothesis import strategies
+import msgspec
 import pytest
 
 from marigoldramp import audit
@@ -128,6 +129,38 @@
     assert reason in outcome.detail
 
 
+@pytest.mark.anyio
+async def test_false_sign_off_does_not_keep_its_operator_out():
+    """An operator signs though a wrong sign-off stands in that name.
+
+    Symptom: a bundle can never be rolled.  Sequence: somebody with access
+    to the store writes a sign-off in another's name first.  Cause: sign-offs
+    are created once and never replaced.
+    """
+    platform = RollStore()
+    digest = await propose(platform, 1, signers=())
+    key = manifests.key_sign_off(digest, 'ann')
+    false = manifests.SignOff(operator='ann', signature='ab')
+    value = msgspec.json.encode(false)
+    await platform.write(key=key, value=value, expected=store.CREATE)
+    for name in ('ann', 'bob'):
+        signer = make_operator(platform, name)
+        await signer.sign(digest=digest, private=PAIRS[name].private)
+    outcome = await rolls.roll(make_operator(platform), digest=digest)
+    assert isinstance(outcome, rolls.Rolled)
+
+
+@pytest.mark.anyio
+async def test_part_too_large_for_the_store_is_refused():
+    services = tuple(
+        bundle.Service(name=random.Random(n).randbytes(2000).hex(), kind='x')
+        for n in range(600)
+    )
+    whole = bundle.Bundle(number=1, services=services)
+    outcome = await make_operator(RollStore()).submit(whole=whole)
+    assert 'the store takes' in outcome.detail
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize(
     ('number', 'signers', 'reason'),
