Complete the operators' command line

Cause: operators need to see what a bundle changes before they sign, what was rolled and by whom, how instances are, and what their settings amount to. Results and faults come as text or JSON; exit codes are named constants.

Ruled out: one module with all commands, as entry and agent would import what only operators need.

--- a/marigoldramp/rolls.py
+++ b/marigoldramp/rolls.py
@@ -14,6 +14,7 @@
 from . import audit
 from . import manifests
 from . import operations
+from . import proposals
 from . import signatures
 from . import steps
 from . import store as store_module
@@ -50,10 +51,10 @@
 
     :param nonce: recognises the own write; made here if not given.
     """
-    proposal = await operator.read_proposal(digest=digest)
+    proposal = await proposals.read_proposal(operator, digest=digest)
     if not isinstance(proposal, manifests.Manifest):
         return proposal
-    sign_offs = await operator.read_sign_offs(digest=digest)
+    sign_offs = await proposals.read_sign_offs(operator, digest=digest)
     if isinstance(sign_offs, PlatformAway):
         return sign_offs
     current = await operator.read_current()
--- a/marigoldramp/ui/__init__.py
+++ b/marigoldramp/ui/__init__.py
@@ -7,13 +7,21 @@
 
 from .. import __version__
 from . import agent
+from . import audit
 from . import bundle_check
+from . import bundle_diff
+from . import bundle_history
+from . import bundle_key_caller
+from . import bundle_key_operator
 from . import bundle_roll
 from . import bundle_sign
 from . import bundle_submit
 from . import commands
 from . import entry
 from . import exits
+from . import settings_check
+from . import settings_show
+from . import status
 
 COMMANDS: tuple[commands.Command | commands.Group, ...] = (
     entry.COMMAND,
@@ -23,11 +31,28 @@
         help='Check, submit, sign and roll configuration bundles.',
         commands=(
             bundle_check.COMMAND,
+            bundle_diff.COMMAND,
             bundle_submit.COMMAND,
             bundle_sign.COMMAND,
             bundle_roll.COMMAND,
+            bundle_history.COMMAND,
+            commands.Group(
+                name='key',
+                help="Make operators' keys and digests of caller keys.",
+                commands=(
+                    bundle_key_operator.COMMAND,
+                    bundle_key_caller.COMMAND,
+                ),
+            ),
         ),
     ),
+    status.COMMAND,
+    audit.COMMAND,
+    commands.Group(
+        name='settings',
+        help='Check and show settings files.',
+        commands=(settings_check.COMMAND, settings_show.COMMAND),
+    ),
 )
 
 _HELP = 'A load balancer for expert-parallel model groups and plain services.'
@@ -46,19 +71,21 @@
         exit_on_error=False,
     )
     for one in COMMANDS:
-        match one:
-            case commands.Command():
-                _add(application, one)
-            case commands.Group():
-                group = cyclopts.App(name=one.name, help=one.help)
-                for member in one.commands:
-                    _add(group, member)
-                application.command(group)
+        _add(application, one)
     return application
 
 
-def _add(application: cyclopts.App, command: commands.Command) -> None:
-    application.command(command.function, name=command.name, help=command.help)
+def _add(
+    application: cyclopts.App, one: commands.Command | commands.Group
+) -> None:
+    match one:
+        case commands.Command():
+            application.command(one.function, name=one.name, help=one.help)
+        case commands.Group():
+            group = cyclopts.App(name=one.name, help=one.help)
+            for member in one.commands:
+                _add(group, member)
+            application.command(group)
 
 
 def run(arguments: Sequence[str]) -> int:
--- a/marigoldramp/ui/bundle_sign.py
+++ b/marigoldramp/ui/bundle_sign.py
@@ -24,7 +24,7 @@
 ) -> int:
     """Sign the proposal with that digest."""
     from .. import credentials
-    from .. import operations
+    from .. import proposals
     from . import platform_calls
 
     known = readers.read_settings(
@@ -39,9 +39,11 @@
         return exits.BAD_INPUT
     text = private.decode(errors='replace').strip()
     outcome = platform_calls.run(
-        known, operator, lambda one: one.sign(digest=digest, private=text)
+        known,
+        operator,
+        lambda one: proposals.sign(one, digest=digest, private=text),
     )
-    if not isinstance(outcome, operations.Signed):
+    if not isinstance(outcome, proposals.Signed):
         return platform_calls.report_failure(outcome, output)
     needed = known.security.sign_offs
     number = outcome.manifest.number
--- a/marigoldramp/ui/bundle_submit.py
+++ b/marigoldramp/ui/bundle_submit.py
@@ -15,7 +15,7 @@
     output: commands.Output = 'text',
 ) -> int:
     """Check the file and store it as a proposal; print its digest."""
-    from .. import operations
+    from .. import proposals
     from . import platform_calls
 
     known = readers.read_settings(
@@ -25,9 +25,9 @@
     if known is None or whole is None:
         return exits.BAD_INPUT
     outcome = platform_calls.run(
-        known, operator, lambda one: one.submit(whole=whole)
+        known, operator, lambda one: proposals.submit(one, whole=whole)
     )
-    if not isinstance(outcome, operations.Submitted):
+    if not isinstance(outcome, proposals.Submitted):
         return platform_calls.report_failure(outcome, output)
     digest = outcome.manifest.digest
     result = {
--- a/marigoldramp/ui/commands.py
+++ b/marigoldramp/ui/commands.py
@@ -26,7 +26,7 @@
 
     name: str
     help: str
-    commands: tuple[Command, ...]
+    commands: 'tuple[Command | Group, ...]'
 
 
 SettingsPath = Annotated[
@@ -56,6 +56,26 @@
     ),
 ]
 
+SettingsFile = Annotated[
+    str, cyclopts.Parameter(name='FILE', help='Settings file (YAML).')
+]
+
+Days = Annotated[
+    int,
+    cyclopts.Parameter(
+        help='How many days to go back, today included.',
+        validator=cyclopts.validators.Number(gte=1, lte=400),
+    ),
+]
+
+Most = Annotated[
+    int,
+    cyclopts.Parameter(
+        help='Most lines to print.',
+        validator=cyclopts.validators.Number(gte=1, lte=10_000),
+    ),
+]
+
 BundlePath = Annotated[
     str, cyclopts.Parameter(name='FILE', help='Bundle file (YAML).')
 ]
--- a/marigoldramp/ui/output.py
+++ b/marigoldramp/ui/output.py
@@ -1,6 +1,7 @@
 """What subcommands print, as text for a person or JSON for a script."""
 
 import sys
+import time
 from typing import Any
 from typing import Iterable
 from typing import Sequence
@@ -10,6 +11,9 @@
 from .. import findings as findings_module
 from . import commands
 
+#: Digits of a digest that a table shows.
+SHORT_DIGEST = 12
+
 
 class FindingLine(msgspec.Struct, frozen=True, kw_only=True):
     """A finding as JSON."""
@@ -97,6 +101,11 @@
         say(text)
 
 
+def format_time(seconds: float) -> str:
+    """Return a wall clock time in UTC."""
+    return time.strftime('%Y-%m-%d %H:%M:%SZ', time.gmtime(seconds))
+
+
 def format_table(head: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
     """Return rows under a head, in aligned columns."""
     table = [head, *rows]
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -15,6 +15,7 @@
 from marigoldramp import bundle
 from marigoldramp import manifests
 from marigoldramp import operations
+from marigoldramp import proposals
 from marigoldramp import rolls
 from marigoldramp import settings
 from marigoldramp import signatures
@@ -58,12 +59,16 @@
 async def propose(platform, number, note='', signers=('ann', 'bob')):
     """Submit and sign a bundle; return the digest."""
     submitter = make_operator(platform)
-    submitted = await submitter.submit(whole=make_bundle(number, note))
+    submitted = await proposals.submit(
+        submitter, whole=make_bundle(number, note)
+    )
     digest = submitted.manifest.digest
     for name in signers:
         signer = make_operator(platform, name)
-        signed = await signer.sign(digest=digest, private=PAIRS[name].private)
-        assert isinstance(signed, operations.Signed)
+        signed = await proposals.sign(
+            signer, digest=digest, private=PAIRS[name].private
+        )
+        assert isinstance(signed, proposals.Signed)
     return digest
 
 
@@ -106,7 +111,9 @@
     platform = RollStore()
     digest = await propose(platform, 1)
     await rolls.roll(make_operator(platform), digest=digest)
-    submitted = await make_operator(platform).submit(whole=make_bundle(2))
+    submitted = await proposals.submit(
+        make_operator(platform), whole=make_bundle(2)
+    )
     assert submitted.parts_written == 0
 
 
@@ -124,7 +131,7 @@
     platform = RollStore()
     digest = await propose(platform, 1, signers=())
     signer = make_operator(platform, name)
-    outcome = await signer.sign(digest=digest, private=private)
+    outcome = await proposals.sign(signer, digest=digest, private=private)
     assert isinstance(outcome, operations.Refused)
     assert reason in outcome.detail
 
@@ -145,7 +152,9 @@
     await platform.write(key=key, value=value, expected=store.CREATE)
     for name in ('ann', 'bob'):
         signer = make_operator(platform, name)
-        await signer.sign(digest=digest, private=PAIRS[name].private)
+        await proposals.sign(
+            signer, digest=digest, private=PAIRS[name].private
+        )
     outcome = await rolls.roll(make_operator(platform), digest=digest)
     assert isinstance(outcome, rolls.Rolled)
 
@@ -157,7 +166,7 @@
         for n in range(600)
     )
     whole = bundle.Bundle(number=1, services=services)
-    outcome = await make_operator(RollStore()).submit(whole=whole)
+    outcome = await proposals.submit(make_operator(RollStore()), whole=whole)
     assert 'the store takes' in outcome.detail
 
 
@@ -195,7 +204,7 @@
     outcome = await rolls.roll(operator, digest=older)
     assert isinstance(outcome, rolls.Refused)
     assert (await read_current(platform.table)).digest == newer
-    refused = await operator.submit(whole=make_bundle(number))
+    refused = await proposals.submit(operator, whole=make_bundle(number))
     assert 'bundle 4 is in force' in refused.detail
 
 
@@ -263,8 +272,10 @@
     operator = make_operator(platform)
     for outcome in (
         await rolls.roll(operator, digest=digest),
-        await operator.sign(digest=digest, private=PAIRS['ann'].private),
-        await operator.submit(whole=make_bundle(1)),
+        await proposals.sign(
+            operator, digest=digest, private=PAIRS['ann'].private
+        ),
+        await proposals.submit(operator, whole=make_bundle(1)),
     ):
         assert isinstance(outcome, operations.PlatformAway)
 
