Give the demo's calls their deadlines and read streams to the end

The client sends a deadline of 10 s unless it is told otherwise, which overrode the 3 s of the dispatch route: with one entry frozen for 4 s, dispatch calls came back whole after 4.0 s (p99) and counted as good. Calls now carry the deadlines of their routes. Leaving a stream at its refusal made the demo crash, as the client's generator then ends in another task than it began in; the demo reads each stream to its end.

--- a/marigoldramp_standins/demo_calls.py
+++ b/marigoldramp_standins/demo_calls.py
@@ -17,6 +17,10 @@
 
 JSON_HEADERS = ((b'content-type', b'application/json'),)
 RECEIPT_BYTES = 200_000
+#: Time until an answer is worthless; the routes' defaults say the same.
+DISPATCH_SECONDS = 3.0
+PLEDGE_SECONDS = 5.0
+DRAFT_SECONDS = 20.0
 
 
 class Kind(enum.StrEnum):
@@ -109,10 +113,14 @@
             case Kind.WHOLE_DRAFT:
                 return await self._fetch_draft(plan)
             case Kind.DISPATCH:
-                return await self._confirm(plan, '/dispatches', 'dispatch')
+                return await self._confirm(
+                    plan, '/dispatches', 'dispatch', DISPATCH_SECONDS
+                )
             case Kind.PLEDGE:
                 path = f'/pledges/{plan.reference}/confirmation'
-                return await self._confirm(plan, path, 'ledger')
+                return await self._confirm(
+                    plan, path, 'ledger', PLEDGE_SECONDS
+                )
             case Kind.RECEIPT:
                 return await self._fetch_receipt(plan)
 
@@ -125,11 +133,15 @@
         begun = time.monotonic()
         first = 0.0
         body = b''
+        refusal: outcomes.Refusal | None = None
         async for item in self._client.stream(_make_draft_call(request)):
-            if not isinstance(item, bytes):
-                return _judge_refusal(plan, item, begun)
-            first = first or time.monotonic() - begun
-            body += item
+            if isinstance(item, bytes):
+                first = first or time.monotonic() - begun
+                body += item
+            else:
+                refusal = item
+        if refusal is not None:
+            return _judge_refusal(plan, refusal, begun)
         text = answers.read_stream(body)
         whole = text == answers.write_text(request)
         return _judge(plan, whole, begun, first)
@@ -148,7 +160,7 @@
         return _judge(plan, whole, begun)
 
     async def _confirm(
-        self, plan: Plan, path: str, service_name: str
+        self, plan: Plan, path: str, service_name: str, seconds: float
     ) -> Result:
         body = msgspec.json.encode(service.Reference(reference=plan.reference))
         begun = time.monotonic()
@@ -159,6 +171,7 @@
                 body=body,
                 headers=JSON_HEADERS,
                 service=service_name,
+                seconds=seconds,
             )
         )
         if not isinstance(answer, callers.Answer):
@@ -247,7 +260,7 @@
         path='/v1/chat/completions',
         body=msgspec.json.encode(request),
         headers=JSON_HEADERS,
-        seconds=20.0,
+        seconds=DRAFT_SECONDS,
     )
 
 
