Tell rolls of one bundle apart in the audit trail

Cause: the history paired a roll's start with its end by digest and operator, so the start of a roll whose process died was hidden by a later refusal of the same bundle, although that roll was in force.

--- a/marigoldramp/audit.py
+++ b/marigoldramp/audit.py
@@ -44,6 +44,7 @@
     :ivar actor: operator, or instance for a bundle taken up.
     :ivar number: number of the bundle.
     :ivar digest: digest of the bundle's manifest.
+    :ivar nonce: tells one roll of a bundle from another.
     """
 
     at: float
@@ -51,6 +52,7 @@
     action: Action
     number: int = 0
     digest: str = ''
+    nonce: str = ''
     detail: str = ''
 
 
@@ -97,7 +99,7 @@
     entries: list[Entry] = []
     unreadable = 0
     for back in range(min(days, MOST_DAYS)):
-        kind = _name_kind(now - back * DAY_SECONDS)
+        kind = name_kind(now - back * DAY_SECONDS)
         listing = await store.list_objects(kind=kind)
         if isinstance(listing, store_module.Unavailable):
             return listing
@@ -122,12 +124,13 @@
 def _make_key(entry: Entry, random: random_module.Random) -> store_module.Key:
     microseconds = int(entry.at * 1_000_000)
     return store_module.Key(
-        kind=_name_kind(entry.at),
+        kind=name_kind(entry.at),
         name=f'{microseconds:020d}-{random.getrandbits(48):012x}',
     )
 
 
-def _name_kind(at: float) -> str:
+def name_kind(at: float) -> str:
+    """Return the kind under which the entries of that day stand."""
     day = datetime.datetime.fromtimestamp(at, tz=datetime.UTC).date()
     return KIND_PREFIX + day.isoformat()
 
--- a/marigoldramp/history.py
+++ b/marigoldramp/history.py
@@ -75,21 +75,17 @@
 def _list_rolls(
     entries: tuple[audit.Entry, ...], current: operations.Current
 ) -> list[Roll]:
-    in_force = current.manifest.digest if current.manifest else ''
     rolls = []
-    ended: set[tuple[str, str]] = set()
+    ended: set[str] = set()
     for entry in entries:
         state = _STATES.get(entry.action)
         if state is None:
             continue
-        attempt = (entry.digest, entry.actor)
-        if state is State.STARTED and attempt in ended:
+        if state is State.STARTED and entry.nonce in ended:
             # The trail is read backwards: this start's end came already.
-            ended.discard(attempt)
             continue
-        if state is not State.STARTED:
-            ended.add(attempt)
-        if entry.digest == in_force and state is not State.REFUSED:
+        ended.add(entry.nonce)
+        if entry.nonce and entry.nonce == current.nonce:
             state = State.IN_FORCE
         rolls.append(
             Roll(
--- a/marigoldramp/operations.py
+++ b/marigoldramp/operations.py
@@ -128,6 +128,7 @@
             action=action,
             number=manifest.number,
             digest=manifest.digest,
+            nonce=manifest.nonce,
             detail=detail,
         )
         result = await audit.append(
