Serve calls from callers to endpoints and back

Cause: the parts of a call stood apart; a team could not send a request.

A delivery says "not run" only while no attempt may have run: a refusal of an agent speaks for all attempts that it was sent, one of another process for that attempt alone. A customer's limit refuses a call with a used key only after its agent has told or barred the key.

Ruled out: a claim in the store for each call, a store write on the path of each.

--- /dev/null
+++ b/marigoldramp/calls.py
@@ -0,0 +1,451 @@
+"""The entry's side of a call, from the caller's request to its answer."""
+
+import dataclasses
+import functools
+import secrets
+from typing import Any
+from typing import Callable
+from typing import Collection
+from typing import MutableMapping
+
+import anyio
+
+from . import asgi
+from . import bundle
+from . import callers
+from . import configuration
+from . import deliveries
+from . import keys
+from . import limits
+from . import logs
+from . import metrics
+from . import outcomes
+from . import retries
+from . import routes
+from . import routing
+from . import settings
+from . import shares
+from . import steps
+
+CALL_BYTES = 12
+RETRY_WHEN_FULL = 1.0
+#: New keys that one request may use up when agents turn it away.
+MOST_OWN_KEYS = 3
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Intake:
+    """A request that is whole, known and allowed, but not yet admitted."""
+
+    call: str
+    customer: bundle.Customer
+    matched: routes.Matched
+    wishes: callers.Wishes
+    request: asgi.Request
+    body: bytes
+    deadline: float
+
+
+class Calls:
+    """ASGI application that serves callers' calls.
+
+    :param live_entries: names of the entries that are up now.
+    """
+
+    def __init__(
+        self,
+        *,
+        tools: deliveries.Tools,
+        config: configuration.Configuration,
+        limits: limits.Limits,
+        keys: keys.Keys,
+        settings: settings.Entry,
+        metrics: metrics.Metrics,
+        live_entries: Callable[[], Collection[str]],
+    ) -> None:
+        self._tools = tools
+        self._config = config
+        self._limits = limits
+        self._keys = keys
+        self._settings = settings
+        self._metrics = metrics
+        self._live_entries = live_entries
+        self._budgets: dict[str, retries.Budget] = {}
+        self._routes: routes.RouteTable | None = None
+        self._routes_number = 0
+        self.in_flight = 0
+        self.closed = False
+
+    # The whole of a call
+
+    async def handle(
+        self,
+        scope: MutableMapping[str, Any],
+        receive: asgi.Receive,
+        send: asgi.Send,
+    ) -> None:
+        """Serve one request; the caller gets exactly one final answer."""
+        call = secrets.token_hex(CALL_BYTES)
+        logs.request_id.set(call)
+        begun = self._tools.clock()
+        self.in_flight += 1
+        try:
+            intake = await self._take_in(call, scope, receive)
+            if isinstance(intake, outcomes.NotRun):
+                await asgi.send_refusal(send=send, refusal=intake, call=call)
+                self._note_end(None, intake, begun)
+                return
+            await self._admit(intake, receive, send, begun)
+        finally:
+            self.in_flight -= 1
+
+    async def _admit(
+        self,
+        intake: Intake,
+        receive: asgi.Receive,
+        send: asgi.Send,
+        begun: float,
+    ) -> None:
+        facts = self._describe(intake)
+        bound = await self._bind(intake, facts)
+        if isinstance(bound, outcomes.NotRun | outcomes.OutcomeUnknown):
+            await asgi.send_refusal(send=send, refusal=bound, call=intake.call)
+            self._note_end(intake, bound, begun)
+            return
+        delivery = self._prepare(intake, facts, bound, send)
+        grant = self._limits.admit(
+            customer=intake.customer,
+            tokens=facts.tokens,
+            share=self._share(intake.customer),
+        )
+        try:
+            await self._deliver(delivery, bound, grant, receive, begun)
+        finally:
+            if isinstance(grant, limits.Grant):
+                self._limits.release(grant=grant, tokens_used=delivery.tokens)
+
+    async def _deliver(
+        self,
+        delivery: deliveries.Delivery,
+        bound: keys.Bound | None,
+        grant: limits.Grant | outcomes.NotRun,
+        receive: asgi.Receive,
+        begun: float,
+    ) -> None:
+        """Deliver until done, the deadline, or the caller has gone."""
+        await steps.reach(steps.Step.CALL_ADMITTED, delivery.admitted.call)
+        refusal: outcomes.Refusal | None = delivery.describe_deadline()
+        gone = anyio.CancelScope()
+        with gone:
+            async with anyio.create_task_group() as group:
+                group.start_soon(
+                    functools.partial(_cancel_when_gone, receive, gone)
+                )
+                remaining = delivery.admitted.deadline - self._tools.clock()
+                with anyio.move_on_after(max(0.0, remaining)) as limit:
+                    refusal = await self._run(delivery, bound, grant)
+                if limit.cancelled_caught:
+                    refusal = delivery.describe_deadline()
+                if refusal is not None:
+                    await delivery.refuse(refusal)
+                group.cancel_scope.cancel()
+        if gone.cancelled_caught:
+            refusal = outcomes.OutcomeUnknown(reason=outcomes.Reason.CANCELLED)
+        self._note_delivery(delivery, refusal, begun)
+
+    async def _run(
+        self,
+        delivery: deliveries.Delivery,
+        bound: keys.Bound | None,
+        grant: limits.Grant | outcomes.NotRun,
+    ) -> outcomes.Refusal | None:
+        if isinstance(grant, outcomes.NotRun):
+            return await self._turn_away(delivery, bound, grant)
+        if bound is not None:
+            return await self._run_bound(delivery, bound)
+        if delivery.admitted.wishes.resume:
+            return await self._resume(delivery)
+        return await delivery.run()
+
+    async def _turn_away(
+        self,
+        delivery: deliveries.Delivery,
+        bound: keys.Bound | None,
+        refusal: outcomes.NotRun,
+    ) -> outcomes.Refusal | None:
+        """Refuse a call that is above its customer's limits.
+
+        An earlier request with the same key may have run.  Its agent is
+        asked to tell, or else to bar the key; only then is "not run" true.
+        """
+        if bound is None or bound.first:
+            return delivery.soften(refusal)
+        for target in self._keys.targets(
+            service=delivery.admitted.service.name, bound=bound
+        ):
+            asked = await delivery.ask(target, settle=True)
+            if isinstance(asked, outcomes.NotRun):
+                return refusal
+            return asked
+        return delivery.soften(refusal)
+
+    async def _run_bound(
+        self, delivery: deliveries.Delivery, bound: keys.Bound
+    ) -> outcomes.Refusal | None:
+        """Deliver a call that may run once.
+
+        A key that this entry made for the request alone is replaced when
+        its agent has barred it; nobody else can ever use it.
+        """
+        service = delivery.admitted.service
+        excluded: set[str] = set()
+        for _ in range(MOST_OWN_KEYS):
+            targets = self._keys.targets(service=service.name, bound=bound)
+            refusal = await delivery.run_at(targets)
+            if not isinstance(refusal, outcomes.NotRun) or not bound.own:
+                return refusal
+            excluded.add(bound.binding.agent)
+            anew = await self._keys.find(
+                service=service,
+                facts=delivery.admitted.facts,
+                wishes=delivery.admitted.wishes,
+                exclude=frozenset(excluded),
+            )
+            if not isinstance(anew, keys.Bound):
+                return refusal
+            bound = anew
+            delivery.rebind(bound)
+        return refusal
+
+    async def _resume(
+        self, delivery: deliveries.Delivery
+    ) -> outcomes.Refusal | None:
+        """Go on with a stream whose entry or connection was lost."""
+        admitted = delivery.admitted
+        resume = self._tools.resumes.open(
+            token=admitted.wishes.resume, customer=admitted.customer.name
+        )
+        if resume is None or resume.service != admitted.service.name:
+            return outcomes.NotRun(
+                reason=outcomes.Reason.MALFORMED,
+                detail='the resume token is not genuine',
+            )
+        target = self._tools.router.find(
+            service=resume.service, instance=resume.agent
+        )
+        if target is None or target.incarnation != resume.incarnation:
+            return outcomes.OutcomeUnknown(
+                reason=outcomes.Reason.INCARNATION_GONE,
+                detail='the process that held the answer has gone',
+            )
+        delivery.take_over(resume.call)
+        return await delivery.ask(target)
+
+    # From a request to an intake
+
+    async def _take_in(
+        self,
+        call: str,
+        scope: MutableMapping[str, Any],
+        receive: asgi.Receive,
+    ) -> Intake | outcomes.NotRun:
+        table = self.find_routes()
+        if table is None:
+            return describe_no_bundle()
+        if self.in_flight > self._settings.calls:
+            return outcomes.NotRun(
+                reason=outcomes.Reason.QUEUE_FULL,
+                detail='this entry serves as many calls as it can',
+                retry_after=RETRY_WHEN_FULL,
+            )
+        if self.closed:
+            return outcomes.NotRun(
+                reason=outcomes.Reason.LEAVING,
+                detail='this entry is stopping; use another address',
+                retry_after=0.0,
+            )
+        request = asgi.read_head(scope)
+        customer = callers.identify(request=request, config=self._config)
+        if isinstance(customer, outcomes.NotRun):
+            return customer
+        body = await asgi.read_body(
+            receive=receive,
+            limit=self._settings.body_bytes,
+            seconds=self._settings.body_timeout,
+        )
+        if isinstance(body, outcomes.NotRun):
+            return body
+        return self._match(call, table, customer, request, body)
+
+    def _match(
+        self,
+        call: str,
+        table: routes.RouteTable,
+        customer: bundle.Customer,
+        request: asgi.Request,
+        body: bytes,
+    ) -> Intake | outcomes.NotRun:
+        matched = table.match(request=request, body=body)
+        if isinstance(matched, outcomes.NotRun):
+            return matched
+        if matched.service.name not in customer.services:
+            return outcomes.NotRun(
+                reason=outcomes.Reason.NOT_ALLOWED,
+                detail=f'the key may not call {matched.service.name}',
+            )
+        if self._share(customer) == 0.0:
+            return outcomes.NotRun(
+                reason=outcomes.Reason.WRONG_INSTANCE,
+                detail='ask for addresses; other entries serve this key',
+                retry_after=0.0,
+            )
+        wishes = callers.read_wishes(request=request, route=matched.route)
+        if isinstance(wishes, outcomes.NotRun):
+            return wishes
+        return Intake(
+            call=call,
+            customer=customer,
+            matched=matched,
+            wishes=wishes,
+            request=request,
+            body=body,
+            deadline=self._tools.clock() + wishes.seconds,
+        )
+
+    def find_routes(self) -> routes.RouteTable | None:
+        """Return the routes of the bundle in force, made once for each."""
+        in_force = self._config.in_force
+        if in_force is None:
+            return None
+        if self._routes is None or self._routes_number != in_force.number:
+            self._routes = routes.RouteTable(config=in_force)
+            self._routes_number = in_force.number
+        return self._routes
+
+    def _share(self, customer: bundle.Customer) -> float:
+        return shares.equal_share(
+            customer=customer,
+            entry=self._tools.instance,
+            live_entries=self._live_entries(),
+        )
+
+    # From an intake to a delivery
+
+    def _describe(self, intake: Intake) -> routing.CallFacts:
+        chat = intake.matched.facts
+        return routing.CallFacts(
+            call=intake.call,
+            service=intake.matched.service.name,
+            customer=intake.customer.name,
+            priority=intake.wishes.priority,
+            remaining=intake.deadline - self._tools.clock(),
+            tokens=chat.tokens if chat else 0,
+            prompt_bytes=len(intake.body) if chat else 0,
+        )
+
+    async def _bind(
+        self, intake: Intake, facts: routing.CallFacts
+    ) -> keys.Bound | outcomes.Refusal | None:
+        if intake.matched.route.idempotent:
+            return None
+        return await self._keys.find(
+            service=intake.matched.service,
+            facts=facts,
+            wishes=intake.wishes,
+        )
+
+    def _prepare(
+        self,
+        intake: Intake,
+        facts: routing.CallFacts,
+        bound: keys.Bound | None,
+        send: asgi.Send,
+    ) -> deliveries.Delivery:
+        service = intake.matched.service
+        budget = self._budgets.get(service.name)
+        if budget is None:
+            budget = retries.Budget(
+                share=service.retry_share, clock=self._tools.clock
+            )
+            self._budgets[service.name] = budget
+        admitted = deliveries.Admitted(
+            call=intake.call,
+            customer=intake.customer,
+            service=service,
+            route=intake.matched.route,
+            wishes=intake.wishes,
+            facts=facts,
+            request=intake.request,
+            body=intake.body,
+            deadline=intake.deadline,
+            bundle_number=self._config.number,
+            key=bound.key if bound else '',
+            binding=bound.binding if bound else None,
+            first=bound.first if bound else not intake.wishes.resume,
+        )
+        return deliveries.Delivery(
+            tools=self._tools, admitted=admitted, send=send, budget=budget
+        )
+
+    # Metrics
+
+    def _note_delivery(
+        self,
+        delivery: deliveries.Delivery,
+        refusal: outcomes.Refusal | None,
+        begun: float,
+    ) -> None:
+        service = delivery.admitted.service.name
+        if delivery.first_byte_at:
+            self._metrics.record(
+                'call_first_byte_seconds',
+                delivery.first_byte_at - begun,
+                service=service,
+            )
+        self._count(service, refusal, begun)
+
+    def _note_end(
+        self,
+        intake: Intake | None,
+        refusal: outcomes.Refusal,
+        begun: float,
+    ) -> None:
+        service = intake.matched.service.name if intake else ''
+        self._count(service, refusal, begun)
+
+    def _count(
+        self, service: str, refusal: outcomes.Refusal | None, begun: float
+    ) -> None:
+        match refusal:
+            case None:
+                outcome, reason = 'answer', ''
+            case outcomes.NotRun():
+                outcome, reason = 'not_run', refusal.reason.value
+            case outcomes.OutcomeUnknown():
+                outcome, reason = 'outcome_unknown', refusal.reason.value
+        self._metrics.count(
+            'calls', service=service, outcome=outcome, reason=reason
+        )
+        self._metrics.record(
+            'call_seconds',
+            self._tools.clock() - begun,
+            service=service,
+            outcome=outcome,
+        )
+
+
+def describe_no_bundle() -> outcomes.NotRun:
+    """Return the refusal of an entry that has no configuration."""
+    return outcomes.NotRun(
+        reason=outcomes.Reason.NO_BUNDLE,
+        detail='this entry has no configuration yet',
+        retry_after=RETRY_WHEN_FULL,
+    )
+
+
+async def _cancel_when_gone(
+    receive: asgi.Receive, scope: anyio.CancelScope
+) -> None:
+    """Cancel the work for a caller that no longer waits for it."""
+    await asgi.wait_disconnect(receive)
+    scope.cancel()
--- /dev/null
+++ b/marigoldramp/deliveries.py
@@ -0,0 +1,502 @@
+"""Brings one admitted call to an endpoint and its answer to the caller.
+
+A delivery sends its caller exactly one final answer: the whole answer, or
+one refusal.  It says "not run" only while no attempt may have run.
+"""
+
+import dataclasses
+from typing import Callable
+
+import anyio
+import httpcore
+
+from . import asgi
+from . import attempts
+from . import bundle
+from . import callers
+from . import connections
+from . import heads
+from . import keys
+from . import membership
+from . import messages
+from . import outcomes
+from . import problems
+from . import resumes
+from . import retries
+from . import routing
+from . import steps
+
+CALL_HEADER = b'marigoldramp-call'
+EVENT_STREAM = b'text/event-stream'
+#: Attempts on new connections after one was lost without being silent.
+MOST_LOST = 3
+#: Seconds between two such attempts.
+LOST_PAUSE = 0.1
+#: Attempts of a resumed call are numbered from here.
+RESUMED_ATTEMPT = 1000
+TOKEN_MARK = b'data:'
+#: States of an agent that is likely to be at work on a silent call.
+_WORTH_WAITING = frozenset({membership.State.ALIVE, membership.State.SILENT})
+_R = outcomes.Reason
+#: Refusals that speak for one attempt only: the process that gave them has
+#: noted nothing about the call, so others of its attempts may still run.
+_ATTEMPT_ONLY = frozenset(
+    {
+        _R.UNAUTHENTICATED,
+        _R.WRONG_INSTANCE,
+        _R.MALFORMED,
+        _R.HEAD_TOO_LARGE,
+        _R.BODY_TOO_LARGE,
+        _R.BODY_TIMEOUT,
+        _R.BINDING_INVALID,
+    }
+)
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Tools:
+    """What all deliveries of an entry share.
+
+    :ivar wall: wall clock for the deadline in heads.
+    :ivar silence: seconds without a byte from an agent before its
+        connection is distrusted.
+    """
+
+    instance: str
+    router: routing.Router
+    members: membership.Membership
+    heads: heads.Heads
+    resumes: resumes.Resumes
+    find_pool: Callable[[routing.Candidate], connections.Pool]
+    clock: Callable[[], float]
+    wall: Callable[[], float]
+    silence: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Admitted:
+    """A call that has been admitted.
+
+    :ivar key: bound key of a non-idempotent call, else empty.
+    :ivar binding: what the key is bound to.
+    :ivar first: no attempt with this key was made before.
+    :ivar deadline: end of the call by the entry's clock.
+    """
+
+    call: str
+    customer: bundle.Customer
+    service: bundle.Service
+    route: bundle.Route
+    wishes: callers.Wishes
+    facts: routing.CallFacts
+    request: asgi.Request
+    body: bytes
+    deadline: float
+    bundle_number: int
+    key: str = ''
+    binding: messages.Binding | None = None
+    first: bool = True
+
+
+class Delivery:
+    """One call on its way.
+
+    :ivar started: the head of the answer has gone to the caller.
+    :ivar relayed: bytes of the answer that the caller has been sent.
+    :ivar tokens: generated tokens that were relayed.
+    :ivar maybe: some attempt may have run.
+    """
+
+    __slots__ = (
+        '_tools',
+        '_send',
+        '_budget',
+        'admitted',
+        'started',
+        'relayed',
+        'tokens',
+        'maybe',
+        'attempt',
+        'first_byte_at',
+        '_events',
+    )
+
+    def __init__(
+        self,
+        *,
+        tools: Tools,
+        admitted: Admitted,
+        send: asgi.Send,
+        budget: retries.Budget,
+    ) -> None:
+        self._tools = tools
+        self._send = send
+        self._budget = budget
+        self.admitted = admitted
+        self.started = False
+        self.relayed = admitted.wishes.resume_from
+        self.tokens = 0
+        self.maybe = not admitted.first
+        self.attempt = 0
+        self.first_byte_at = 0.0
+        self._events = False
+
+    # Choosing where to ask
+
+    async def run(self) -> outcomes.Refusal | None:
+        """Deliver an idempotent call; ``None`` when the answer is whole."""
+        self._budget.first()
+        excluded: set[str] = set()
+        refusal: outcomes.Refusal | None = None
+        while True:
+            chosen = self._tools.router.choose(
+                service=self.admitted.service,
+                facts=self._renew_facts(),
+                exclude=frozenset(excluded),
+            )
+            if isinstance(chosen, outcomes.NotRun):
+                # The last agent's word says more than that none is left.
+                return self.soften(refusal or chosen)
+            refusal = await self.ask(chosen)
+            if refusal is None:
+                return None
+            if self.started or not self._budget.take():
+                return self.soften(refusal)
+            excluded.add(chosen.instance)
+
+    async def run_at(
+        self, targets: tuple[routing.Candidate, ...]
+    ) -> outcomes.Refusal | None:
+        """Deliver a call to the agents that may know its key, in order.
+
+        The first is the one to which the key is bound; the others may have
+        taken over its records.
+        """
+        unreached = (_R.INCARNATION_GONE, _R.NO_ENDPOINT)
+        for target in targets:
+            refusal = await self.ask(target)
+            if refusal is None or refusal.reason not in unreached:
+                return refusal
+            if refusal.reason is _R.INCARNATION_GONE and isinstance(
+                refusal, outcomes.NotRun
+            ):
+                # The key's process had stopped in good order without it.
+                return refusal
+        return self.soften(
+            outcomes.NotRun(
+                reason=_R.INCARNATION_GONE,
+                detail='the process to which the key is bound has gone',
+                retry_after=0.0,
+            )
+        )
+
+    def soften(self, refusal: outcomes.Refusal) -> outcomes.Refusal:
+        """Return a refusal that is true of all attempts together."""
+        if self.maybe and isinstance(refusal, outcomes.NotRun):
+            return outcomes.OutcomeUnknown(
+                reason=refusal.reason, detail=refusal.detail
+            )
+        return refusal
+
+    def describe_deadline(self) -> outcomes.Refusal:
+        """Return the refusal for a call whose time has run out."""
+        return self.soften(
+            outcomes.NotRun(
+                reason=outcomes.Reason.DEADLINE,
+                detail='the deadline came before the answer was whole',
+            )
+        )
+
+    def rebind(self, bound: keys.Bound) -> None:
+        """Go on under a new key, after the old one was barred."""
+        self.admitted = dataclasses.replace(
+            self.admitted, key=bound.key, binding=bound.binding
+        )
+
+    def take_over(self, call: str) -> None:
+        """Go on as the call to which the caller's answer belongs."""
+        self.admitted = dataclasses.replace(self.admitted, call=call)
+        # The agent has seen attempts of the entry before; an answer to one
+        # of those must not be taken for an answer to one of ours.
+        self.attempt = RESUMED_ATTEMPT
+
+    # Asking one agent
+
+    async def ask(
+        self, target: routing.Candidate, *, settle: bool = False
+    ) -> outcomes.Refusal | None:
+        """Ask one agent, again over new connections when one is lost.
+
+        The agent runs a call once, however often it is asked, and answers
+        for every attempt that was sent to it.
+        """
+        begun = self._tools.clock()
+        facts = self.admitted.facts
+        self._tools.router.sent(candidate=target, facts=facts)
+        answered = False
+        try:
+            refusal = await self._ask_until_known(target, settle)
+            answered = refusal is None
+            return refusal
+        finally:
+            self._tools.router.ended(
+                candidate=target,
+                facts=facts,
+                seconds=self._tools.clock() - begun,
+                answered=answered,
+            )
+
+    async def _ask_until_known(
+        self, target: routing.Candidate, settle: bool
+    ) -> outcomes.Refusal | None:
+        before = self.maybe
+        lost = broken = 0
+        silence = self._tools.silence
+        fresh = False
+        while True:
+            result = await self._attempt(target, settle, fresh, silence)
+            match result:
+                case None:
+                    return None
+                case connections.Unreached(detail=detail):
+                    self._tools.members.suspect(target.instance)
+                    return self.soften(
+                        outcomes.NotRun(
+                            reason=outcomes.Reason.NO_ENDPOINT,
+                            detail=f'the agent cannot be reached: {detail}',
+                        )
+                    )
+                case attempts.Refused(refusal=refusal):
+                    self._note_refused(refusal, before, lost > 0)
+                    return refusal
+                case attempts.Lost(silent=True):
+                    lost += 1
+                    if self._should_leave(target):
+                        return self._describe_lost(result)
+                    silence *= 2
+                case attempts.Lost():
+                    lost += 1
+                    broken += 1
+                    if broken >= MOST_LOST:
+                        return self._describe_lost(result)
+                    await anyio.sleep(LOST_PAUSE * (broken - 1))
+            await self._distrust(target)
+            fresh = True
+
+    def _note_refused(
+        self, refusal: outcomes.Refusal, before: bool, lost: bool
+    ) -> None:
+        """Note what a refusal says about the attempts made so far."""
+        if isinstance(refusal, outcomes.OutcomeUnknown):
+            return
+        if refusal.reason in _ATTEMPT_ONLY:
+            self.maybe = before or lost
+        else:
+            # The agent answers for all attempts that it was sent; for a
+            # bound key, for all attempts there ever were.
+            self.maybe = before and not self.admitted.key
+
+    def _can_run(self, target: routing.Candidate) -> bool:
+        """Whether that process may run the call; only one may run a key."""
+        binding = self.admitted.binding
+        if binding is None:
+            return True
+        return (
+            binding.agent == target.instance
+            and binding.incarnation == target.incarnation
+        )
+
+    async def _attempt(
+        self,
+        target: routing.Candidate,
+        settle: bool,
+        fresh: bool,
+        silence: float,
+    ) -> attempts.Refused | attempts.Lost | connections.Unreached | None:
+        attempt = attempts.Attempt(
+            pool=self._tools.find_pool(target),
+            heads=self._tools.heads,
+            outgoing=self._build(target, settle, silence),
+            fresh=fresh,
+        )
+        try:
+            unreached = await attempt.open()
+            if unreached is not None:
+                return unreached
+            self.maybe = self.maybe or self._can_run(target)
+            await steps.reach(steps.Step.CALL_SENT, self.admitted.call)
+            result = await attempt.send()
+            if not isinstance(result, attempts.Answering):
+                return result
+            await steps.reach(
+                steps.Step.CALL_ANSWER_STARTED, self.admitted.call
+            )
+            return await self._relay(target, result)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await attempt.close()
+
+    def _build(
+        self, target: routing.Candidate, settle: bool, silence: float
+    ) -> attempts.Outgoing:
+        admitted = self.admitted
+        self.attempt += 1
+        remaining = admitted.deadline - self._tools.clock()
+        head = messages.CallHead(
+            call=admitted.call,
+            attempt=self.attempt,
+            entry=self._tools.instance,
+            agent=target.instance,
+            incarnation=target.incarnation,
+            customer=admitted.customer.name,
+            service=admitted.service.name,
+            idempotent=not admitted.key,
+            priority=admitted.wishes.priority,
+            deadline_at=self._tools.wall() + remaining,
+            remaining=remaining,
+            key=admitted.key,
+            settle=settle,
+            resume_from=self.relayed,
+            weight=admitted.customer.weight,
+            bundle=admitted.bundle_number,
+        )
+        return attempts.Outgoing(
+            head=head,
+            method=admitted.request.method,
+            target=admitted.request.target,
+            headers=_keep_headers(admitted.request.headers),
+            body=admitted.body,
+            silence=silence,
+        )
+
+    def _should_leave(self, target: routing.Candidate) -> bool:
+        """Whether to look elsewhere instead of waiting for an agent.
+
+        A long call is silent too, while its agent is alive; and a call that
+        may run once is known to no other agent.
+        """
+        if self.admitted.key or self.started:
+            return False
+        peer = self._tools.members.find(target.instance)
+        return peer is None or peer.state not in _WORTH_WAITING
+
+    async def _distrust(self, target: routing.Candidate) -> None:
+        """Close idle connections to an agent, and have it probed.
+
+        Others of the pool may have gone silent with the one that was lost.
+        """
+        self._tools.members.suspect(target.instance)
+        await self._tools.find_pool(target).clear()
+
+    def _describe_lost(self, lost: attempts.Lost) -> outcomes.OutcomeUnknown:
+        return outcomes.OutcomeUnknown(
+            reason=outcomes.Reason.CONNECTION_LOST, detail=lost.detail
+        )
+
+    def _renew_facts(self) -> routing.CallFacts:
+        remaining = self.admitted.deadline - self._tools.clock()
+        return dataclasses.replace(self.admitted.facts, remaining=remaining)
+
+    # Answering the caller
+
+    async def _relay(
+        self, target: routing.Candidate, answering: attempts.Answering
+    ) -> attempts.Lost | None:
+        """Relay an answer; ``None`` when it is whole."""
+        if not self.started:
+            await self._start(target, answering)
+        try:
+            async for chunk in answering.chunks():
+                await self._send(
+                    {
+                        'type': 'http.response.body',
+                        'body': chunk,
+                        'more_body': True,
+                    }
+                )
+                self.relayed += len(chunk)
+                if self._events:
+                    self.tokens += chunk.count(TOKEN_MARK)
+        except httpcore.TimeoutException as error:
+            return attempts.Lost(
+                detail=connections.explain(error), silent=True
+            )
+        except connections.LOST as error:
+            return attempts.Lost(
+                detail=connections.explain(error), silent=False
+            )
+        await self._send({'type': 'http.response.body', 'body': b''})
+        await steps.reach(steps.Step.CALL_ANSWER_ENDED, self.admitted.call)
+        return None
+
+    async def _start(
+        self, target: routing.Candidate, answering: attempts.Answering
+    ) -> None:
+        self.started = True
+        self.first_byte_at = self._tools.clock()
+        own = [
+            pair
+            for pair in answering.headers
+            if not pair[0].startswith(heads.OWN_PREFIX)
+        ]
+        self._events = _is_event_stream(own)
+        own.append((CALL_HEADER, self.admitted.call.encode()))
+        if not self.admitted.key:
+            own.append((callers.RESUME_HEADER, self._make_resume(target)))
+        await self._send(
+            {
+                'type': 'http.response.start',
+                'status': answering.status,
+                'headers': own,
+            }
+        )
+
+    def _make_resume(self, target: routing.Candidate) -> bytes:
+        return self._tools.resumes.make(
+            resumes.Resume(
+                call=self.admitted.call,
+                customer=self.admitted.customer.name,
+                service=self.admitted.service.name,
+                agent=target.instance,
+                incarnation=target.incarnation,
+            )
+        )
+
+    async def refuse(self, refusal: outcomes.Refusal) -> None:
+        """Give the caller the final answer of a call that has none.
+
+        An answer that has begun ends with an explicit error and a cut
+        connection, so that nobody takes the part for the whole.
+        """
+        if not self.started:
+            await asgi.send_refusal(
+                send=self._send, refusal=refusal, call=self.admitted.call
+            )
+            return
+        if self._events:
+            await self._send(
+                {
+                    'type': 'http.response.body',
+                    'body': problems.encode_event(
+                        refusal=refusal, call=self.admitted.call
+                    ),
+                    'more_body': True,
+                }
+            )
+
+
+def _is_event_stream(headers: asgi.Headers) -> bool:
+    for key, value in headers:
+        if key == b'content-type':
+            return value.startswith(EVENT_STREAM)
+    return False
+
+
+def _keep_headers(headers: asgi.Headers) -> asgi.Headers:
+    """Return the caller's headers that its endpoint gets."""
+    return [
+        pair
+        for pair in asgi.keep_end_to_end(headers)
+        if pair[0] not in (b'authorization', b'host', b'content-length')
+        and not pair[0].startswith(heads.OWN_PREFIX)
+    ]
--- a/marigoldramp/predecessors.py
+++ b/marigoldramp/predecessors.py
@@ -16,6 +16,7 @@
 from . import executions
 from . import messages
 from . import outcomes
+from . import peers
 
 DIGEST_BYTES = 16
 #: Incarnations that are remembered at once.
@@ -75,6 +76,25 @@
     return HandedOver(digest=digest_key(key), answer=answer)
 
 
+def encode(handed_over: Iterable[HandedOver]) -> list[peers.Record]:
+    """Return records in the form in which they travel."""
+    return [
+        peers.Record(
+            nonce=one.digest, answer=msgspec.msgpack.encode(one.answer)
+        )
+        for one in handed_over
+    ]
+
+
+def decode(records: Iterable[peers.Record]) -> list[HandedOver]:
+    """Return records as they were handed over."""
+    decoder = msgspec.msgpack.Decoder(KeptAnswer)
+    return [
+        HandedOver(digest=one.nonce, answer=decoder.decode(one.answer))
+        for one in records
+    ]
+
+
 class Predecessors:
     """Handed-over records by agent and incarnation.
 
--- a/marigoldramp/records.py
+++ b/marigoldramp/records.py
@@ -16,6 +16,7 @@
 
 from . import executions
 from . import outcomes
+from . import predecessors
 
 #: A key may begin during this part of the time that records are kept.
 USABLE_SHARE = 0.5
@@ -138,6 +139,14 @@
             case refused:
                 return refused
 
+    def describe(self) -> list[predecessors.HandedOver]:
+        """Return what an agent that stops hands over: every final record."""
+        described = (
+            predecessors.describe(key=key, execution=record.execution)
+            for key, record in self._records.items()
+        )
+        return [one for one in described if one is not None]
+
     def keep(self, key: str) -> None:
         """Count the answer of a call that has ended, within the bounds."""
         record = self._records.get(key)
