Change expert maps by prepare, hold, arm and release

Cause: in every step all ranks of a group have to use one map, whatever happens to leaders, agents, engines, orders and the store on the way.

A rank can be one step ahead of another, so a rank held before step s keeps all others from step s + 1 only; maps are armed from s + 1. Only the fencing number is in the store; a new leader reads the rest from the ranks and does the next thing that map_recovery says. Ruled out: the plan in the store as well (12 KB each change at 61 layers, and the ranks have to be asked anyway). Orders carry fence, agent incarnation and sequence.

--- /dev/null
+++ b/marigoldramp/map_conversation.py
@@ -0,0 +1,171 @@
+"""One leader's talk with the agents of its group, under one fence."""
+
+import enum
+from typing import Callable
+from typing import Mapping
+from typing import Protocol
+from typing import Sequence
+
+import anyio
+
+from . import map_orders
+
+
+class Transport(Protocol):
+    """Carries orders to agents."""
+
+    async def order(
+        self, *, rank_agent: str, order: map_orders.Order
+    ) -> map_orders.Reply | map_orders.Lost:
+        """Deliver an order and return the reply, or that it is lost."""
+
+
+class Trouble(enum.Enum):
+    """Why a leader could not go on with what it was doing."""
+
+    DEPOSED = 'an agent knows a higher fence'
+    UNREACHED = 'an agent did not answer'
+    REFUSED = 'an agent refused an order'
+
+
+class Conversation:
+    """Numbers a leader's orders and remembers what agents answered.
+
+    :param agents: returns the names of the agents that carry the group.
+    """
+
+    __slots__ = (
+        '_group',
+        '_leader',
+        '_fence',
+        '_agents',
+        '_transport',
+        '_sequence',
+        '_incarnations',
+        'replies',
+    )
+
+    def __init__(
+        self,
+        *,
+        group: str,
+        leader: str,
+        fence: int,
+        agents: Callable[[], Sequence[str]],
+        transport: Transport,
+    ) -> None:
+        self._group = group
+        self._leader = leader
+        self._fence = fence
+        self._agents = agents
+        self._transport = transport
+        self._sequence = 0
+        self._incarnations: dict[str, int] = {}
+        #: The latest answer of each agent, for operators.
+        self.replies: dict[str, map_orders.Reply | map_orders.Lost] = {}
+
+    @property
+    def fence(self) -> int:
+        """Return the fence under which this leader gives orders."""
+        return self._fence
+
+    def find_agent(self, rank: int) -> str | None:
+        """Return the agent that carried a rank when it last answered."""
+        for agent, reply in self.replies.items():
+            if isinstance(reply, map_orders.Reply):
+                if any(state.rank == rank for state in reply.states):
+                    return agent
+        return None
+
+    async def inspect(
+        self,
+    ) -> tuple[map_orders.RankState, ...] | Trouble:
+        """Return the states of all ranks, none of which an older leader
+        can still change.
+
+        Agents first take on this leader's fence and tell their incarnation;
+        then all are asked again.  An agent that restarted in between may
+        know a lower fence and may have obeyed an older leader; the second
+        question, which names the incarnation, finds it out.
+        """
+        agents = tuple(self._agents())
+        self._forget_others(agents)
+        new = [one for one in agents if one not in self._incarnations]
+        trouble = await self._send_each(
+            {agent: map_orders.Inspect() for agent in new}
+        )
+        if trouble is not None:
+            return trouble
+        trouble = await self.send_all(map_orders.Confirm())
+        if trouble is not None:
+            return trouble
+        return tuple(
+            state
+            for reply in self.replies.values()
+            if isinstance(reply, map_orders.Reply)
+            for state in reply.states
+        )
+
+    def _forget_others(self, agents: Sequence[str]) -> None:
+        for agent in set(self.replies) - set(agents):
+            del self.replies[agent]
+        for agent in set(self._incarnations) - set(agents):
+            del self._incarnations[agent]
+
+    async def send_all(self, body: map_orders.Body) -> Trouble | None:
+        """Give all agents one order; return what went wrong, if anything."""
+        return await self._send_each({agent: body for agent in self._agents()})
+
+    async def _send_each(
+        self, bodies: Mapping[str, map_orders.Body]
+    ) -> Trouble | None:
+        troubles: set[Trouble] = set()
+
+        async def send(agent: str, body: map_orders.Body) -> None:
+            answer = await self.send(agent, body)
+            if isinstance(answer, Trouble):
+                troubles.add(answer)
+
+        async with anyio.create_task_group() as tasks:
+            for agent, body in bodies.items():
+                tasks.start_soon(send, agent, body)
+        for trouble in Trouble:
+            if trouble in troubles:
+                return trouble
+        return None
+
+    async def send(
+        self, agent: str, body: map_orders.Body
+    ) -> map_orders.Reply | Trouble:
+        """Give one agent an order; return its reply if it obeyed."""
+        self._sequence += 1
+        order = map_orders.Order(
+            group=self._group,
+            leader=self._leader,
+            fence=self._fence,
+            incarnation=self._incarnations.get(agent, 0),
+            sequence=self._sequence,
+            body=body,
+        )
+        answer = await self._transport.order(rank_agent=agent, order=order)
+        if isinstance(answer, map_orders.Lost):
+            self.replies[agent] = answer
+            return Trouble.UNREACHED
+        return self._take(agent, answer)
+
+    def _take(
+        self, agent: str, reply: map_orders.Reply
+    ) -> map_orders.Reply | Trouble:
+        if reply.fence > self._fence:
+            return Trouble.DEPOSED
+        if reply.expert_map is None:
+            self.replies[agent] = reply
+        match reply.refusal:
+            case map_orders.Refusal.NONE:
+                self._incarnations[agent] = reply.incarnation
+                return reply
+            case map_orders.Refusal.FENCE_OLD:
+                return Trouble.DEPOSED
+            case map_orders.Refusal.INCARNATION:
+                self._incarnations.pop(agent, None)
+        return Trouble.REFUSED
--- /dev/null
+++ b/marigoldramp/map_fences.py
@@ -0,0 +1,55 @@
+"""How an agent that has just started learns the fence in force."""
+
+from typing import Awaitable
+from typing import Callable
+from typing import Sequence
+
+import anyio
+
+from . import map_conversation
+from . import map_orders
+
+#: Reads the fence from the lease object; ``None`` while the store is away.
+ReadFence = Callable[[], Awaitable[int | None]]
+
+
+async def learn(
+    *,
+    group: str,
+    instance: str,
+    agents: Sequence[str],
+    transport: map_conversation.Transport,
+    read_fence: ReadFence,
+) -> int | None:
+    """Return the fence in force, or ``None`` while it cannot be known.
+
+    The store is asked first: it holds the fence of the newest leader before
+    that leader gives its first order.  While the store is away, all other
+    agents of the group are asked, and all have to know: had one of them not
+    answered, it could be the only one to which the newest leader has spoken.
+    """
+    known = await read_fence()
+    if known is not None:
+        return known
+    others = [agent for agent in agents if agent != instance]
+    if not others:
+        return None
+    fences: list[int] = []
+
+    async def ask(agent: str) -> None:
+        order = map_orders.Order(
+            group=group,
+            leader=instance,
+            fence=0,
+            incarnation=0,
+            sequence=0,
+            body=map_orders.Ask(),
+        )
+        reply = await transport.order(rank_agent=agent, order=order)
+        if isinstance(reply, map_orders.Reply) and reply.fence:
+            fences.append(reply.fence)
+
+    async with anyio.create_task_group() as tasks:
+        for agent in others:
+            tasks.start_soon(ask, agent)
+    return max(fences) if len(fences) == len(others) else None
--- /dev/null
+++ b/marigoldramp_standins/group_network.py
@@ -0,0 +1,506 @@
+"""Leaders, agents and a stand-in group in one process, under full control.
+
+Orders, replies, time, leases and the steps of the ranks move only when they
+are told to, so a test decides each interleaving.  A process here is a task;
+to kill it is to cancel it, to pause it is to complete nothing it waits for.
+"""
+
+import asyncio
+import dataclasses
+import enum
+from typing import Awaitable
+from typing import Callable
+
+from marigoldramp import expert_maps
+from marigoldramp import map_conversation
+from marigoldramp import map_fences
+from marigoldramp import map_leader
+from marigoldramp import map_orders
+from marigoldramp import map_ranks
+from marigoldramp import steps
+
+from . import group as groups
+
+GROUP = 'drafts'
+#: Turns of the event loop after which every task waits for something.
+TURNS = 40
+LEASE_SECONDS = 3.0
+STEP_SECONDS = 0.25
+
+
+class Fault(enum.Enum):
+    """What happens to a leader, or to its next order, at a named step."""
+
+    KILL = 'kill'
+    PAUSE = 'pause'
+    LOSE_ORDER = 'lost order'
+    LOSE_REPLY = 'lost reply'
+    DOUBLE = 'doubled order'
+    LATE = 'late order'
+
+
+class Killed(Exception):
+    """The process was killed at a named step."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Sleeper:
+    """A task that sleeps."""
+
+    owner: str
+    until: float
+    future: asyncio.Future[None]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Envelope:
+    """An order on its way, or its reply on the way back."""
+
+    owner: str
+    agent: str
+    order: map_orders.Order
+    future: asyncio.Future[map_orders.Reply | map_orders.Lost] | None
+    delivered: bool = False
+    handling: asyncio.Task[None] | None = None
+    reply: map_orders.Reply | None = None
+    fault: Fault | None = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Held:
+    """The lease is held under a fence."""
+
+    fence: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class NotHeld:
+    """Another holds the lease, or the store is away."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class LeaseTable:
+    """The lease object in the store."""
+
+    fence: int = 0
+    holder: str = ''
+    until: float = 0.0
+    away: bool = False
+
+
+class Lease:
+    """A holder's view of the lease."""
+
+    def __init__(self, *, network: 'Network', holder: str) -> None:
+        self._network = network
+        self._holder = holder
+        self._until = 0.0
+
+    async def acquire(self) -> Held | NotHeld:
+        """Take the lease if it is free or has lapsed."""
+        table = self._network.lease
+        now = self._network.now
+        if table.away or (table.holder and now < table.until):
+            return NotHeld()
+        table.fence += 1
+        table.holder = self._holder
+        table.until = self._until = now + LEASE_SECONDS
+        return Held(fence=table.fence)
+
+    async def renew(self) -> Held | NotHeld:
+        """Prolong the lease if it is still this holder's."""
+        table = self._network.lease
+        if table.away or table.holder != self._holder:
+            return NotHeld()
+        table.until = self._until = self._network.now + LEASE_SECONDS
+        return Held(fence=table.fence)
+
+    def held(self) -> bool:
+        """Say whether the lease has not lapsed by this holder's clock."""
+        return self._network.now < self._until
+
+
+class Turning:
+    """A planner that wants the ranks' experts turned round by one."""
+
+    def __init__(self, *, network: 'Network') -> None:
+        self._network = network
+
+    async def plan(
+        self,
+        *,
+        expert_map: expert_maps.ExpertMap,
+        conversation: map_conversation.Conversation,
+    ) -> map_leader.Plan | None:
+        """Return the next turn, while the test wants changes."""
+        if not self._network.planning:
+            return None
+        layers = tuple(layer[1:] + layer[:1] for layer in expert_map.layers)
+        return map_leader.Plan(layers=layers, load_limit=5.0)
+
+    def ended(self, *, plan: map_leader.Plan, done: bool) -> None:
+        """Count the changes that took place."""
+        self._network.changes += done
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Transport:
+    network: 'Network'
+    owner: str
+
+    async def order(
+        self, *, rank_agent: str, order: map_orders.Order
+    ) -> map_orders.Reply | map_orders.Lost:
+        return await self.network.send(self.owner, rank_agent, order)
+
+
+class Network:
+    """Everything that one test of a rank group needs.
+
+    :param agents: how many agents share the ranks.
+    """
+
+    def __init__(
+        self,
+        *,
+        group: groups.Group,
+        agents: int,
+        layers: int = 1,
+    ) -> None:
+        self.loop = asyncio.new_event_loop()
+        self.group = group
+        self.lease = LeaseTable()
+        self.now = 100.0
+        self.planning = True
+        self.changes = 0
+        self.sleepers: list[Sleeper] = []
+        self.envelopes: list[Envelope] = []
+        self.paused: set[str] = set()
+        self.cut: set[str] = set()
+        self.traps: dict[steps.Step, Fault] = {}
+        self.trapped: list[steps.Step] = []
+        self._order_faults: dict[str, Fault] = {}
+        self.agents: dict[str, map_ranks.Ranks | None] = {}
+        self.leaders: dict[str, asyncio.Task[None] | None] = {}
+        self.running: dict[str, map_leader.Leader] = {}
+        self.shape = expert_maps.Shape(
+            ranks=len(group.ranks),
+            experts=len(group.ranks) * 2,
+            layers=layers,
+            slots=2,
+        )
+        self._incarnation = 0
+        self._engines = group.engines()
+        self._shares = {
+            f'agent-{number}': range(number, len(group.ranks), agents)
+            for number in range(agents)
+        }
+        for agent in self._shares:
+            self.start_agent(agent)
+
+    def close(self) -> None:
+        """End all tasks and the event loop."""
+        tasks = asyncio.all_tasks(self.loop)
+        for task in tasks:
+            task.cancel()
+        self.loop.run_until_complete(
+            asyncio.gather(*tasks, return_exceptions=True)
+        )
+        self.loop.close()
+
+    def pump(self) -> None:
+        """Run all tasks until each waits for something."""
+        self.loop.run_until_complete(_turn(TURNS))
+
+    def install(self) -> None:
+        """Put a first map into force on every rank."""
+        version = expert_maps.Version(fence=0, number=1)
+        self.group.install(
+            expert_maps.spread(shape=self.shape, version=version)
+        )
+
+    # Processes
+
+    def start_agent(self, agent: str) -> None:
+        """Start an agent, or start it again; it has forgotten everything."""
+        self.stop_agent(agent)
+        self._incarnation += 1
+
+        async def learn() -> int | None:
+            return await map_fences.learn(
+                group=GROUP,
+                instance=agent,
+                agents=tuple(self._shares),
+                transport=_Transport(network=self, owner=agent),
+                read_fence=self._read_fence,
+            )
+
+        self.agents[agent] = map_ranks.Ranks(
+            group=GROUP,
+            engines={
+                rank: self._engines[rank] for rank in self._shares[agent]
+            },
+            incarnation=self._incarnation,
+            learn_fence=learn,
+        )
+
+    async def _read_fence(self) -> int | None:
+        return None if self.lease.away else self.lease.fence
+
+    def stop_agent(self, agent: str) -> None:
+        """End an agent; orders to it are lost until it is started."""
+        self.agents[agent] = None
+        for envelope in self.envelopes:
+            if envelope.agent == agent and envelope.handling is not None:
+                envelope.handling.cancel()
+        self.pump()
+
+    def start_leader(self, name: str) -> None:
+        """Start a process that leads once it gets the lease."""
+        task = self.leaders.get(name)
+        if task is not None and not task.done():
+            return
+        self.paused.discard(name)
+        leader = map_leader.Leader(
+            group=GROUP,
+            instance=name,
+            shape=self.shape,
+            agents=lambda: tuple(self._shares),
+            transport=_Transport(network=self, owner=name),
+            lease=Lease(network=self, holder=name),
+            renew_seconds=LEASE_SECONDS / 3,
+            planner=Turning(network=self),
+            clock=lambda: self.now,
+            pace=map_leader.Pace(poll=0.25, retry=0.25, lead_steps=3),
+            sleep=self._make_sleep(name),
+        )
+        self.running[name] = leader
+        with steps.observe(self._observe):
+            self.leaders[name] = self.loop.create_task(self._run(leader))
+        self.pump()
+
+    async def _run(self, leader: map_leader.Leader) -> None:
+        try:
+            await leader.run()
+        except BaseExceptionGroup as group:
+            rest = group.split(Killed)[1]
+            if rest is not None:
+                raise rest from None
+
+    async def _observe(self, step: steps.Step, where: str) -> None:
+        """Let the fault that a test has set for this step happen."""
+        fault = self.traps.pop(step, None)
+        if fault is None:
+            return
+        self.trapped.append(step)
+        match fault:
+            case Fault.KILL:
+                raise Killed
+            case Fault.PAUSE:
+                self.paused.add(where)
+                await self._make_sleep(where)(0.0)
+            case _:
+                self._order_faults[where] = fault
+
+    def pause_leader(self, name: str) -> None:
+        """Freeze a leader until it is woken."""
+        self.paused.add(name)
+
+    def wake_leader(self, name: str) -> None:
+        """Let a leader go on, which knows nothing of the time it lost."""
+        self.paused.discard(name)
+
+    def cut_agent(self, agent: str) -> None:
+        """Let orders to an agent and its replies wait on their way."""
+        self.cut.add(agent)
+
+    def join_agent(self, agent: str) -> None:
+        """End the cut."""
+        self.cut.discard(agent)
+
+    def kill_leader(self, name: str) -> None:
+        """End a leader at once; orders on their way stay on their way."""
+        task = self.leaders[name]
+        self.leaders[name] = None
+        self.paused.discard(name)
+        if task is not None:
+            task.cancel()
+            self.pump()
+
+    def _make_sleep(self, owner: str) -> Callable[[float], Awaitable[None]]:
+        async def sleep(seconds: float) -> None:
+            future: asyncio.Future[None] = self.loop.create_future()
+            self.sleepers.append(
+                Sleeper(owner=owner, until=self.now + seconds, future=future)
+            )
+            await future
+
+        return sleep
+
+    # Orders
+
+    async def send(
+        self, owner: str, agent: str, order: map_orders.Order
+    ) -> map_orders.Reply | map_orders.Lost:
+        """Put an order on its way and wait for the reply."""
+        future: asyncio.Future[map_orders.Reply | map_orders.Lost]
+        future = self.loop.create_future()
+        envelope = Envelope(
+            owner=owner, agent=agent, order=order, future=future
+        )
+        self.envelopes.append(envelope)
+        envelope.fault = self._order_faults.pop(owner, None)
+        if envelope.fault == Fault.DOUBLE:
+            self.double(envelope)
+        return await future
+
+    def deliver(self, envelope: Envelope) -> None:
+        """Let an order reach its agent, which obeys or refuses it."""
+        ranks = self.agents[envelope.agent]
+        envelope.delivered = True
+        if ranks is None:
+            self.lose(envelope)
+            return
+        envelope.handling = self.loop.create_task(
+            self._handle(ranks, envelope)
+        )
+        self.pump()
+
+    async def _handle(
+        self, ranks: map_ranks.Ranks, envelope: Envelope
+    ) -> None:
+        envelope.reply = await ranks.handle(envelope.order)
+
+    def answer(self, envelope: Envelope) -> None:
+        """Let the reply reach the sender, unless that one is paused."""
+        if envelope.owner in self.paused:
+            return
+        if envelope.reply is None:
+            return
+        self._complete(envelope, envelope.reply)
+
+    def lose(self, envelope: Envelope) -> None:
+        """Tell the sender that no reply came.
+
+        An order that was not delivered stays on its way and comes late.
+        """
+        if envelope.owner in self.paused:
+            return
+        self._complete(envelope, map_orders.Lost())
+        if not envelope.delivered and envelope.fault != Fault.LOSE_ORDER:
+            self.envelopes.append(dataclasses.replace(envelope, future=None))
+
+    def double(self, envelope: Envelope) -> None:
+        """Put a copy of an order on its way."""
+        self.envelopes.append(
+            dataclasses.replace(
+                envelope,
+                future=None,
+                delivered=False,
+                handling=None,
+                reply=None,
+                fault=None,
+            )
+        )
+
+    def _complete(
+        self, envelope: Envelope, value: map_orders.Reply | map_orders.Lost
+    ) -> None:
+        self.envelopes.remove(envelope)
+        future = envelope.future
+        if future is not None and not future.done():
+            future.set_result(value)
+            self.pump()
+
+    # Time
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass: loads go on and sleepers that are due wake."""
+        self.now += seconds
+        self.group.advance(seconds)
+        due = [
+            sleeper
+            for sleeper in self.sleepers
+            if sleeper.until <= self.now and sleeper.owner not in self.paused
+        ]
+        for sleeper in due:
+            self.sleepers.remove(sleeper)
+            if not sleeper.future.done():
+                sleeper.future.set_result(None)
+        self.pump()
+
+    def run_fairly(
+        self, *, rounds: int, until: Callable[[], bool] = lambda: False
+    ) -> bool:
+        """Deliver, answer, step and let time pass in turn.
+
+        :returns: whether ``until`` came true.
+        """
+        for _ in range(rounds):
+            if until():
+                return True
+            self.carry_all()
+            self.group.step()
+            self.advance(STEP_SECONDS)
+        return until()
+
+    def carry_all(self) -> None:
+        """Deliver every order that is on its way and answer it.
+
+        Those to an agent that is cut off stay where they are, and so do
+        orders that are to come late.
+        """
+        for envelope in list(self.envelopes):
+            self._carry(envelope)
+
+    def _carry(self, envelope: Envelope) -> None:
+        if envelope not in self.envelopes or envelope.agent in self.cut:
+            return
+        match envelope.fault:
+            case Fault.LATE if envelope.future is None:
+                return
+            case Fault.LOSE_ORDER | Fault.LATE:
+                self.lose(envelope)
+                return
+        if not envelope.delivered:
+            self.deliver(envelope)
+        if envelope not in self.envelopes:
+            return
+        if envelope.fault == Fault.LOSE_REPLY:
+            self.lose(envelope)
+        elif envelope.reply is not None:
+            self.answer(envelope)
+        elif envelope.handling is None or envelope.handling.done():
+            self.lose(envelope)
+
+    def heal(self) -> None:
+        """End every fault that is in force."""
+        self.lease.away = False
+        self.paused.clear()
+        self.cut.clear()
+        self.traps.clear()
+        for envelope in self.envelopes:
+            envelope.fault = None
+        self.group.endless_loads.clear()
+        for agent, ranks in self.agents.items():
+            if ranks is None:
+                self.start_agent(agent)
+        for name, task in self.leaders.items():
+            if task is None or task.done():
+                self.start_leader(name)
+
+    def at_rest(self) -> bool:
+        """Say whether all ranks use one map and nothing is armed or held."""
+        ranks = self.group.ranks
+        return len(self.group.versions()) == 1 and all(
+            rank.schedule is not None
+            and rank.schedule.following is None
+            and rank.hold_before is None
+            and not rank.loads
+            for rank in ranks
+        )
+
+
+async def _turn(times: int) -> None:
+    for _ in range(times):
+        await asyncio.sleep(0)
