--- a/marigoldramp/addresses.py
+++ b/marigoldramp/addresses.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
+from . import address_answers
 from . import bundle
-from . import client
 from . import keys
 from . import membership
 from . import messages
@@ -67,9 +67,10 @@
             for service in table.non_idempotent(customer.services)
         }
         return msgspec.json.encode(
-            client.Addresses(
+            address_answers.Addresses(
                 entries=[
-                    client.EntryAddress(address=live[one]) for one in serving
+                    address_answers.EntryAddress(address=live[one])
+                    for one in serving
                 ],
                 keep_seconds=self._settings.keep_addresses,
                 bindings=bindings,
--- a/marigoldramp/asgi.py
+++ b/marigoldramp/asgi.py
@@ -148,7 +148,10 @@
 ) -> None:
     """Send a refusal as problem details (RFC 9457)."""
     problem = problems.describe(refusal=refusal, call=call)
-    headers = [(b'content-type', problems.CONTENT_TYPE)]
+    headers = [
+        (b'content-type', problems.CONTENT_TYPE),
+        (problems.HEADER, problem.outcome.encode()),
+    ]
     if problem.retry_after is not None:
         # The header counts whole seconds; the body has the exact value.
         seconds = max(1, math.ceil(problem.retry_after))
--- a/marigoldramp/callers.py
+++ b/marigoldramp/callers.py
@@ -13,6 +13,7 @@
 DEADLINE_HEADER = b'marigoldramp-deadline'
 PRIORITY_HEADER = b'marigoldramp-priority'
 ATTEMPT_HEADER = b'marigoldramp-attempt'
+FIRST_ATTEMPT = '1'
 RESUME_HEADER = b'marigoldramp-resume'
 RESUME_FROM_HEADER = b'marigoldramp-resume-from'
 KEY_HEADER = b'idempotency-key'
@@ -78,7 +79,7 @@
         seconds=seconds,
         priority=priority,
         key=key,
-        first=request.find(ATTEMPT_HEADER) == '1',
+        first=request.find(ATTEMPT_HEADER) == FIRST_ATTEMPT,
         resume=request.find(RESUME_HEADER) or '',
         resume_from=resume_from,
     )
--- a/marigoldramp/calls.py
+++ b/marigoldramp/calls.py
@@ -92,8 +92,9 @@
         try:
             intake = await self._take_in(call, scope, receive)
             if isinstance(intake, outcomes.NotRun):
-                await asgi.send_refusal(send=send, refusal=intake, call=call)
-                self._note_end(None, intake, begun)
+                refusal = _doubt(asgi.read_head(scope), intake)
+                await asgi.send_refusal(send=send, refusal=refusal, call=call)
+                self._note_end(None, refusal, begun)
                 return
             await self._admit(intake, receive, send, begun)
         finally:
@@ -443,6 +444,24 @@
     )
 
 
+def _doubt(
+    request: asgi.Request, refusal: outcomes.NotRun
+) -> outcomes.Refusal:
+    """Return a refusal that is true of all requests with the same key.
+
+    A retry that is refused at the door says nothing about the request that
+    it repeats, which may have run through another entry.
+    """
+    used = request.find(callers.KEY_HEADER) is not None
+    if request.find(callers.ATTEMPT_HEADER) == callers.FIRST_ATTEMPT:
+        used = False
+    if not used and request.find(callers.RESUME_HEADER) is None:
+        return refusal
+    return outcomes.OutcomeUnknown(
+        reason=refusal.reason, detail=refusal.detail
+    )
+
+
 async def _cancel_when_gone(
     receive: asgi.Receive, scope: anyio.CancelScope
 ) -> None:
--- a/marigoldramp/problems.py
+++ b/marigoldramp/problems.py
@@ -7,6 +7,8 @@
 from . import outcomes
 
 CONTENT_TYPE = b'application/problem+json'
+#: Marks a refusal of ours; an endpoint may answer with problems of its own.
+HEADER = b'marigoldramp-refusal'
 ERROR_EVENT = b'event: error\ndata: '
 TYPE_PREFIX = 'urn:marigoldramp:refusal:'
 
--- a/marigoldramp/servers.py
+++ b/marigoldramp/servers.py
@@ -69,8 +69,12 @@
     def connection_made(self, transport: Any) -> None:
         super().connection_made(transport)
         if len(self.connections) > self.bounds.connections:
+            # The request is not read, so it may repeat one that has run.
             self._refuse(
-                outcomes.Reason.QUEUE_FULL, 'too many connections', 1.0
+                outcomes.OutcomeUnknown(
+                    reason=outcomes.Reason.QUEUE_FULL,
+                    detail='too many connections',
+                )
             )
 
     def data_received(self, data: bytes) -> None:
@@ -88,8 +92,10 @@
         if self.head_size <= limit:
             return True
         self._refuse(
-            outcomes.Reason.HEAD_TOO_LARGE,
-            f'the head is longer than {limit} bytes',
+            outcomes.NotRun(
+                reason=outcomes.Reason.HEAD_TOO_LARGE,
+                detail=f'the head is longer than {limit} bytes',
+            )
         )
         return False
 
@@ -106,15 +112,19 @@
         super().connection_lost(exc)
 
     def send_400_response(self, msg: str) -> None:
-        self._refuse(outcomes.Reason.MALFORMED, msg)
+        self._refuse(
+            outcomes.NotRun(reason=outcomes.Reason.MALFORMED, detail=msg)
+        )
 
     def _expect_head(self) -> None:
         self._stop_timer()
         self.head_timer = self.loop.call_later(
             self.bounds.head_seconds,
             self._refuse,
-            outcomes.Reason.BODY_TIMEOUT,
-            'the head was not whole in time',
+            outcomes.NotRun(
+                reason=outcomes.Reason.BODY_TIMEOUT,
+                detail='the head was not whole in time',
+            ),
         )
 
     def _stop_timer(self) -> None:
@@ -122,13 +132,8 @@
             self.head_timer.cancel()
             self.head_timer = None
 
-    def _refuse(
-        self,
-        reason: outcomes.Reason,
-        detail: str,
-        retry_after: float | None = None,
-    ) -> None:
-        """Answer that nothing ran and close the connection.
+    def _refuse(self, refusal: outcomes.Refusal) -> None:
+        """Answer with a refusal and close the connection.
 
         While an earlier request on the connection is being answered no
         bytes may be put between; closing alone says enough then.
@@ -137,20 +142,18 @@
         if self.transport.is_closing():
             return
         if self.cycle is None or self.cycle.response_complete:
-            refusal = outcomes.NotRun(
-                reason=reason, detail=detail, retry_after=retry_after
-            )
             self.transport.write(_render(refusal))
         self.transport.close()
 
 
-def _render(refusal: outcomes.NotRun) -> bytes:
+def _render(refusal: outcomes.Refusal) -> bytes:
     """Return a whole HTTP/1.1 answer with the refusal."""
     problem = problems.describe(refusal=refusal, call='')
     body = problems.encode(problem)
     lines = [
         b'HTTP/1.1 %d Refused' % problem.status,
         b'content-type: ' + problems.CONTENT_TYPE,
+        problems.HEADER + b': ' + problem.outcome.encode(),
         b'content-length: %d' % len(body),
         b'connection: close',
     ]
