Bring bundles into force from the store and from peers

Two watchers in each data centre follow the store; everybody else sees the number on a heartbeat and fetches the manifest and only the missing parts from that peer. A bundle comes into force only with a higher number, enough sign-offs and parts that match and can be read; else the old one stays and a finding says why. A process waits for the instance list before it takes itself for a watcher: at a start of the whole fleet each would else read every part.

Ruled out: fetching from the store by everybody (at 350 entries and 157 parts a restart alone is 55,000 reads); refusing a number from all peers because one holds damaged sign-offs (refusals are kept by source).

--- a/marigoldramp/membership.py
+++ b/marigoldramp/membership.py
@@ -126,6 +126,11 @@
     def bundle_source(self, source: Callable[[], int]) -> None:
         self._sender.bundle_source = source
 
+    @property
+    def is_seeded(self) -> bool:
+        """Whether the instance list has been read since the start."""
+        return self._sender.listed_at is not None
+
     async def start(self, task_group: anyio.abc.TaskGroup) -> int:
         """Listen for heartbeats, start to send them, return the port."""
         port = await self._transport.open(
--- a/tests/fake_network.py
+++ b/tests/fake_network.py
@@ -99,6 +99,13 @@
         await anyio.sleep(2 * self.delay)
         return node.membership.answer_probe()
 
+    async def reach(self, source, target):
+        """Return the configuration of a node that can be reached."""
+        reply = await self.probe(source, target, 2.0)
+        if isinstance(reply, peer_messages.Unreachable):
+            return None
+        return self.nodes[target].config
+
 
 class Transport(heartbeats.Transport):
     """One node's end of the network."""
@@ -134,6 +141,18 @@
                 return peer_messages.Unreachable(detail='wrong receiver')
         return reply
 
+    async def fetch_manifest(self, host, port, *, have):
+        config = await self.node.network.reach(self.node.port, port)
+        if config is None:
+            return peer_messages.Unreachable(detail='timeout')
+        return config.answer_manifest(have)
+
+    async def fetch_parts(self, host, port, *, digests):
+        config = await self.node.network.reach(self.node.port, port)
+        if config is None:
+            return peer_messages.Unreachable(detail='timeout')
+        return config.answer_parts(digests)
+
 
 @dataclasses.dataclass(kw_only=True)
 class Node:
@@ -153,6 +172,7 @@
     def __post_init__(self):
         self.events = []
         self.backlog = []
+        self.config = None
         self.client = Client(self)
         self.membership = membership.Membership(
             identity=membership.Identity(
@@ -190,6 +210,8 @@
         async with anyio.create_task_group() as group:
             self.network.nodes[self.port] = self
             await self.membership.start(group)
+            if self.config is not None:
+                group.start_soon(self.config.run)
 
     def row(self, **changes):
         values = {
