Measure the path's latency and its cost a call and a chunk

No figure told what the path adds to a call, nor where a core goes, so nothing could be reduced on evidence. The demo's fleet gains two hooks and a look-up of process numbers.

--- a/marigoldramp_standins/demo_fleet.py
+++ b/marigoldramp_standins/demo_fleet.py
@@ -8,6 +8,8 @@
 import httpcore
 import msgspec
 
+from marigoldramp import bundle
+
 from . import demo_layout
 from . import processes
 from . import service
@@ -79,6 +81,13 @@
         """Return the base addresses of the entries."""
         return [one.address for one in self._nodes if one.role == 'entry']
 
+    def find_process(self, name: str) -> int:
+        """Return the number of a running process by its name."""
+        for process in self._own + self._standins:
+            if process.name == name:
+                return process.id
+        raise KeyError(name)
+
     async def count_runs(self) -> dict[str, int]:
         """Return how often each reference ran, as the services counted."""
         runs: dict[str, int] = {}
@@ -175,12 +184,7 @@
     async def _start_node(self, node: demo_layout.Node) -> None:
         name = node.instance.name
         path = self._folder / f'{name}.yaml'
-        demo_layout.write_settings(
-            path=path,
-            platform=self.platform,
-            operators=self._operators,
-            node=node,
-        )
+        self.write_settings(node, path)
         process = await processes.start(
             name=name,
             arguments=['marigoldramp.ui', node.role, '--settings', str(path)],
@@ -189,12 +193,25 @@
         )
         self._own.append(process)
 
+    def write_settings(
+        self, node: demo_layout.Node, path: pathlib.Path
+    ) -> None:
+        """Write the settings file of one instance."""
+        demo_layout.write_settings(
+            path=path,
+            platform=self.platform,
+            operators=self._operators,
+            node=node,
+        )
+
+    def make_bundle(self, entries: int) -> bundle.Bundle:
+        """Return the bundle that is rolled before the first call."""
+        return demo_layout.make_bundle(callers=self.callers, entries=entries)
+
     async def _roll_bundle(self, entries: int) -> None:
         """Bring the first bundle into force, as operators would."""
         file = self._folder / 'bundle.yaml'
-        document = demo_layout.make_bundle(
-            callers=self.callers, entries=entries
-        )
+        document = self.make_bundle(entries)
         demo_layout.write_bundle(path=file, document=document)
         settings = self._folder / 'console.yaml'
         demo_layout.write_settings(
