End heartbeats that neither side chooses any more

Each side of a link answered whoever it heard, so that two processes that no longer chose each other went on for good, and a process's heartbeats grew with each change of the fleet. A heartbeat now says whether its sender has chosen the receiver and wants to be answered; an answer does not ask. A heartbeat that neither asks nor comes on an attended link no longer brings a peer to life, since nothing would notice its silence.

--- a/marigoldramp/membership.py
+++ b/marigoldramp/membership.py
@@ -38,6 +38,8 @@
 Peer = peer_table.Peer
 State = peer_table.State
 
+#: Intervals for which a peer that asked is answered.
+ANSWERED_INTERVALS = 6
 #: Seconds between two announcements of a planned stop, and their number.
 ANNOUNCE_EVERY = 0.05
 ANNOUNCE_TIMES = 20
@@ -88,6 +90,7 @@
             sender=self._sender,
             codec=self._codec,
             suspect_after=settings.suspect_after,
+            answer_seconds=ANSWERED_INTERVALS * settings.heartbeat,
             wake=self._wake,
             clock=clock,
         )
@@ -101,6 +104,7 @@
             ),
             make_link=self._make_link,
             on_end=self._intake.forget_if_gone,
+            clock=clock,
         )
 
     @property
@@ -270,7 +274,7 @@
         match accepted:
             case messages.Heartbeat():
                 record = self._intake.hear(accepted)
-                if record is not None:
+                if record is not None and accepted.asks:
                     self._links.attend(record)
             case heartbeats.Refused(reason=reason, heartbeat=heartbeat):
                 self.refusals[reason] = self.refusals.get(reason, 0) + 1
--- a/marigoldramp/messages.py
+++ b/marigoldramp/messages.py
@@ -70,6 +70,8 @@
         none.  It shows a link that is cut in one direction.
     :ivar receiver_incarnation: the incarnation of the receiver of which
         ``receiver_leaving`` and ``echo`` speak; a successor ignores them.
+    :ivar asks: the sender has chosen to heartbeat the receiver and wants to
+        be answered; an answer itself wants none.
     :ivar wants_known: the sender's instance list is away, so the receiver is
         asked to tell which instances it hears.
     :ivar known: some of those, where the receiver has asked.
@@ -92,6 +94,7 @@
     service: str = ''
     load: Load | None = None
     receiver_incarnation: int = 0
+    asks: bool = False
     wants_known: bool = False
     known: tuple[KnownInstance, ...] = ()
 
--- a/marigoldramp/peer_intake.py
+++ b/marigoldramp/peer_intake.py
@@ -25,10 +25,12 @@
 
     :param suspect_after: seconds after which a peer that does not echo us
         counts as not hearing us.
+    :param answer_seconds: how long a peer that asks is answered.
     :param wake: heartbeats a peer at once, by its name.
     """
 
     __slots__ = (
+        '_answer_seconds',
         '_clock',
         '_codec',
         '_events',
@@ -48,6 +50,7 @@
         sender: peer_sender.Sender,
         codec: heartbeats.Codec,
         suspect_after: float,
+        answer_seconds: float,
         wake: Callable[[str], bool],
         clock: Callable[[], float],
     ) -> None:
@@ -56,6 +59,7 @@
         self._sender = sender
         self._codec = codec
         self._suspect_after = suspect_after
+        self._answer_seconds = answer_seconds
         self._wake = wake
         self._clock = clock
         self._flag = peer_table.Flag()
@@ -67,6 +71,8 @@
         if record is None:
             return None
         record.heard_at = self._clock()
+        if heartbeat.asks:
+            record.answered_until = record.heard_at + self._answer_seconds
         record.sequence = heartbeat.sequence
         own = self._sender.identity.incarnation
         if heartbeat.receiver_incarnation == own:
@@ -74,7 +80,8 @@
             record.note_echo(heartbeat.echo)
             if heartbeat.receiver_leaving:
                 self._tell_told_leaving()
-        self._revive(record)
+        if heartbeat.asks or record.attended:
+            self._revive(record)
         for known in heartbeat.known:
             self._take_known(known)
         self._tell(record, heartbeat)
--- a/marigoldramp/peer_link.py
+++ b/marigoldramp/peer_link.py
@@ -16,8 +16,6 @@
 #: Share of the interval by which heartbeats are spread, lest all peers of a
 #: process wake in the same millisecond.
 JITTER = 0.1
-#: Intervals for which a peer that heartbeats us unasked is answered.
-ANSWERED_INTERVALS = 6
 #: Interval to a dead peer over that to a living one.
 DEAD_SLOWDOWN = 4
 #: Seconds between two fresh connections to a peer that is held to be dead.
@@ -29,7 +27,7 @@
 
 
 class Link:
-    """Heartbeats one peer until it is neither chosen nor heard.
+    """Heartbeats one peer while it is chosen or asks to be answered.
 
     :param on_reply: takes over what the reply to a probe says.
     """
@@ -73,10 +71,7 @@
 
     def _is_needed(self) -> bool:
         record = self._record
-        if record.chosen:
-            return True
-        lately = ANSWERED_INTERVALS * self._settings.heartbeat
-        return self._clock() - record.heard_at < lately
+        return record.chosen or record.is_asking(self._clock())
 
     def _rest(self) -> None:
         """Stop to judge a peer that neither side heartbeats any more."""
--- a/marigoldramp/peer_links.py
+++ b/marigoldramp/peer_links.py
@@ -23,6 +23,7 @@
 
     __slots__ = (
         '_choice',
+        '_clock',
         '_group',
         '_links',
         '_make_link',
@@ -37,11 +38,13 @@
         choice: peer_choice.Choice,
         make_link: MakeLink,
         on_end: OnEnd,
+        clock: Callable[[], float],
     ) -> None:
         self._table = table
         self._choice = choice
         self._make_link = make_link
         self._on_end = on_end
+        self._clock = clock
         self._links: dict[str, peer_link.Link] = {}
         self._group: anyio.abc.TaskGroup | None = None
 
@@ -100,8 +103,8 @@
 
     def _count_users(self) -> int:
         """Return how many entries heartbeat us of their own choice."""
+        now = self._clock()
         return sum(
-            record.role is messages.Role.ENTRY
-            and record.state is peer_table.State.ALIVE
+            record.role is messages.Role.ENTRY and record.is_asking(now)
             for record in self._table
         )
--- a/marigoldramp/peer_sender.py
+++ b/marigoldramp/peer_sender.py
@@ -86,6 +86,7 @@
             receiver_leaving=record.flag.holds(now),
             echo=record.sequence,
             receiver_incarnation=record.incarnation,
+            asks=record.chosen,
             known=known,
         )
         record.note_sent(heartbeat.sequence, now)
@@ -93,7 +94,7 @@
 
     def greet(self, host: str, port: int) -> None:
         """Send a heartbeat to an address of which nothing else is known."""
-        self._send(self.make(), host, port)
+        self._send(self.make(asks=True), host, port)
 
     def make(
         self,
@@ -101,6 +102,7 @@
         receiver_leaving: bool = False,
         echo: int = 0,
         receiver_incarnation: int = 0,
+        asks: bool = False,
         known: tuple[messages.KnownInstance, ...] = (),
     ) -> messages.Heartbeat:
         """Return the next heartbeat of this process."""
@@ -125,6 +127,7 @@
             service=identity.service,
             load=load,
             receiver_incarnation=receiver_incarnation,
+            asks=asks,
             wants_known=self._lacks_list(),
             known=known,
         )
--- a/marigoldramp/peer_table.py
+++ b/marigoldramp/peer_table.py
@@ -87,6 +87,8 @@
     """Everything kept about one peer.
 
     :ivar heard_at: monotonic time of its last heartbeat.
+    :ivar answered_until: monotonic time until which it is answered, since
+        it has asked for that.
     :ivar sequence: its last sequence, which is echoed to it.
     :ivar echoed: our last sequence that it has echoed.
     :ivar unechoed: the oldest sequence sent to it that it has not echoed,
@@ -116,6 +118,7 @@
     bundle: int = 0
     load: messages.Load | None = None
     heard_at: float = -math.inf
+    answered_until: float = -math.inf
     sequence: int = 0
     echoed: int = 0
     unechoed: int = 0
@@ -133,6 +136,10 @@
     pending_known: int = 0
     pending_in: int = 0
 
+    def is_asking(self, now: float) -> bool:
+        """Return whether it heartbeats us of its own choice."""
+        return now < self.answered_until
+
     def leaves(self, now: float) -> bool:
         """Return whether it leaves, by its own word or by the list's."""
         return self.said_leaving or self.flag.holds(now)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -351,6 +351,38 @@
             assert len({each.data_centre for each in chosen}) == 3
 
 
+@pytest.mark.anyio
+async def test_heartbeats_end_when_nobody_chooses_them():
+    """Choices change as instances come and go.
+
+    Each side of a link answers the other, so that a link that neither side
+    chooses any more would live on, and the heartbeats of a process grow
+    with each change.
+    """
+    async with open_site() as site:
+        nodes = [
+            site.start(f'entry-{number}', changes={'peers': 2})
+            for number in range(24)
+        ]
+        await anyio.sleep(0)
+        for part in (nodes[:12], nodes[8:], nodes):
+            site.seed(*nodes, rows=[node.row() for node in part])
+            await anyio.sleep(8)
+        for node in nodes:
+            choosers = {
+                each.name for each in nodes if node.name in chosen_by(each)
+            }
+            assert attended_by(node) == chosen_by(node) | choosers
+
+
+def chosen_by(node):
+    return {each.instance for each in node.membership._table if each.chosen}
+
+
+def attended_by(node):
+    return {each.instance for each in node.membership._table if each.attended}
+
+
 @pytest.mark.anyio
 async def test_table_is_bounded():
     async with open_pair() as (site, entry, agent):
