Resume a stream whose connection to the engine breaks

Cause: an answer cut between agent and engine ended in an explicit error though the engine still had the rest. The agent now asks for the rest over a new connection, 16 times at most and 3 without a new byte, within the deadline. The rest is taken under the same identifier only, and only if it repeats the last 2,048 bytes that have come: an engine that goes on at the wrong byte, or that restarted and gave the identifier to another stream, is noticed by it, except where the text repeats itself over that length. Until its first event is whole a stream is held back and not resumed, since nothing tells it from another; nothing was passed on, so the call can go elsewhere.

The end mark now needs its blank line: a stream cut inside it, with the body ended in good order, passed for whole without its last byte.

Priority goes to the engine in a header of the plug-in; the caller's own x-priority, priority and x-request-id do not. A head above 64 KiB is an explicit error; the entry's connection broke on it at each attempt before.

Ruled out: identifier alone (reused by a restarted engine), sending all again.

--- a/marigoldramp/endpoint_kinds.py
+++ b/marigoldramp/endpoint_kinds.py
@@ -13,13 +13,20 @@
 import httpcore
 
 from . import asgi
+from . import bundle
 from . import connections
+from . import map_ranks
 from . import plugins
+from . import rank_engines
 from . import settings
 
 #: Bytes at the end of a body that are kept to look for its end mark.
 TAIL_BYTES = 64
 CONNECT_SECONDS = 1.0
+#: Longest head of an answer that is passed on.  With our own headers added
+#: it must stay below what the entry's HTTP library takes.
+HEAD_BYTES = 65536
+CALL_HEADER = b'x-request-id'
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -27,6 +34,7 @@
     """A request as the endpoint gets it.
 
     :ivar call: identifier of the call, sent as ``x-request-id``.
+    :ivar priority: of the call, as its route and its caller set it.
     """
 
     call: str
@@ -34,6 +42,7 @@
     target: bytes
     headers: asgi.Headers
     body: bytes
+    priority: int = bundle.Priority.NORMAL
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -108,6 +117,17 @@
             with anyio.CancelScope(shield=True):
                 await opened.aclose()
 
+    def rank_engines(self) -> dict[int, map_ranks.RankEngine]:
+        """Return the engine of each rank beside this agent."""
+        url = self.settings.rank_endpoint or self.settings.endpoint
+        origin = httpcore.URL(url).origin
+        return {
+            rank: rank_engines.HttpRankEngine(
+                host=origin.host.decode(), port=origin.port, rank=rank
+            )
+            for rank in self.settings.ranks
+        }
+
     async def watch(self) -> None:
         """Follow what the endpoint publishes, for as long as it runs."""
 
@@ -122,21 +142,12 @@
         sink: Sink,
     ) -> Result:
         """Send the request and read its answer to the end."""
-        headers = [
-            *request.headers,
-            (b'x-request-id', request.call.encode()),
-        ]
-        response = await connection.handle_async_request(
-            connections.build(
-                host=self.host,
-                port=self.port,
-                method=request.method,
-                target=request.target,
-                headers=headers,
-                body=request.body,
-            )
-        )
+        response = await connection.handle_async_request(self.build(request))
         answered = asgi.keep_end_to_end(connections.lower(response.headers))
+        if _measure(answered) > HEAD_BYTES:
+            # The entry's own connection would break on it, again at every
+            # attempt; one would see only lost connections.
+            return Broken(detail=f'the head is longer than {HEAD_BYTES} bytes')
         await sink.begin(response.status, answered)
         tail = b''
         async for chunk in response.aiter_stream():
@@ -145,3 +156,23 @@
         if not self.is_end(headers=answered, tail=tail):
             return Broken(detail='the stream ended without its end mark')
         return Whole()
+
+    def build(self, request: EndpointRequest) -> httpcore.Request:
+        """Return the request as it goes to the endpoint.
+
+        A caller's own request id would be taken for the call's.
+        """
+        headers = [pair for pair in request.headers if pair[0] != CALL_HEADER]
+        headers.append((CALL_HEADER, request.call.encode()))
+        return connections.build(
+            host=self.host,
+            port=self.port,
+            method=request.method,
+            target=request.target,
+            headers=headers,
+            body=request.body,
+        )
+
+
+def _measure(headers: asgi.Headers) -> int:
+    return sum(len(key) + len(value) for key, value in headers)
--- a/marigoldrampplug/model_engine.py
+++ b/marigoldrampplug/model_engine.py
@@ -1,28 +1,220 @@
-"""Endpoint kind for model engines: the end mark of chat streams."""
+"""Endpoint kind for model engines: streams, priority and cancelling."""
+
+import dataclasses
+from typing import Awaitable
+from typing import Callable
+import urllib.parse
+
+import anyio
+import httpcore
 
 from marigoldramp import asgi
+from marigoldramp import connections
 from marigoldramp import endpoint_kinds
+from marigoldramp import event_streams
 
-EVENT_STREAM = b'text/event-stream'
 END_MARK = b'data: [DONE]'
+#: Times that a stream is resumed without a new byte in between, and in all.
+MOST_FRUITLESS = 3
+MOST_RESUMES = 16
+#: Seconds before a further try after a fruitless one, times their number.
+RESUME_PAUSE = 0.1
+#: Longest wait for an engine that is told to cancel a stream.
+CANCEL_SECONDS = 0.5
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Foreign:
+    """The engine no longer has the stream, or went on with another one."""
+
+    detail: str
+
+
+Resumed = endpoint_kinds.Whole | endpoint_kinds.Broken | Foreign
 
 
 class ModelEngine(endpoint_kinds.EndpointKind):
     """An engine that streams chat completions as server-sent events."""
 
+    #: Header in which the engine takes a request's priority, 0 first.
+    PRIORITY_HEADER = b'x-priority'
+    #: Header in which the engine gives a stream's identifier.
+    STREAM_HEADER = b'x-stream-id'
+    #: Path of a stream, for resuming and cancelling it.
+    STREAM_PATH = '/v1/streams/{}'
+    #: Headers by which a caller could raise its own priority.
+    OWN_PRIORITY = frozenset({PRIORITY_HEADER, b'priority'})
+
+    async def exchange(
+        self,
+        *,
+        request: endpoint_kinds.EndpointRequest,
+        sink: endpoint_kinds.Sink,
+        hand_over: Callable[[], Awaitable[bool]],
+    ) -> endpoint_kinds.Result:
+        """Hand a request on; resume its stream when a connection breaks.
+
+        When the exchange itself is cancelled, the engine is told at once.
+        """
+        stream = event_streams.Stream(sink=sink, name=self.STREAM_HEADER)
+        try:
+            result = await super().exchange(
+                request=self._set_priority(request),
+                sink=stream,
+                hand_over=hand_over,
+            )
+            match result:
+                case endpoint_kinds.Whole():
+                    await stream.flush()
+                    return result
+                case endpoint_kinds.Broken() if stream.is_resumable:
+                    return await self._resume(request, stream, result)
+            return result
+        except anyio.get_cancelled_exc_class():
+            await self._cancel(stream)
+            raise
+
     def is_end(self, *, headers: asgi.Headers, tail: bytes) -> bool:
         """A stream is whole when its end mark has come.
 
         An engine that dies may close its connection in good order, so the
         end of the body alone says nothing.
         """
-        if not _is_event_stream(headers):
+        if not event_streams.is_event_stream(headers):
             return True
-        return tail.rstrip().endswith(END_MARK)
+        return _has_end_mark(tail)
+
+    def _set_priority(
+        self, request: endpoint_kinds.EndpointRequest
+    ) -> endpoint_kinds.EndpointRequest:
+        headers = [
+            pair
+            for pair in request.headers
+            if pair[0] not in self.OWN_PRIORITY
+        ]
+        headers.append((self.PRIORITY_HEADER, b'%d' % request.priority))
+        return dataclasses.replace(request, headers=headers)
+
+    # Resuming
+
+    async def _resume(
+        self,
+        request: endpoint_kinds.EndpointRequest,
+        stream: event_streams.Stream,
+        broken: endpoint_kinds.Broken,
+    ) -> endpoint_kinds.Result:
+        """Ask for the rest of a stream until it is whole or hopeless."""
+        fruitless = 0
+        for _ in range(MOST_RESUMES):
+            if _has_end_mark(stream.tail):
+                # Only the end of the HTTP body was lost.
+                return endpoint_kinds.Whole()
+            before = stream.size
+            match await self._resume_once(request, stream):
+                case endpoint_kinds.Whole() as whole:
+                    return whole
+                case Foreign(detail=detail):
+                    return endpoint_kinds.Broken(
+                        detail=f'{broken.detail}; {detail}'
+                    )
+                case endpoint_kinds.Broken() as again:
+                    broken = again
+            fruitless = 0 if stream.size > before else fruitless + 1
+            if fruitless >= MOST_FRUITLESS:
+                break
+            await anyio.sleep(RESUME_PAUSE * fruitless)
+        return broken
+
+    async def _resume_once(
+        self,
+        request: endpoint_kinds.EndpointRequest,
+        stream: event_streams.Stream,
+    ) -> Resumed:
+        opened = await connections.connect(
+            host=self.host,
+            port=self.port,
+            seconds=endpoint_kinds.CONNECT_SECONDS,
+        )
+        if isinstance(opened, connections.Unreached):
+            return endpoint_kinds.Broken(detail=opened.detail)
+        path = self._make_path(stream) + f'/resume?from={stream.resume()}'
+        asked = endpoint_kinds.EndpointRequest(
+            call=request.call,
+            method='POST',
+            target=path.encode(),
+            headers=[],
+            body=b'',
+        )
+        try:
+            return await self._read_rest(opened, asked, stream)
+        except connections.LOST as error:
+            return endpoint_kinds.Broken(detail=connections.explain(error))
+        finally:
+            with anyio.CancelScope(shield=True):
+                await opened.aclose()
+
+    async def _read_rest(
+        self,
+        connection: httpcore.AsyncHTTP11Connection,
+        asked: endpoint_kinds.EndpointRequest,
+        stream: event_streams.Stream,
+    ) -> Resumed:
+        response = await connection.handle_async_request(self.build(asked))
+        headers = connections.lower(response.headers)
+        if not stream.is_same(response.status, headers):
+            return Foreign(detail='the engine no longer has the stream')
+        async for chunk in response.aiter_stream():
+            if not await stream.go_on(chunk):
+                return Foreign(detail='the engine resumed another text')
+        if stream.is_repeated and self.is_end(
+            headers=headers, tail=stream.tail
+        ):
+            return endpoint_kinds.Whole()
+        return endpoint_kinds.Broken(
+            detail='the resumed stream ended without its end mark'
+        )
+
+    # Cancelling
+
+    async def _cancel(self, stream: event_streams.Stream) -> None:
+        """Tell the engine that nobody waits for a stream.
+
+        An engine that keeps streams for readers that come back would else
+        generate to the end what nobody reads.
+        """
+        if not stream.is_known:
+            return
+        with anyio.move_on_after(CANCEL_SECONDS, shield=True):
+            opened = await connections.connect(
+                host=self.host, port=self.port, seconds=CANCEL_SECONDS
+            )
+            if isinstance(opened, connections.Unreached):
+                return
+            try:
+                response = await opened.handle_async_request(
+                    connections.build(
+                        host=self.host,
+                        port=self.port,
+                        method='DELETE',
+                        target=self._make_path(stream).encode(),
+                        headers=[],
+                        body=b'',
+                    )
+                )
+                await response.aread()
+            except connections.LOST:
+                return
+            finally:
+                await opened.aclose()
+
+    def _make_path(self, stream: event_streams.Stream) -> str:
+        quoted = urllib.parse.quote(stream.identifier, safe='')
+        return self.STREAM_PATH.format(quoted)
 
 
-def _is_event_stream(headers: asgi.Headers) -> bool:
-    for key, value in headers:
-        if key == b'content-type':
-            return value.startswith(EVENT_STREAM)
-    return False
+def _has_end_mark(tail: bytes) -> bool:
+    """Whether the last event is the end mark, with the line that ends it."""
+    lines = tail.replace(b'\r\n', b'\n')
+    return lines.rstrip(b'\n').endswith(END_MARK) and lines.endswith(
+        event_streams.EVENT_END
+    )
