Lead rank groups from the agents that carry them

Cause: leader and ranks stood in process only; no agent took an order and no group was ever led. An agent now serves its ranks over gRPC and two agents of a group contend for its lease. The instance list is the directory, as agents heartbeat entries only and know no other agent.

The same gap broke the hand-over at a planned stop: it looked for fellow agents among the heartbeat peers, of which an agent has none. It takes them from the list now and tries up to four.

Ruled out: all agents of a group contending, 8 agents at 4 reads a second times 117 groups would be 3,700 reads a second against the store's 2,000; two that ask every 5 s make about 47.

--- a/marigoldramp/agent.py
+++ b/marigoldramp/agent.py
@@ -10,21 +10,25 @@
 from . import agent_calls
 from . import asgi
 from . import bindings
+from . import bundle
 from . import credentials
 from . import endpoint_kinds
 from . import executor
 from . import heads
 from . import keys
-from . import membership
 from . import messages
 from . import peers
 from . import predecessors
+from . import rank_groups
 from . import runtime as runtime_module
 from . import settings as settings_module
 from . import steps
+from . import store
 
 #: Records in one hand-over message.
 HAND_OVER_BATCH = 64
+#: Agents that are asked to take the records, as some may be gone.
+MOST_ASKED = 4
 IDLE_CHECK = 0.02
 
 
@@ -41,6 +45,10 @@
         self.kind: endpoint_kinds.EndpointKind = plugin(
             settings=settings.agent
         )
+        self.rank_group: rank_groups.RankGroup | None = None
+        self._described: bundle.Group | None = None
+        self._group_changed = anyio.Event()
+        self._leading = anyio.CancelScope()
         self.runtime: runtime_module.Runtime
         self.queue: admission.Queue
         self.executor: executor.Executor
@@ -78,6 +86,7 @@
             offsets=runtime.offsets,
             clock=runtime.clock,
         )
+        self._start_ranks(group)
         runtime.members.load_source = self.queue.load
         runtime.members.on_told_leaving(self._note_told)
         group.start_soon(self.kind.watch)
@@ -116,6 +125,60 @@
         )
         return peers.HandOverReply(kept=kept, reason='' if kept else 'full')
 
+    # Rank groups
+
+    def _start_ranks(self, group: anyio.abc.TaskGroup) -> None:
+        """Serve orders for the ranks beside this agent, and lead in turn."""
+        if not self.settings.group:
+            return
+        self.rank_group = rank_groups.RankGroup(
+            name=self.settings.group,
+            instance=self.instance,
+            incarnation=self.runtime.incarnation,
+            engines=self.kind.rank_engines(),
+            platform=self.runtime.platform,
+            client=self.runtime.client,
+            listed=lambda: self.runtime.listed,
+            clock=self.runtime.clock,
+        )
+        self.runtime.config.subscribe(self._note_bundle)
+        group.start_soon(self._lead, self.rank_group)
+
+    async def _lead(self, rank_group: rank_groups.RankGroup) -> None:
+        """Lead by the bundle in force; begin anew when it says otherwise."""
+        while True:
+            changed = self._group_changed
+            described = self._find_group()
+            self._described = described
+            with anyio.CancelScope() as self._leading:
+                if described is not None:
+                    planner = rank_groups.StayPlanner()
+                    await rank_group.lead(group=described, planner=planner)
+                await changed.wait()
+
+    def _find_group(self) -> bundle.Group | None:
+        in_force = self.runtime.config.in_force
+        for group in in_force.groups if in_force else ():
+            if group.name == self.settings.group:
+                return group
+        return None
+
+    def _note_bundle(self, _: bundle.Bundle) -> None:
+        if self._find_group() == self._described:
+            return
+        changed, self._group_changed = self._group_changed, anyio.Event()
+        changed.set()
+        self._leading.cancel()
+
+    async def order(
+        self, *, order: peers.MapOrder, sender: str
+    ) -> peers.MapReply:
+        if self.rank_group is None or order.leader != sender:
+            return peers.MapReply(accepted=False, reason='no rank is here')
+        return await self.rank_group.handle(order)
+
+    # Planned stop
+
     def _note_told(self) -> None:
         """The platform has planned this instance's stop: take nothing new.
 
@@ -128,24 +191,30 @@
     async def _hand_over(self) -> None:
         """Give the records to the agents that entries will ask for them."""
         others = [
-            peer
-            for peer in self.runtime.members.peers(messages.Role.AGENT)
-            if peer.service == self.service
+            row
+            for row in self.runtime.listed
+            if row.service == self.service
+            and row.name != self.instance
+            and not row.leaving
         ]
-        others.sort(key=lambda peer: keys.rank(self.instance, peer.instance))
+        others.sort(key=lambda row: keys.rank(self.instance, row.name))
         records = self.executor.records.describe()
-        for peer in others[: keys.MOST_SUCCESSORS]:
-            await self._hand_over_to(peer, records)
+        kept = 0
+        for row in others[:MOST_ASKED]:
+            kept += await self._hand_over_to(row, records)
+            if kept >= keys.MOST_SUCCESSORS:
+                return
 
     async def _hand_over_to(
-        self, peer: membership.Peer, records: list[predecessors.HandedOver]
-    ) -> None:
+        self, row: store.Instance, records: list[predecessors.HandedOver]
+    ) -> bool:
+        """Hand all records to one agent; say whether it has them all."""
         for start in range(0, max(1, len(records)), HAND_OVER_BATCH):
             batch = records[start : start + HAND_OVER_BATCH]
             reply = await self.runtime.client.hand_over(
-                peer.host,
-                peer.control_port,
-                receiver=peer.instance,
+                row.host,
+                row.control_port,
+                receiver=row.name,
                 request=peers.HandOverRequest(
                     agent=self.instance,
                     service=self.service,
@@ -155,9 +224,10 @@
                 ),
             )
             if isinstance(reply, peers.Unreachable) or not reply.kept:
-                logging.warning('%s took no records', peer.instance)
-                return
-        logging.info('handed %d records to %s', len(records), peer.instance)
+                logging.warning('%s took no records', row.name)
+                return False
+        logging.info('handed %d records to %s', len(records), row.name)
+        return True
 
 
 async def run(settings: settings_module.Settings) -> int:
--- a/marigoldramp/map_leader.py
+++ b/marigoldramp/map_leader.py
@@ -38,12 +38,15 @@
 
     :ivar poll: between two looks at the group.
     :ivar retry: between two attempts at something that failed.
+    :ivar contend: between two attempts to take a lease that is another's;
+        each costs a call of the platform's store.
     :ivar lead_steps: how far ahead of the group the hold is placed.  Too
         few and the group waits for the change; too many delay it only.
     """
 
     poll: float = 1.0
     retry: float = 0.25
+    contend: float = 0.25
     lead_steps: int = 8
 
 
@@ -151,7 +154,7 @@
             fence = getattr(taken, 'fence', None)
             if fence is not None:
                 await self._hold_office(fence)
-            await self._sleep(self._pace.retry)
+            await self._sleep(self._pace.contend)
 
     async def _hold_office(self, fence: int) -> None:
         async with anyio.create_task_group() as tasks:
--- /dev/null
+++ b/marigoldramp/rank_groups.py
@@ -0,0 +1,257 @@
+"""An agent's part in a rank group: its own ranks, and leading its turn.
+
+Leading a group falls to the agents that carry it.  Two of them contend for
+the lease, chosen by rendezvous hashing over the instance list; more would
+cost calls of the platform's store and bring nothing.
+"""
+
+from typing import Callable
+from typing import Mapping
+from typing import Sequence
+
+import msgspec
+
+from . import bundle
+from . import expert_maps
+from . import leases
+from . import map_conversation
+from . import map_fences
+from . import map_leader
+from . import map_orders
+from . import map_ranks
+from . import peers
+from . import rendezvous
+from . import store as store_module
+
+CONTENDERS = 2
+LEASE_SECONDS = 10.0
+RENEW_SECONDS = 3.0
+#: Pause of a contender that was not given the lease.
+CONTEND_SECONDS = 5.0
+ORDER_SECONDS = 2.0
+
+
+class PeerTransport:
+    """Carries orders to the agents of a group over gRPC.
+
+    :param find: returns an agent's row of the instance list.
+    """
+
+    __slots__ = ('_client', '_find')
+
+    def __init__(
+        self,
+        *,
+        client: peers.Client,
+        find: Callable[[str], store_module.Instance | None],
+    ) -> None:
+        self._client = client
+        self._find = find
+
+    async def order(
+        self, *, rank_agent: str, order: map_orders.Order
+    ) -> map_orders.Reply | map_orders.Lost:
+        """Deliver an order and return the reply, or that it is lost."""
+        row = self._find(rank_agent)
+        if row is None:
+            return map_orders.Lost(detail='the agent is not listed')
+        reply = await self._client.order(
+            row.host,
+            row.control_port,
+            receiver=rank_agent,
+            order=peers.MapOrder(
+                group=order.group,
+                fence=order.fence,
+                leader=order.leader,
+                order=msgspec.msgpack.encode(order),
+            ),
+            timeout=ORDER_SECONDS,
+        )
+        if isinstance(reply, peers.Unreachable):
+            return map_orders.Lost(detail=reply.detail)
+        return decode_reply(reply)
+
+
+def decode_reply(reply: peers.MapReply) -> map_orders.Reply | map_orders.Lost:
+    """Return an agent's reply, or that it cannot be read."""
+    try:
+        return msgspec.msgpack.decode(reply.state, type=map_orders.Reply)
+    except msgspec.MsgspecError as error:
+        return map_orders.Lost(detail=str(error))
+
+
+class ContendedLease:
+    """A lease for which only the group's first agents contend.
+
+    The others answer "not held" without a call of the store.
+    """
+
+    __slots__ = ('_lease', '_may_contend')
+
+    def __init__(
+        self, *, lease: leases.Lease, may_contend: Callable[[], bool]
+    ) -> None:
+        self._lease = lease
+        self._may_contend = may_contend
+
+    async def acquire(self) -> leases.Held | leases.NotHeld:
+        """Take the lease if it is this agent's turn."""
+        if not self._may_contend():
+            return leases.NotHeld(detail='other agents come first')
+        return await self._lease.acquire()
+
+    async def renew(self) -> leases.Held | leases.NotHeld:
+        """Prolong the lease."""
+        return await self._lease.renew()
+
+    def held(self) -> bool:
+        """Say whether it is held, by this process's own clock."""
+        return self._lease.held()
+
+
+class RankGroup:
+    """One agent's ranks and its turn at leading their group.
+
+    :param name: the group's name.
+    :param listed: returns the instance list as it was last read.
+    :param engines: engine of each rank beside this agent.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        instance: str,
+        incarnation: int,
+        engines: Mapping[int, map_ranks.RankEngine],
+        platform: store_module.PlatformStore,
+        client: peers.Client,
+        listed: Callable[[], Sequence[store_module.Instance]],
+        clock: Callable[[], float],
+        pace: map_leader.Pace = map_leader.Pace(contend=CONTEND_SECONDS),
+    ) -> None:
+        self._name = name
+        self._instance = instance
+        self._platform = platform
+        self._listed = listed
+        self._clock = clock
+        self._pace = pace
+        self._key = store_module.Key(kind=leases.KIND, name=f'group-{name}')
+        self._transport = PeerTransport(client=client, find=self._find)
+        self.leader: map_leader.Leader | None = None
+        self.ranks = map_ranks.Ranks(
+            group=name,
+            engines=engines,
+            incarnation=incarnation,
+            learn_fence=self._learn_fence,
+        )
+
+    async def lead(
+        self, *, group: bundle.Group, planner: map_leader.Planner
+    ) -> None:
+        """Lead the group whenever the lease is this agent's."""
+        self.leader = map_leader.Leader(
+            group=self._name,
+            instance=self._instance,
+            shape=expert_maps.Shape(
+                ranks=group.ranks,
+                experts=group.experts,
+                layers=group.layers,
+                slots=group.slots,
+            ),
+            agents=self.agents,
+            transport=self._transport,
+            lease=self._make_lease(),
+            renew_seconds=RENEW_SECONDS,
+            planner=planner,
+            clock=self._clock,
+            pace=self._pace,
+        )
+        await self.leader.run()
+
+    def _make_lease(self) -> ContendedLease:
+        lease = leases.Lease(
+            store=self._platform,
+            name=self._key.name,
+            holder=self._instance,
+            seconds=LEASE_SECONDS,
+            clock=self._clock,
+        )
+        return ContendedLease(lease=lease, may_contend=self._may_contend)
+
+    async def handle(self, order: peers.MapOrder) -> peers.MapReply:
+        """Obey or refuse an order that came from an authenticated peer."""
+        try:
+            decoded = msgspec.msgpack.decode(
+                order.order, type=map_orders.Order
+            )
+        except msgspec.MsgspecError:
+            reason = map_orders.Refusal.MALFORMED
+            return peers.MapReply(accepted=False, reason=reason)
+        reply = await self.ranks.handle(decoded)
+        return peers.MapReply(
+            accepted=reply.accepted,
+            fence=reply.fence,
+            reason=reply.refusal.value,
+            state=msgspec.msgpack.encode(reply),
+        )
+
+    def agents(self) -> Sequence[str]:
+        """Return the names of the agents that carry the group."""
+        return [row.name for row in self._listed() if row.group == self._name]
+
+    def _find(self, name: str) -> store_module.Instance | None:
+        for row in self._listed():
+            if row.name == name:
+                return row
+        return None
+
+    def _may_contend(self) -> bool:
+        staying = [
+            row.name
+            for row in self._listed()
+            if row.group == self._name and not row.leaving
+        ]
+        return self._instance in rendezvous.choose(
+            key=self._key.name, names=staying, count=CONTENDERS
+        )
+
+    async def _learn_fence(self) -> int | None:
+        return await map_fences.learn(
+            group=self._name,
+            instance=self._instance,
+            agents=self.agents(),
+            transport=self._transport,
+            read_fence=self._read_fence,
+        )
+
+    async def _read_fence(self) -> int | None:
+        """Return the fence in the lease object, ``None`` if unreadable."""
+        read = await self._platform.read(key=self._key)
+        match read:
+            case store_module.Stored(value=value):
+                try:
+                    record = msgspec.json.decode(value, type=leases.Record)
+                except msgspec.MsgspecError:
+                    return None
+                return record.fence
+            case store_module.Absent():
+                return 0
+            case store_module.Unavailable():
+                return None
+
+
+class StayPlanner:
+    """Plans nothing; for a group whose policy never moves experts."""
+
+    async def plan(
+        self,
+        *,
+        expert_map: expert_maps.ExpertMap,
+        conversation: map_conversation.Conversation,
+    ) -> map_leader.Plan | None:
+        """Want no change."""
+        return None
+
+    def ended(self, *, plan: map_leader.Plan, done: bool) -> None:
+        """Take note of nothing."""
--- a/marigoldramp/runtime.py
+++ b/marigoldramp/runtime.py
@@ -118,6 +118,7 @@
     """One running process.
 
     :param platform: used instead of the store that the settings name.
+    :ivar listed: the instance list as it was last read.
     :ivar advertised_port: port at which calls reach this process, where it
         is not the one that it listens on.
     """
@@ -147,6 +148,7 @@
         self.client = peers.Client(
             sealer=self.seal('order'), instance=settings.instance
         )
+        self.listed: tuple[store.Instance, ...] = ()
         self.leaving = False
         self.ready = False
         self._stop = anyio.Event()
@@ -231,6 +233,7 @@
         while True:
             listed = await self.platform.list_instances()
             if isinstance(listed, store.Instances):
+                self.listed = listed.instances
                 self.members.seed(listed.instances)
             await anyio.sleep(self.settings.platform.poll_instances)
 
--- a/marigoldramp/settings.py
+++ b/marigoldramp/settings.py
@@ -136,6 +136,7 @@
     expiry_margin: bounds.NonNegativeFloat
     stream_buffer: bounds.PositiveInt
     group: str
+    rank_endpoint: str
     ranks: tuple[int, ...]
 
 
--- a/marigoldramp/store.py
+++ b/marigoldramp/store.py
@@ -82,6 +82,7 @@
 
     :ivar role: ``entry`` or ``endpoint``.
     :ivar service: the service that an endpoint runs, empty for an entry.
+    :ivar group: the rank group of an endpoint, empty for none.
     :ivar call_port: where calls arrive (HTTP).
     :ivar control_port: where orders and bundles are exchanged (gRPC).
     :ivar datagram_port: where heartbeats arrive (UDP).
@@ -96,6 +97,7 @@
     control_port: int
     datagram_port: int
     service: str = ''
+    group: str = ''
     leaving: bool = False
 
 
