Run a rank group in the demo

The group's engines are one process, as their collective library would join them; the two engines' agents carry four ranks each. The demo fails when a step used mixed maps.

No change of the map happens in the demo yet, as no planner is wired.

--- a/marigoldramp_standins/demo.py
+++ b/marigoldramp_standins/demo.py
@@ -74,7 +74,12 @@
     verdict = demo_table.judge(results=results, runs=runs)
     for fault in verdict.faults:
         _say(f'FAULT {fault}')
-    return not verdict.faults
+    group = await fleet.ask_group()
+    _say(
+        f'\nRank group: {group.steps} steps, {group.mixed_steps} of them on '
+        f'mixed maps, map {", ".join(group.versions)}'
+    )
+    return not verdict.faults and not group.mixed_steps
 
 
 def _show_access(fleet: demo_fleet.Fleet) -> None:
--- a/marigoldramp_standins/demo_fleet.py
+++ b/marigoldramp_standins/demo_fleet.py
@@ -11,6 +11,7 @@
 from marigoldramp import bundle
 
 from . import demo_layout
+from . import group_engine
 from . import processes
 from . import service
 
@@ -22,6 +23,7 @@
 _ENGINE = 'marigoldramp_standins.engine'
 _SERVICE = 'marigoldramp_standins.service'
 _ENGINES = ('engine-1', 'engine-2')
+_GROUP = 'ranks'
 _SERVICES = ('dispatch', 'ledger')
 
 
@@ -66,7 +68,9 @@
 
     async def start(self, *, entries: int) -> None:
         """Start everything and return when it is ready."""
-        self._say('Starting the platform, two engines and two services ...')
+        self._say(
+            'Starting the platform, two engines, a rank group and two services ...'
+        )
         await self._start_standins()
         self._nodes = self._lay_out(entries)
         await self._register()
@@ -100,6 +104,14 @@
             runs.update(report.runs)
         return runs
 
+    async def ask_group(self) -> group_engine.GroupReport:
+        """Return what the rank group's engines have recorded."""
+        address = self._endpoints[_GROUP]
+        found = await self._ask('GET', f'{address}/standin/group')
+        return msgspec.json.decode(
+            found.content, type=group_engine.GroupReport
+        )
+
     async def stop(self) -> bool:
         """Stop entries, agents and stand-ins; true if all exited with 0."""
         self._say('\nStopping entries, then agents, then the stand-ins ...')
@@ -138,6 +150,14 @@
             self._endpoints[name] = await self._start_standin(
                 name, [_SERVICE, '--name', name]
             )
+        self._endpoints[_GROUP] = await self._start_standin(
+            _GROUP,
+            [
+                'marigoldramp_standins.group_engine',
+                '--ranks',
+                str(demo_layout.GROUP.ranks),
+            ],
+        )
 
     async def _start_standin(self, name: str, arguments: list[str]) -> str:
         process = await processes.start(
@@ -154,6 +174,8 @@
         nodes = []
         for index, name in enumerate(_ENGINES + _SERVICES):
             is_engine = name in _ENGINES
+            each = demo_layout.GROUP.ranks // len(_ENGINES)
+            ranks = tuple(range(index * each, (index + 1) * each))
             nodes.append(
                 demo_layout.make_node(
                     name=f'agent-{name}',
@@ -161,6 +183,8 @@
                     service='drafts' if is_engine else name,
                     endpoint=self._endpoints[name],
                     kind='model_engine' if is_engine else 'plain_service',
+                    ranks=ranks if is_engine else (),
+                    rank_endpoint=self._endpoints[_GROUP],
                 )
             )
         for index in range(entries):
--- a/marigoldramp_standins/demo_layout.py
+++ b/marigoldramp_standins/demo_layout.py
@@ -22,6 +22,18 @@
 DATA_CENTRES = ('east', 'west')
 FLEET_KEY_VARIABLE = 'MARIGOLDRAMP_FLEET_KEY'
 
+#: The rank group whose ranks the two engines' agents carry.
+GROUP = bundle.Group(
+    name='drafts-ranks',
+    service='drafts',
+    ranks=8,
+    experts=32,
+    layers=4,
+    slots=5,
+    interval_seconds=2.0,
+    expert_bytes=1_000_000,
+)
+
 DRAFTS = bundle.Service(name='drafts', kind='model_engine', model=MODEL)
 DISPATCH = bundle.Service(name='dispatch', kind='plain_service')
 LEDGER = bundle.Service(name='ledger', kind='plain_service')
@@ -59,11 +71,14 @@
     """An instance of the demonstration: an entry or an agent.
 
     :ivar endpoint: base address of the endpoint beside an agent.
+    :ivar ranks: ranks of the group beside it, reached at ``rank_endpoint``.
     """
 
     instance: store.Instance
     endpoint: str = ''
     kind: str = ''
+    ranks: tuple[int, ...] = ()
+    rank_endpoint: str = ''
 
     @property
     def role(self) -> str:
@@ -100,6 +115,8 @@
     service: str = '',
     endpoint: str = '',
     kind: str = '',
+    ranks: tuple[int, ...] = (),
+    rank_endpoint: str = '',
 ) -> Node:
     """Return an instance on ports that are free now."""
     ports = [processes.find_free_port(host=HOST) for _ in range(3)]
@@ -112,8 +129,15 @@
         control_port=ports[1],
         datagram_port=ports[2],
         service=service,
+        group=GROUP.name if ranks else '',
+    )
+    return Node(
+        instance=instance,
+        endpoint=endpoint,
+        kind=kind,
+        ranks=ranks,
+        rank_endpoint=rank_endpoint,
     )
-    return Node(instance=instance, endpoint=endpoint, kind=kind)
 
 
 def make_operator(*, name: str) -> Operator:
@@ -154,6 +178,7 @@
         note='first bundle of the demonstration',
         services=(DRAFTS, DISPATCH, LEDGER),
         routes=ROUTES,
+        groups=(GROUP,),
         customers=customers,
     )
 
@@ -202,4 +227,8 @@
         settings['endpoint'] = node.endpoint
         settings['kind'] = node.kind
         settings['slots'] = SLOTS
+    if node.ranks:
+        settings['group'] = node.instance.group
+        settings['ranks'] = list(node.ranks)
+        settings['rank_endpoint'] = node.rank_endpoint
     return settings
