End operators' commands cleanly on pipes, interrupts and bad plug-ins

Cause: run against the platform stand-in as separate processes, "bundle diff | head" ended in a traceback, an interrupted roll said nothing about the bundle, and an unknown store plug-in in the settings was a traceback as well. Now output that nobody reads is dropped and the exit code stays; an interrupted roll is uncertain (4); unknown plug-ins are findings with their place. Each of the three tests failed before the change and passes now.

--- a/marigoldramp/settings_checks.py
+++ b/marigoldramp/settings_checks.py
@@ -9,6 +9,8 @@
 from . import credentials
 from . import documents
 from . import findings
+from . import plugins
+from . import store
 
 if typing.TYPE_CHECKING:
     from . import settings as _settings
@@ -126,10 +128,25 @@
             if rank < 0:
                 self.find('must not be negative', 'agent', 'ranks', index)
 
+    def agent_kind(self) -> None:
+        from . import endpoint_kinds
+
+        kind = self._settings.agent.kind
+        self.plugin(endpoint_kinds.EndpointKind, kind, 'agent', 'kind')
+
     def needs(self, text: str, *path: str) -> None:
         if not text:
             self.find('is required for this role', *path)
 
+    def plugin(
+        self, kind: type[plugins.Plugin], name: str, *path: str
+    ) -> None:
+        known = kind.names()
+        if name not in known:
+            self.find(
+                'there is no such plug-in; known: ' + ', '.join(known), *path
+            )
+
     def sign_offs(self) -> None:
         security = self._settings.security
         if security.sign_offs > len(security.operators):
@@ -187,6 +204,9 @@
     """Report what the role needs and the settings lack."""
     checks = _Checks(settings=settings, loaded=loaded)
     checks.needs(settings.platform.address, 'platform', 'address')
+    checks.plugin(
+        store.PlatformStore, settings.platform.store, 'platform', 'store'
+    )
     checks.sign_offs()
     if role != 'operator':
         checks.needs(settings.instance, 'instance')
@@ -195,4 +215,5 @@
     if role == 'agent':
         checks.needs(settings.agent.service, 'agent', 'service')
         checks.needs(settings.agent.endpoint, 'agent', 'endpoint')
+        checks.agent_kind()
     return checks.found()
--- a/marigoldramp/ui/bundle_check.py
+++ b/marigoldramp/ui/bundle_check.py
@@ -14,9 +14,12 @@
     if whole is None:
         return exits.BAD_INPUT
     text = (
-        f'{file}: bundle {whole.number} with {len(whole.services)} services, '
-        f'{len(whole.routes)} routes, {len(whole.groups)} groups and '
-        f'{len(whole.customers)} customers; no findings'
+        f'{file}: bundle {whole.number} with '
+        f'{output_module.count(len(whole.services), "service")}, '
+        f'{output_module.count(len(whole.routes), "route")}, '
+        f'{output_module.count(len(whole.groups), "group")} and '
+        f'{output_module.count(len(whole.customers), "customer")}; '
+        'no findings'
     )
     output_module.report_done(text, {'number': whole.number}, output)
     return exits.DONE
--- a/marigoldramp/ui/bundle_diff.py
+++ b/marigoldramp/ui/bundle_diff.py
@@ -54,9 +54,12 @@
 
 
 def _describe(comparison: Any) -> str:
+    differences = output_module.count(
+        len(comparison.differences), 'difference'
+    )
     lines = [
         f'bundle {comparison.number} against bundle {comparison.in_force} '
-        f'in force: {len(comparison.differences)} differences'
+        f'in force: {differences}'
     ]
     for one in comparison.differences:
         lines.append(f'{one.change} in {one.section}: {one.name}')
--- a/marigoldramp/ui/bundle_roll.py
+++ b/marigoldramp/ui/bundle_roll.py
@@ -23,9 +23,18 @@
     )
     if known is None:
         return exits.BAD_INPUT
-    outcome = platform_calls.run(
-        known, operator, lambda one: rolls.roll(one, digest=digest)
-    )
+    try:
+        outcome = platform_calls.run(
+            known, operator, lambda one: rolls.roll(one, digest=digest)
+        )
+    except KeyboardInterrupt:
+        output_module.report_fault(
+            'outcome_uncertain',
+            'interrupted; the bundle may be in force or come into force: '
+            'look at the history before rolling again',
+            output,
+        )
+        return exits.OUTCOME_UNCERTAIN
     if not isinstance(outcome, rolls.Rolled):
         return platform_calls.report_failure(outcome, output)
     number = outcome.manifest.number
--- a/marigoldramp/ui/output.py
+++ b/marigoldramp/ui/output.py
@@ -1,5 +1,6 @@
 """What subcommands print, as text for a person or JSON for a script."""
 
+import os
 import sys
 import time
 from typing import Any
@@ -39,8 +40,15 @@
 
 
 def say(text: str) -> None:
-    """Print a line for a person."""
-    print(text)
+    """Print a text for a person.
+
+    The reader may have gone, as ``head`` goes after some lines.  What the
+    command did stands all the same, so its exit code stays what it is.
+    """
+    try:
+        print(text, flush=True)
+    except BrokenPipeError:
+        sys.stdout = open(os.devnull, 'w')
 
 
 def complain(text: str) -> None:
@@ -51,7 +59,7 @@
 def write_json(value: Any) -> None:
     """Print a value as one JSON document, indented."""
     text = msgspec.json.format(msgspec.json.encode(value), indent=2)
-    print(text.decode())
+    say(text.decode())
 
 
 def report_findings(
@@ -69,8 +77,7 @@
         return
     for one in found:
         complain(str(one))
-    noun = 'finding' if len(found) == 1 else 'findings'
-    complain(f'{len(found)} {noun}')
+    complain(count(len(found), 'finding'))
 
 
 def _make_line(finding: findings_module.Finding) -> FindingLine:
@@ -101,6 +108,11 @@
         say(text)
 
 
+def count(number: int, noun: str) -> str:
+    """Return a number and its noun, which takes a plain s as plural."""
+    return f'{number} {noun}' if number == 1 else f'{number} {noun}s'
+
+
 def format_time(seconds: float) -> str:
     """Return a wall clock time in UTC."""
     return time.strftime('%Y-%m-%d %H:%M:%SZ', time.gmtime(seconds))
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -86,6 +86,20 @@
     assert settings.check_role(loaded.value, role, loaded) == ()
 
 
+@pytest.mark.parametrize(
+    ('role', 'text', 'field'),
+    [
+        ('entry', "{address: 'http://a:1', store: nowhere}", 'platform.store'),
+        ('agent', "{address: 'http://a:1'}\nagent: {kind: x}", 'agent.kind'),
+    ],
+)
+def test_unknown_plugins_are_found(tmp_path, role, text, field):
+    loaded = read(tmp_path, f'platform: {text}')
+    found = settings.check_role(loaded.value, role, loaded)
+    named = [item for item in found if item.field == field]
+    assert 'there is no such plug-in; known: ' in named[0].message
+
+
 @pytest.mark.parametrize(
     ('role', 'expected'),
     [
--- a/tests/test_ui.py
+++ b/tests/test_ui.py
@@ -242,6 +242,53 @@
     assert 'platform unavailable' in err
 
 
+def test_reader_that_goes_does_not_change_the_exit_code(console, monkeypatch):
+    """A roll whose output nobody reads is done all the same.
+
+    Symptom: a script takes a roll for failed.  Sequence: the output goes to
+    a program that ends early.  Cause: printing fails after the roll.
+    """
+    digest = console.propose(1)
+
+    def fail(*arguments, **rest):
+        raise BrokenPipeError
+
+    with monkeypatch.context() as patched:
+        patched.setattr('builtins.print', fail)
+        code = ui.run(
+            [
+                'bundle',
+                'roll',
+                digest,
+                '--settings',
+                str(console.folder / 'settings.yaml'),
+                '--operator',
+                'ann',
+            ]
+        )
+    assert code == exits.DONE
+
+
+def test_interrupted_roll_is_uncertain(console, monkeypatch):
+    digest = console.propose(1)
+
+    def interrupt(*arguments):
+        raise KeyboardInterrupt
+
+    monkeypatch.setattr('marigoldramp.ui.platform_calls.run', interrupt)
+    code, _, err = console.run(
+        'bundle',
+        'roll',
+        digest,
+        '--settings',
+        console.folder / 'settings.yaml',
+        '--operator',
+        'ann',
+    )
+    assert code == exits.OUTCOME_UNCERTAIN
+    assert 'may be in force' in err
+
+
 def test_settings_show_keeps_secrets_as_references(console):
     path = console.folder / 'settings.yaml'
     shown = console.ask('settings', 'show', path)
