Split reading of YAML into nodes, scalars and the reader

Cause: nodes.py had grown to 349 lines with three jobs: the tree, what plain words mean, and building the tree under bounds. They are three modules now (60, 68 and 263 lines); nothing else changes but that a word that stands for no usable number is reported once even where the field would not take its substitute either (a positive field got two findings for .inf before).

--- a/marigoldramp/documents.py
+++ b/marigoldramp/documents.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from . import findings
+from . import node_reader
 from . import nodes
 
 T = TypeVar('T')
@@ -94,7 +95,7 @@
     :param shape: a data class whose fields are checked by pydantic.
     :param under: a document over which this one is laid, member by member.
     """
-    tree = nodes.read(text=text, source=source)
+    tree = node_reader.read(text=text, source=source)
     found = list(tree.findings)
     root = tree.root
     if root is None or root.value is None:
@@ -111,7 +112,10 @@
     if value is None:
         value, errors = _validate(whole, shape)
     if isinstance(root.value, dict):
-        found += [_translate(error, root, shape) for error in errors]
+        # A value that could not even be read needs no second finding.
+        unread = {one.place for one in found}
+        translated = [_translate(error, root, shape) for error in errors]
+        found += [one for one in translated if one.place not in unread]
     ordered = tuple(sorted(found))
     return Loaded(
         value=None if ordered else value,
@@ -257,7 +261,7 @@
     place = Place(source=path)
     try:
         with open(path, 'rb') as file:
-            content = file.read(nodes.MOST_BYTES + 1)
+            content = file.read(node_reader.MOST_BYTES + 1)
     except OSError as error:
         message = f'cannot be read: {error.strerror}'
         return Finding(place=place, field='', message=message)
--- a/marigoldramp/settings.py
+++ b/marigoldramp/settings.py
@@ -15,6 +15,7 @@
 from . import bounds
 from . import documents
 from . import findings
+from . import node_reader
 from . import nodes
 from . import settings_checks
 
@@ -205,6 +206,6 @@
     name = 'settings_default.yaml'
     package = importlib.resources.files(__package__)
     text = package.joinpath(name).read_text(encoding='utf-8')
-    tree = nodes.read(text=text, source=name)
+    tree = node_reader.read(text=text, source=name)
     assert tree.root is not None and not tree.findings
     return tree.root
