Measure the memory of processes and its growth with their work

The allowance of 32 MB for control needs a base to be counted from, and nothing said what a stream, a customer or a record takes. The experiment reads resident memory after imports, of idle processes, and while more and more streams, served customers and records are held.

--- a/marigoldramp_measure/drive.py
+++ b/marigoldramp_measure/drive.py
@@ -4,7 +4,6 @@
 import dataclasses
 import time
 
-import anyio
 import httpcore
 import msgspec
 
@@ -77,14 +76,14 @@
             raise Failed('a stream without its end')
         return times
 
-    async def hold_stream(self, number: int, started: anyio.Event) -> None:
+    async def hold_stream(self, number: int) -> None:
         """Open a long stream and read it until cancelled."""
         body = write_draft(number, answers.MOST_TOKENS)
         async with self._open(
             'POST', '/v1/chat/completions', body
         ) as response:
             async for _ in response.aiter_stream():
-                started.set()
+                pass
 
     def _open(
         self, method: str, path: str, body: bytes
--- a/tests/test_measure_path.py
+++ b/tests/test_measure_path.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies
 import pytest
 
+from marigoldramp_measure import memory
 from marigoldramp_measure import path
 from marigoldramp_measure import usage
 
@@ -61,3 +62,15 @@
     assert usage.parse_resident('VmHWM:\t9 kB\nVmRSS:\t 40 kB\n') == 40960
     with pytest.raises(ValueError):
         usage.parse_resident('Name:\tpython\n')
+
+
+def test_growth_is_in_kibibytes_a_unit():
+    points = [
+        memory.Point(
+            process='p', unit='stream', held=held, resident=9000 + 2048 * held
+        )
+        for held in (0, 10, 40)
+    ]
+    growth = memory.find_growth(points)
+    assert growth.kibibytes == pytest.approx(2.0)
+    assert (growth.points, growth.largest) == (3, 40)
