Use an agent's connection again after an answer read to its end

Cause, found by a profile of 1,000 plain calls at the entry: 1,000 connects and 1,000 closes. httpcore takes a connection for active until its answer is closed, which nothing did, so the pool closed each one as half read and every call paid for a handshake and the agent for an accept. Refusals had the same fault. A half-read connection is still never used again.

tests/test_attempts.py failed on three of five rows before (three connections for three calls) and passes now; the two rows of half-read answers passed before and after.

--- a/marigoldramp/attempts.py
+++ b/marigoldramp/attempts.py
@@ -58,6 +58,9 @@
         """
         async for chunk in self._response.aiter_stream():
             yield chunk
+        # httpcore holds a connection for active, and so the pool would
+        # close it and open one for each call, until its answer is closed.
+        await self._response.aclose()
 
 
 Result = Answering | Refused | Lost | connections.Unreached
@@ -165,7 +168,7 @@
                     response=response,
                 )
             case messages.OutcomeKind.NOT_RUN:
-                await response.aread()
+                await _read_to_end(response)
                 return Refused(
                     refusal=outcomes.NotRun(
                         reason=outcomes.Reason(head.reason),
@@ -174,7 +177,7 @@
                     )
                 )
             case messages.OutcomeKind.OUTCOME_UNKNOWN:
-                await response.aread()
+                await _read_to_end(response)
                 return Refused(
                     refusal=outcomes.OutcomeUnknown(
                         reason=outcomes.Reason(head.reason),
@@ -187,3 +190,9 @@
             if key == heads.ANSWER_HEADER:
                 return self._heads.decode_answer(value.decode('latin-1'))
         return None
+
+
+async def _read_to_end(response: httpcore.Response) -> None:
+    """Read and drop a body, so that its connection can be used again."""
+    await response.aread()
+    await response.aclose()
