End work at once for a caller that has gone

Cause: an entry whose caller went only closed its connection to the agent, which took it for a lost one and worked on for resume_seconds, and an engine that keeps streams for their readers worked on to the end. The entry now tells the agent in a settle attempt, 0.5 s at most and best effort; the agent ends the call when its last reader goes, and cancels the stream by its identifier. A caller that resumes elsewhere looks the same, so one that says marigoldramp-resumable, as the client library does, keeps its grace.

The call's priority reaches the endpoint kind. Ruled out: ending at once on every closed connection, which would cut off resumed answers.

--- a/marigoldramp/agent_calls.py
+++ b/marigoldramp/agent_calls.py
@@ -79,6 +79,10 @@
             await asgi.send_refusal(send=send, refusal=head, call='')
             return
         await steps.reach(steps.Step.AGENT_RECEIVED, head.call)
+        if head.idempotent and head.settle:
+            self._executor.cancel(head.call)
+            await self._refuse(send, head, _describe_given_up())
+            return
         body = await asgi.read_body(
             receive=receive,
             limit=self._settings.body_bytes,
@@ -292,6 +296,13 @@
     scope.cancel()
 
 
+def _describe_given_up() -> outcomes.OutcomeUnknown:
+    return outcomes.OutcomeUnknown(
+        reason=outcomes.Reason.CANCELLED,
+        detail='the entry gave the call up',
+    )
+
+
 def _describe_unfinished() -> outcomes.OutcomeUnknown:
     return outcomes.OutcomeUnknown(
         reason=outcomes.Reason.DEADLINE,
--- a/marigoldramp/callers.py
+++ b/marigoldramp/callers.py
@@ -16,6 +16,8 @@
 FIRST_ATTEMPT = '1'
 RESUME_HEADER = b'marigoldramp-resume'
 RESUME_FROM_HEADER = b'marigoldramp-resume-from'
+#: Sent by callers that come back for the rest of an answer.
+RESUMABLE_HEADER = b'marigoldramp-resumable'
 KEY_HEADER = b'idempotency-key'
 MOST_KEY_CHARACTERS = 512
 
@@ -29,6 +31,7 @@
     :ivar first: the caller says that it has never sent this key before.
     :ivar resume: token of a stream that the caller wants to go on with.
     :ivar resume_from: bytes of it that the caller already has.
+    :ivar resumable: the caller comes back when its connection is lost.
     """
 
     seconds: float
@@ -37,6 +40,7 @@
     first: bool
     resume: str
     resume_from: int
+    resumable: bool = False
 
 
 def identify(
@@ -82,6 +86,7 @@
         first=request.find(ATTEMPT_HEADER) == FIRST_ATTEMPT,
         resume=request.find(RESUME_HEADER) or '',
         resume_from=resume_from,
+        resumable=request.find(RESUMABLE_HEADER) is not None,
     )
 
 
--- a/marigoldramp/calls.py
+++ b/marigoldramp/calls.py
@@ -151,6 +151,8 @@
                     await delivery.refuse(refusal)
                 group.cancel_scope.cancel()
         if gone.cancelled_caught:
+            if not delivery.admitted.wishes.resumable:
+                await delivery.give_up()
             refusal = outcomes.OutcomeUnknown(reason=outcomes.Reason.CANCELLED)
         self._note_delivery(delivery, refusal, begun)
 
--- a/marigoldramp/client.py
+++ b/marigoldramp/client.py
@@ -357,7 +357,9 @@
             headers.append((b'idempotency-key', progress.key.encode()))
             if not progress.sent:
                 headers.append((b'marigoldramp-attempt', b'1'))
-        elif progress.resume:
+        else:
+            headers.append((b'marigoldramp-resumable', b'1'))
+        if progress.resume and not progress.key:
             headers.append((b'marigoldramp-resume', progress.resume))
         if progress.received:
             headers.append(
--- a/marigoldramp/deliveries.py
+++ b/marigoldramp/deliveries.py
@@ -34,6 +34,8 @@
 LOST_PAUSE = 0.1
 #: Attempts of a resumed call are numbered from here.
 RESUMED_ATTEMPT = 1000
+#: Longest time that is spent on telling an agent that a caller has gone.
+GIVE_UP_SECONDS = 0.5
 TOKEN_MARK = b'data:'
 #: States of an agent that is likely to be at work on a silent call.
 _WORTH_WAITING = frozenset({membership.State.ALIVE, membership.State.SILENT})
@@ -105,6 +107,7 @@
     :ivar relayed: bytes of the answer that the caller has been sent.
     :ivar tokens: generated tokens that were relayed.
     :ivar maybe: some attempt may have run.
+    :ivar at_work: the agent that has been asked and has not answered.
     """
 
     __slots__ = (
@@ -118,6 +121,7 @@
         'maybe',
         'attempt',
         'first_byte_at',
+        'at_work',
         '_events',
     )
 
@@ -139,6 +143,7 @@
         self.maybe = not admitted.first
         self.attempt = 0
         self.first_byte_at = 0.0
+        self.at_work: routing.Candidate | None = None
         self._events = False
 
     # Choosing where to ask
@@ -234,9 +239,11 @@
         facts = self.admitted.facts
         self._tools.router.sent(candidate=target, facts=facts)
         answered = False
+        self.at_work = target
         try:
             refusal = await self._ask_until_known(target, settle)
             answered = refusal is None
+            self.at_work = None
             return refusal
         finally:
             self._tools.router.ended(
@@ -246,6 +253,31 @@
                 answered=answered,
             )
 
+    async def give_up(self) -> None:
+        """Tell the agent at work on an idempotent call to end it.
+
+        The agent alone cannot tell a caller that has gone from an entry
+        whose connection was lost, so it would work on for a while.  This is
+        best effort: where it does not arrive, that while passes.
+        """
+        target = self.at_work
+        if target is None or self.admitted.key:
+            return
+        outgoing = self._build(target, True, self._tools.silence)
+        attempt = attempts.Attempt(
+            pool=self._tools.find_pool(target),
+            heads=self._tools.heads,
+            outgoing=dataclasses.replace(outgoing, body=b''),
+            fresh=False,
+        )
+        with anyio.move_on_after(GIVE_UP_SECONDS, shield=True):
+            try:
+                if await attempt.open() is None:
+                    await attempt.send()
+            finally:
+                with anyio.CancelScope(shield=True):
+                    await attempt.close()
+
     async def _ask_until_known(
         self, target: routing.Candidate, settle: bool
     ) -> outcomes.Refusal | None:
--- a/marigoldramp/executions.py
+++ b/marigoldramp/executions.py
@@ -30,6 +30,7 @@
     :ivar refusal: how the call ended without a whole answer.
     :ivar scope: cancelling it ends the call's work at the endpoint.
     :ivar window: bytes that are kept behind the fastest reader.
+    :ivar given_up: the caller has gone; the work ends with the last reader.
     """
 
     __slots__ = (
@@ -41,6 +42,7 @@
         'scope',
         'window',
         'readers',
+        'given_up',
         'size',
         '_chunks',
         '_first',
@@ -58,6 +60,7 @@
         self.scope = anyio.CancelScope()
         self.window = window
         self.readers = 0
+        self.given_up = False
         self.size = 0
         self._chunks: list[bytes] = []
         self._first = 0  # offset in the answer of the first kept byte
--- a/marigoldramp/executor.py
+++ b/marigoldramp/executor.py
@@ -147,13 +147,25 @@
         """Note that a reader has gone."""
         if execution.final or execution.readers:
             return
-        if call.head.idempotent and self._group is not None:
+        if not call.head.idempotent:
+            return
+        if execution.given_up:
+            execution.scope.cancel()
+        elif self._group is not None:
             self._group.start_soon(self._abandon, execution)
 
     def cancel(self, call: str) -> None:
-        """End the work on an idempotent call that nobody waits for."""
+        """End the work on an idempotent call whose caller has gone.
+
+        A reader that is still there is the connection that is being given
+        up, whose end has not been noticed yet, or another entry to which
+        the caller has come back; the work ends when the last one goes.
+        """
         execution = self._calls.get(call)
-        if execution is not None and not execution.readers:
+        if execution is None or execution.final:
+            return
+        execution.given_up = True
+        if not execution.readers:
             execution.scope.cancel()
 
     # Beginning
@@ -163,6 +175,7 @@
     ) -> executions.Execution | outcomes.Refusal:
         known = self._calls.get(call.head.call)
         if known is not None:
+            known.given_up = False
             return known
         if call.head.resume_from or call.head.settle:
             return outcomes.OutcomeUnknown(
@@ -368,6 +381,7 @@
         target=call.request.target,
         headers=headers,
         body=call.body,
+        priority=call.head.priority,
     )
 
 
--- a/tests/fake_endpoint.py
+++ b/tests/fake_endpoint.py
@@ -115,11 +115,14 @@
         group.cancel_scope.cancel()
 
 
+def make_settings(**changes):
+    defaults = settings._read_defaults().plain()['agent']
+    return settings.Agent(**{**defaults, 'ranks': (), **changes})
+
+
 def make_kind(name, address):
-    defaults = settings._read_defaults().plain()
-    made = dict(defaults['agent'], endpoint=address, kind=name, ranks=())
     plugin = endpoint_kinds.EndpointKind.find(name)
-    return plugin(settings=settings.Agent(**made))
+    return plugin(settings=make_settings(endpoint=address, kind=name))
 
 
 def make_request(method='POST', headers=(), priority=1, **rest):
