Record when each instance took a bundle up

The audit trail has to show when each instance took a bundle up, at a bounded number of store calls. The first watcher of a data centre writes one object per bundle and data centre from the numbers on heartbeats: 2, 10 and 60 s after the bundle, then at most once a minute, and only if something changed. With a bounded set of peers a watcher does not hear everybody, so each instance shows a new number to its watchers twice, outside of its choice of peers. Names are used anew after 1,024 bundles, which spares the deletions.

--- a/marigoldramp/configuration.py
+++ b/marigoldramp/configuration.py
@@ -25,6 +25,10 @@
 from . import peer_messages
 from . import settings as settings_module
 from . import store as store_module
+from . import takeups
+
+#: Seconds after which a new number is shown out of turn a second time.
+SHOWN_AGAIN = 1.0
 
 Callback = Callable[[bundle.Bundle], None]
 
@@ -40,6 +44,7 @@
         members: membership.Membership,
         settings: settings_module.Settings,
         clock: Callable[[], float] = time.monotonic,
+        wall: Callable[[], float] = time.time,
         random: random_module.Random | None = None,
     ) -> None:
         self._client = client
@@ -61,6 +66,10 @@
             random=random or random_module.Random(),
         )
         self._offers = bundle_offers.Offers(most=settings.membership.table)
+        self._recorder = takeups.Recorder(
+            store=store, members=members, settings=settings, wall=wall
+        )
+        self._watchers = settings.platform.watchers
         self._shown_at = -math.inf
         self._changed = anyio.Event()
         self._callbacks: list[Callback] = []
@@ -131,6 +140,8 @@
             group.start_soon(self._watch.follow)
             group.start_soon(self._follow_peers)
             group.start_soon(self._watch.fall_back)
+            group.start_soon(self._spread)
+            group.start_soon(self._recorder.run)
 
     def _see(self, heartbeat: messages.Heartbeat) -> None:
         self._note(
@@ -173,8 +184,24 @@
     def _tell(self, in_force: bundle.Bundle) -> None:
         changed, self._changed = self._changed, anyio.Event()
         changed.set()
+        assert self.manifest is not None
+        self._recorder.begin(self.manifest)
         for callback in self._callbacks:
             callback(in_force)
-        # Whoever hears of the number now need not wait for the next
-        # heartbeat; at several hops these waits would add up.
-        self._members.send_now()
+
+    async def _spread(self) -> None:
+        """Show each new number at once, and to the watchers for the record.
+
+        Waiting for the next heartbeat would add half an interval at each
+        hop.  It is shown twice, since a datagram may be lost; further
+        heartbeats show it to those who hear us anyhow.
+        """
+        shown = 0
+        while True:
+            while self.number == shown:
+                await self._changed.wait()
+            shown = self.number
+            self._members.send_now(watchers=self._watchers)
+            with anyio.move_on_after(SHOWN_AGAIN):
+                await self._changed.wait()
+            self._members.send_now(watchers=self._watchers)
--- a/marigoldramp/membership.py
+++ b/marigoldramp/membership.py
@@ -229,9 +229,17 @@
             return
         record.doubted = self._wake(instance)
 
-    def send_now(self) -> None:
-        """Heartbeat every attended peer at once."""
+    def send_now(self, *, watchers: int = 0) -> None:
+        """Heartbeat every attended peer at once.
+
+        :param watchers: also so many watchers of this data centre, attended
+            or not; they keep the record of what is in force where.
+        """
         self._links.wake_all()
+        for instance in self.watchers(watchers):
+            record = self._table.find(instance)
+            if record is not None and not record.attended:
+                self._sender.send(record)
 
     async def announce_leaving(self) -> tuple[str, ...]:
         """Tell everybody that we leave, until each has echoed it.
--- a/marigoldramp/peer_link.py
+++ b/marigoldramp/peer_link.py
@@ -62,6 +62,7 @@
 
     async def run(self) -> None:
         """Attend the peer."""
+        self._record.unechoed = 0
         while self._is_needed():
             self._sender.send(self._record)
             await self._pause()
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,12 +1,8 @@
 """Tests of the way of a bundle into force, under faults, on virtual time."""
 
-import contextlib
-import random
-import types
-
 import anyio
 import fake_bundles
-import fake_network
+import fake_fleet
 import hypothesis
 from hypothesis import strategies
 import msgspec
@@ -15,12 +11,9 @@
 
 from marigoldramp import acceptance
 from marigoldramp import bundle_sources
-from marigoldramp import configuration
 from marigoldramp import manifests
 from marigoldramp import messages
-from marigoldramp import settings
 from marigoldramp import steps
-from marigoldramp_standins import memory
 
 make_bundle = fake_bundles.make_bundle
 publish = fake_bundles.publish
@@ -31,86 +24,10 @@
     return virtual_time.make_backend()
 
 
-class Fleet:
-    """Nodes with configurations around one store.
-
-    :ivar history: the numbers that came into force, by node.
-    """
-
-    def __init__(self, site):
-        self.site = site
-        self.store = memory.MemoryStore()
-        self.table = self.store.table
-        self.nodes = []
-        self.history = {}
-
-    def start(self, count=1, **rest):
-        """Start nodes and let all read the instance list."""
-        for _ in range(count):
-            name = f'entry-{len(self.nodes)}'
-            node = self.site.start(name, **rest)
-            self.equip(node)
-        self.site.seed(*self.nodes)
-        return self.nodes[-1]
-
-    def equip(self, node):
-        self.nodes.append(node)
-        node.store = memory.MemoryStore(table=self.table)
-        node.config = configuration.Configuration(
-            store=node.store,
-            client=node.client,
-            members=node.membership,
-            settings=types.SimpleNamespace(
-                instance=node.name,
-                security=fake_bundles.SECURITY,
-                membership=fake_network.make_settings(),
-                platform=settings.Platform(
-                    store='memory',
-                    address='',
-                    timeout=2.0,
-                    watch=20.0,
-                    poll_instances=1.0,
-                    watchers=2,
-                ),
-            ),
-            clock=virtual_time.now,
-            random=random.Random(node.port),
-        )
-        node.membership.bundle_source = lambda: node.config.number
-        start = f'{node.name}/{node.incarnation}'
-        numbers = self.history.setdefault(start, [])
-        node.config.subscribe(lambda whole: numbers.append(whole.number))
-
-    def numbers(self):
-        return {node.config.number for node in self.nodes}
-
-    def findings(self):
-        return [
-            str(finding)
-            for node in self.nodes
-            for finding in node.config.findings
-        ]
-
-
-@contextlib.asynccontextmanager
-async def open_fleet(count=6, bundle=1, **rest):
-    """Yield a fleet that has a bundle in force."""
-    async with anyio.create_task_group() as group:
-        fleet = Fleet(fake_network.Site(group))
-        await publish(fleet.table, make_bundle(bundle))
-        fleet.start(count, **rest)
-        await anyio.sleep(3)
-        assert fleet.numbers() == {bundle}
-        yield fleet
-        for numbers in fleet.history.values():
-            assert numbers == sorted(set(numbers))
-        group.cancel_scope.cancel()
-
-
 @pytest.mark.anyio
 async def test_roll_reaches_everybody():
     """Nobody waits for the next heartbeat, which is a quarter second off."""
-    async with open_fleet() as fleet:
+    async with fake_fleet.open_fleet() as fleet:
         await anyio.sleep(0.25)
         await publish(fleet.table, make_bundle(2, customers=4))
         await anyio.sleep(0.02)
@@ -120,7 +37,7 @@
 
 @pytest.mark.anyio
 async def test_customers_are_found_by_key_digest():
-    async with open_fleet() as fleet:
+    async with fake_fleet.open_fleet() as fleet:
         await publish(fleet.table, make_bundle(2, customers=600))
         await anyio.sleep(0.1)
         config = fleet.nodes[0].config
@@ -133,7 +50,7 @@
 @pytest.mark.anyio
 async def test_only_watchers_read_the_store_and_only_what_changed():
     """Idle and in a roll, store calls do not grow with the fleet."""
-    async with open_fleet(12) as fleet:
+    async with fake_fleet.open_fleet(12) as fleet:
         await publish(fleet.table, make_bundle(2, customers=600))
         await anyio.sleep(3)
         fleet.table.counts.__init__()
@@ -154,6 +71,7 @@
         # Two watchers read one part each and watch again.
         assert written == 6
         assert fleet.table.counts.total() <= 4
+        assert fleet.table.counts.writes == 0
 
 
 @pytest.mark.anyio
@@ -171,7 +89,7 @@
 
     armed = []
     with steps.observe(observe):
-        async with open_fleet() as fleet:
+        async with fake_fleet.open_fleet() as fleet:
             armed += fleet.nodes[0].membership.watchers(1)
             for node in fleet.nodes:
                 node.store.reachable = node.name in armed
@@ -184,7 +102,7 @@
             assert fleet.nodes[-1].config.number == 2
             await anyio.sleep(100)
             armed.clear()
-            mend(fleet)
+            fleet.mend()
             await publish(fleet.table, make_bundle(3))
             await anyio.sleep(3)
             assert fleet.numbers() == {3}
@@ -193,7 +111,7 @@
 @pytest.mark.anyio
 async def test_whole_site_without_store_serves_nothing_new():
     """Everything restarts while the store is away: no bundle, no service."""
-    async with open_fleet() as fleet:
+    async with fake_fleet.open_fleet() as fleet:
         fleet.table.faults.outage = True
         fleet.table.wake()
         for node in list(fleet.nodes):
@@ -214,7 +132,7 @@
     What has come into force stays, a process that starts takes it from its
     peers even where it has read the older one first, and operators see it.
     """
-    async with open_fleet(bundle=5) as fleet:
+    async with fake_fleet.open_fleet(bundle=5) as fleet:
         await publish(fleet.table, make_bundle(4))
         await anyio.sleep(30)
         assert fleet.numbers() == {5}
@@ -234,7 +152,7 @@
 
     A watch after a version of the old store would never end.
     """
-    async with open_fleet() as fleet:
+    async with fake_fleet.open_fleet() as fleet:
         fleet.table.version = 1000
         await publish(fleet.table, make_bundle(2))
         await anyio.sleep(1)
@@ -246,7 +164,7 @@
 
 @pytest.mark.anyio
 async def test_another_bundle_of_the_same_number():
-    async with open_fleet() as fleet:
+    async with fake_fleet.open_fleet() as fleet:
         await publish(fleet.table, make_bundle(1, customers=9))
         await anyio.sleep(3)
         digest = fake_bundles.make_key_digest('customer-8')
@@ -275,7 +193,7 @@
     ],
 )
 async def test_sign_offs_that_do_not_suffice(change, message):
-    async with open_fleet() as fleet:
+    async with fake_fleet.open_fleet() as fleet:
         whole = make_bundle(2)
         manifest = change(manifests.split(whole=whole))
         await publish(fleet.table, whole, manifest=manifest)
@@ -320,7 +238,7 @@
     The old bundle stays in force, the finding stays visible, and the next
     bundle that can be read comes into force.
     """
-    async with open_fleet() as fleet:
+    async with fake_fleet.open_fleet() as fleet:
         await write(fleet.table, 2)
         await anyio.sleep(100)
         assert fleet.numbers() == {1}
@@ -334,7 +252,7 @@
 @pytest.mark.anyio
 async def test_part_that_comes_late():
     """The manifest can be read but a part of it not yet."""
-    async with open_fleet() as fleet:
+    async with fake_fleet.open_fleet() as fleet:
         whole = make_bundle(2, customers=4)
         manifest = fake_bundles.sign(manifests.split(whole=whole))
         await fake_bundles.write(
@@ -389,7 +307,7 @@
 @pytest.mark.anyio
 async def test_isolated_process_reads_the_store():
     """No heartbeat gets through to an agent, but it reaches the store."""
-    async with open_fleet() as fleet:
+    async with fake_fleet.open_fleet() as fleet:
         node = fleet.start(role=messages.Role.AGENT, service='s')
         fleet.site.network.cuts |= {(0, node.port), (node.port, 0)}
         await anyio.sleep(10)
@@ -400,7 +318,7 @@
 
 @pytest.mark.anyio
 async def test_both_watchers_die_in_a_roll():
-    async with open_fleet() as fleet:
+    async with fake_fleet.open_fleet() as fleet:
         watchers = fleet.nodes[0].membership.watchers(2)
         for node in list(fleet.nodes):
             if node.name in watchers:
@@ -413,7 +331,7 @@
 
 @pytest.mark.anyio
 async def test_agents_learn_from_entries():
-    async with open_fleet() as fleet:
+    async with fake_fleet.open_fleet() as fleet:
         fleet.start(3, role=messages.Role.AGENT, service='s', data_centre='b')
         await anyio.sleep(3)
         assert fleet.numbers() == {1}
@@ -443,7 +361,7 @@
 
 
 async def run_actions(actions):
-    async with open_fleet(4) as fleet:
+    async with fake_fleet.open_fleet(4) as fleet:
         newest = 1
         for action, which in actions:
             node = fleet.nodes[which]
@@ -477,20 +395,11 @@
                     fleet.nodes.pop()
                     await anyio.sleep(0)
                 case 'mend':
-                    mend(fleet)
+                    fleet.mend()
             fleet.site.seed(*fleet.nodes)
             await anyio.sleep(0.3 if action != 'wait' else 10)
-        mend(fleet)
+        fleet.mend()
         await publish(fleet.table, make_bundle(newest + 1))
         fleet.site.seed(*fleet.nodes)
         await anyio.sleep(20)
         assert fleet.numbers() == {newest + 1}
-
-
-def mend(fleet):
-    fleet.table.faults.outage = False
-    fleet.table.faults.stale.clear()
-    fleet.table.wake()
-    fleet.site.network.mend()
-    for node in fleet.nodes:
-        node.store.reachable = True
