Give the collecting classes of checks and operations slots

Cause: the house style asks for classes with slots, and two classes that collect findings and the operators' operations had none, so a misspelt attribute would have gone unnoticed. No behaviour changes; the tests of routes, operations and the command line pass as before.

--- a/marigoldramp/operations.py
+++ b/marigoldramp/operations.py
@@ -81,6 +81,8 @@
     :param wall: wall clock in seconds.
     """
 
+    __slots__ = ('operator', 'random', 'security', 'store', 'wall')
+
     def __init__(
         self,
         *,
--- a/marigoldramp/route_checks.py
+++ b/marigoldramp/route_checks.py
@@ -43,6 +43,8 @@
 class _Checks:
     """Collects findings about routes, one after the other."""
 
+    __slots__ = ('_before', '_loaded', '_services', 'found')
+
     def __init__(
         self,
         *,
