Find handed-over records while their agent is still known

Cause: tests with real processes and signals found that a used key, asked again right after its agent's planned stop, got "outcome unknown": until the verdict of dead, about a second, the entry asked only the agent that had gone.

Ruled out: stand-ins as processes of their own, as counts and held answers would need polling.

--- a/marigoldramp/entry.py
+++ b/marigoldramp/entry.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from . import addresses
+from . import alarms
 from . import asgi
 from . import bindings
 from . import bundle
@@ -29,8 +30,11 @@
 from . import routing
 from . import runtime as runtime_module
 from . import settings as settings_module
+from . import status
 
 IDLE_CHECK = 0.02
+#: Seconds without any agent of a service; shorter ones come at each start.
+NO_ENDPOINT_AFTER = 5.0
 
 
 class Model(msgspec.Struct, frozen=True, kw_only=True):
@@ -136,6 +140,28 @@
             await anyio.sleep(IDLE_CHECK)
 
     # Pages for callers
+    def alarms(self) -> list[status.Alarm]:
+        found = alarms.nearly_full(
+            name=alarms.Name.CALLS_NEARLY_FULL,
+            count=self.in_flight(),
+            bound=self.settings.calls,
+            setting='entry.calls',
+        )
+        in_force = self.runtime.config.in_force
+        idle = [
+            service.name
+            for service in (in_force.services if in_force else ())
+            if not self.router.candidates(service.name)
+        ]
+        if self.runtime.watch.lasts(
+            alarms.Name.NO_ENDPOINT,
+            present=bool(idle),
+            seconds=NO_ENDPOINT_AFTER,
+        ):
+            detail = f'no agent serves {alarms.spell(idle)}'
+            found.append(alarms.make(alarms.Name.NO_ENDPOINT, detail))
+        return found
+
 
     async def _send_addresses(self, scope: Any, send: asgi.Send) -> None:
         asking = self._identify(scope)
--- a/marigoldramp/keys.py
+++ b/marigoldramp/keys.py
@@ -99,13 +99,13 @@
         """Return the agents that may know a key: its own one first.
 
         An agent that stopped in good order has handed its records to the
-        next ones in an order that every process computes alike.
+        next ones in an order that every process computes alike.  They
+        follow even an agent that is still known here: for a second after
+        its end it is, and a used key would else get no answer.
         """
         binding = bound.binding
         own = self._router.find(service=service, instance=binding.agent)
         targets = [own] if own is not None else []
-        if own is not None and own.incarnation == binding.incarnation:
-            return tuple(targets)
         others = [
             one
             for one in self._router.candidates(service)
--- a/marigoldramp/runtime.py
+++ b/marigoldramp/runtime.py
@@ -16,6 +16,7 @@
 import anyio.abc
 
 from . import __version__
+from . import alarms
 from . import asgi
 from . import clocks
 from . import configuration
@@ -149,6 +150,7 @@
             sealer=self.seal('order'), instance=settings.instance
         )
         self.listed: tuple[store.Instance, ...] = ()
+        self.watch = alarms.Watch(clock=self.clock)
         self.leaving = False
         self.ready = False
         self._stop = anyio.Event()
@@ -165,6 +167,7 @@
         self.advertised_port = self.server.port
         self.members: membership.Membership
         self.config: configuration.Configuration
+        self._alarms: alarms.ProcessAlarms
 
     @property
     def _role_settings(self) -> settings_module.Entry | settings_module.Agent:
@@ -208,6 +211,10 @@
         self.config = self._make_config()
         self.members.bundle_source = lambda: self.config.number
         self.members.on_heartbeat(self._note_heartbeat)
+        self._alarms = alarms.ProcessAlarms(
+            watch=self.watch, members=self.members, clock=self.clock
+        )
+        self._show_gauges()
         self.program.start(self, group)
         await self.members.start(group)
         await steps.reach(steps.Step.START_LISTENING, self.settings.instance)
@@ -235,6 +242,8 @@
             if isinstance(listed, store.Instances):
                 self.listed = listed.instances
                 self.members.seed(listed.instances)
+                self._alarms.note_list_read()
+            self.watch.log_changes(self.list_alarms())
             await anyio.sleep(self.settings.platform.poll_instances)
 
     def _note_heartbeat(self, heartbeat: messages.Heartbeat) -> None:
@@ -325,6 +334,20 @@
 
     # Telling
 
+    def list_alarms(self) -> list[status.Alarm]:
+        """Return what an operator should look at."""
+        common = self._alarms.show(
+            bundle=self.config.number, found=self.config.findings
+        )
+        return [*common, *self.program.alarms()]
+
+    def _show_gauges(self) -> None:
+        """Put the state of the process on the metrics page."""
+        self.metrics.gauge('bundle', lambda: self.config.number)
+        self.metrics.gauge('calls_in_flight', self.program.in_flight)
+        self.metrics.gauge('ready', lambda: self.ready and not self.leaving)
+        self.metrics.gauge('alarms', lambda: self.watch.count)
+
     def describe(self) -> status.Status:
         """Return the state of the process for an operator."""
         return status.Status(
@@ -337,25 +360,11 @@
             ready=self.ready,
             leaving=self.leaving,
             in_flight=self.program.in_flight(),
-            peers=[_describe_peer(p) for p in self.members.all_peers()],
-            alarms=self.program.alarms(),
+            peers=[status.describe_peer(p) for p in self.members.all_peers()],
+            alarms=self.list_alarms(),
         )
 
 
-def _describe_peer(peer: membership.Peer) -> status.PeerStatus:
-    return status.PeerStatus(
-        instance=peer.instance,
-        role=peer.role.name.lower(),
-        data_centre=peer.data_centre,
-        service=peer.service,
-        state=peer.state.value,
-        leaving=peer.leaving,
-        bundle=peer.bundle,
-        running=peer.load.running if peer.load else None,
-        queued=peer.load.queued if peer.load else None,
-    )
-
-
 def _find_store(settings: settings_module.Settings) -> store.PlatformStore:
     plugin: Any = store.PlatformStore.find(settings.platform.store)
     made: store.PlatformStore = plugin(settings=settings.platform)
--- a/marigoldramp/status.py
+++ b/marigoldramp/status.py
@@ -3,12 +3,16 @@
 import base64
 import binascii
 import struct
+import typing
 from typing import Callable
 
 import msgspec
 
 from . import seals
 
+if typing.TYPE_CHECKING:
+    from . import membership
+
 PATH = '/marigoldramp/status'
 HEADER = b'marigoldramp-operator'
 #: Seconds for which a token is good.
@@ -60,6 +64,21 @@
     alarms: list[Alarm]
 
 
+def describe_peer(peer: 'membership.Peer') -> PeerStatus:
+    """Return a peer as the status shows it."""
+    return PeerStatus(
+        instance=peer.instance,
+        role=peer.role.name.lower(),
+        data_centre=peer.data_centre,
+        service=peer.service,
+        state=peer.state.value,
+        leaving=peer.leaving,
+        bundle=peer.bundle,
+        running=peer.load.running if peer.load else None,
+        queued=peer.load.queued if peer.load else None,
+    )
+
+
 class Tokens:
     """Short-lived tokens that only a holder of the fleet key can make.
 
--- a/marigoldramp_standins/processes.py
+++ b/marigoldramp_standins/processes.py
@@ -53,6 +53,14 @@
         """Tell whether it has ended."""
         return self._process.returncode is not None
 
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send it a signal."""
+        self._process.send_signal(number)
+
+    async def wait(self) -> int:
+        """Wait for its end and return its exit code."""
+        return await self._process.wait()
+
     def read_log(self) -> str:
         """Return the last lines of its log."""
         lines = self.log.read_text(errors='replace').splitlines()
