--- a/marigoldramp/calls.py
+++ b/marigoldramp/calls.py
@@ -349,13 +349,24 @@
     async def _bind(
         self, intake: Intake, facts: routing.CallFacts
     ) -> keys.Bound | outcomes.Refusal | None:
+        """Return the bound key of a call, before its deadline.
+
+        A store that answers late would else keep the caller waiting for
+        long after its answer has become worthless.
+        """
         if intake.matched.route.idempotent:
             return None
-        return await self._keys.find(
-            service=intake.matched.service,
-            facts=facts,
-            wishes=intake.wishes,
+        with anyio.move_on_after(max(0.0, facts.remaining)):
+            return await self._keys.find(
+                service=intake.matched.service,
+                facts=facts,
+                wishes=intake.wishes,
+            )
+        late = outcomes.NotRun(
+            reason=outcomes.Reason.DEADLINE,
+            detail='the store did not tell about the key in time',
         )
+        return self._keys.doubt(late, intake.wishes)
 
     def _prepare(
         self,
--- a/marigoldramp/deliveries.py
+++ b/marigoldramp/deliveries.py
@@ -235,6 +235,7 @@
         The agent runs a call once, however often it is asked, and answers
         for every attempt that was sent to it.
         """
+        await steps.reach(steps.Step.CALL_ENDPOINT_CHOSEN, self.admitted.call)
         begun = self._tools.clock()
         facts = self.admitted.facts
         self._tools.router.sent(candidate=target, facts=facts)
@@ -320,6 +321,10 @@
     ) -> None:
         """Note what a refusal says about the attempts made so far."""
         if isinstance(refusal, outcomes.OutcomeUnknown):
+            if refusal.reason is _R.INCARNATION_GONE:
+                # It is not the process that may run the key, so it has not
+                # run this attempt; with none before, the key is unused.
+                self.maybe = before or lost
             return
         if refusal.reason in _ATTEMPT_ONLY:
             self.maybe = before or lost
--- a/marigoldramp/keys.py
+++ b/marigoldramp/keys.py
@@ -147,7 +147,7 @@
         """Bind a key that the caller made up, through the store."""
         anew = self._bind_anew(service, facts, frozenset())
         if not isinstance(anew, Bound):
-            return self._doubt(anew, wishes)
+            return self.doubt(anew, wishes)
         claimed = await self._claims.claim(
             customer=facts.customer,
             service=service.name,
@@ -155,7 +155,7 @@
             bound=anew.key,
         )
         if not isinstance(claimed, claims.Claimed):
-            return self._doubt(claimed, wishes)
+            return self.doubt(claimed, wishes)
         opened = self._binder.open(
             key=claimed.bound, customer=facts.customer, service=service.name
         )
@@ -171,7 +171,7 @@
             own=False,
         )
 
-    def _doubt(
+    def doubt(
         self, refusal: outcomes.Refusal, wishes: callers.Wishes
     ) -> outcomes.Refusal:
         """Return a refusal that is true of a key made up by the caller.
