Show in the audit trail who took a bundle up

Ruled out: listing all kept take-ups, which reads up to 1,024 objects of each data centre for one bundle.

--- a/tests/test_ui.py
+++ b/tests/test_ui.py
@@ -16,9 +16,11 @@
 from marigoldramp import status
 from marigoldramp import store
 from marigoldramp import store_retries
+from marigoldramp import takeups
 from marigoldramp import ui
 from marigoldramp.ui import exits
 from marigoldramp.ui import status_calls
+from marigoldramp_standins import instance_list
 from marigoldramp_standins import objects
 
 BUNDLE = """
@@ -35,11 +37,14 @@
     def __init__(self, folder, capsys):
         self.folder = folder
         self.table = objects.Table()
+        self.instances = instance_list.InstanceList()
         self.faults = []
         self._capsys = capsys
 
     def connect(self, settings):
-        return RollStore(table=self.table, faults=self.faults)
+        made = RollStore(table=self.table, faults=self.faults)
+        made.instances = self.instances
+        return made
 
     def write(self, name, text):
         path = self.folder / name
@@ -133,6 +138,43 @@
     ]
 
 
+def test_trail_of_one_bundle_names_who_took_it_up(console):
+    first = console.propose(1)
+    console.bundle('roll', first)
+    console.bundle('roll', console.propose(2))
+    taken_up = takeups.TakeUps(
+        number=1,
+        digest=first,
+        data_centre='north',
+        instances=(takeups.TakeUp(at=2e10, instance='entry-1'),),
+    )
+    console.instances.put(
+        instance=store.Instance(
+            name='entry-1',
+            role='entry',
+            data_centre='north',
+            host='127.0.0.1',
+            call_port=1,
+            control_port=1,
+            datagram_port=1,
+        )
+    )
+    key = takeups._make_key('north', 1)
+    value = msgspec.json.encode(taken_up)
+    console.table._apply(key, value, store.CREATE)
+    path = console.folder / 'settings.yaml'
+    trail = console.ask('audit', '--bundle', 1, '--settings', path)
+    done = [(one['actor'], one['action']) for one in trail['entries']]
+    assert done == [
+        ('entry-1', 'taken_up'),
+        ('ann', 'rolled'),
+        ('ann', 'roll_started'),
+        ('bob', 'signed'),
+        ('ann', 'signed'),
+        ('ann', 'submitted'),
+    ]
+
+
 def test_text_for_a_person(console):
     options = ('--settings', console.folder / 'settings.yaml')
     digest = console.propose(1)
