Follow an engine's load report and cache events

Cause: an agent knew of its own calls alone, and an entry nothing of the engines' prefix caches.

Load: the report lags, and the agent's queue knows its own calls better, so the report only adds calls that are not the agent's, against the highest own count around the report's time, at most as many as the engine has slots and for 10 s, and gives its age. A report that is too low adds nothing, hence cannot open admission; the queue never reads it.

Cache events travel from the agent to the entries that attend it in datagrams of their own kind on the heartbeats' socket: sealed, at most 1,200 bytes, refused when old, replayed or of a former process, at most 2,048 bytes a second to all receivers together. What does not fit is dropped and told as a gap; a gap, a lost datagram or a new process makes an entry forget that endpoint's blocks. The endpoint kind computes a prompt's chain of digests. Routing policies get two hooks; no policy here uses them yet.

Tried: 120 digests a datagram, over 1,200 bytes, refused as oversized; the bound is now in bytes. Ruled out: digests in heartbeats, which they overfill.

--- a/marigoldramp/agent.py
+++ b/marigoldramp/agent.py
@@ -11,6 +11,7 @@
 from . import asgi
 from . import bindings
 from . import bundle
+from . import cache_events
 from . import credentials
 from . import endpoint_kinds
 from . import executor
@@ -87,10 +88,29 @@
             clock=runtime.clock,
         )
         self._start_ranks(group)
-        runtime.members.load_source = self.queue.load
+        runtime.members.load_source = self._report_load
+        self._publish_cache_events(group)
         runtime.members.on_told_leaving(self._note_told)
         group.start_soon(self.kind.watch)
 
+    def _report_load(self) -> messages.Load:
+        return self.kind.complete(self.queue.load())
+
+    def _publish_cache_events(self, group: anyio.abc.TaskGroup) -> None:
+        """Pass what the endpoint tells of its cache on to entries."""
+        publisher = cache_events.Publisher(
+            source=cache_events.Source(
+                instance=self.instance,
+                service=self.service,
+                incarnation=self.runtime.incarnation,
+            ),
+            send=self.runtime.members.send_cache_events,
+            clock=self.runtime.clock,
+            wall=self.runtime.wall,
+        )
+        self.kind.on_cache_change = publisher.note
+        group.start_soon(publisher.run)
+
     async def handle(
         self, scope: Any, receive: asgi.Receive, send: asgi.Send
     ) -> None:
--- a/marigoldramp/calls.py
+++ b/marigoldramp/calls.py
@@ -15,11 +15,13 @@
 from . import callers
 from . import configuration
 from . import deliveries
+from . import endpoint_kinds
 from . import keys
 from . import limits
 from . import logs
 from . import metrics
 from . import outcomes
+from . import plugins
 from . import retries
 from . import routes
 from . import routing
@@ -344,6 +346,7 @@
             remaining=intake.deadline - self._tools.clock(),
             tokens=chat.tokens if chat else 0,
             prompt_bytes=len(intake.body) if chat else 0,
+            prefix=_chain(intake) if chat else (),
         )
 
     async def _bind(
@@ -448,6 +451,20 @@
         )
 
 
+def _chain(intake: Intake) -> tuple[bytes, ...]:
+    """Return the digests of the prompt's blocks, as the engine has them."""
+    kind = _find_kind(intake.matched.service.kind)
+    return kind.chain(intake.body) if kind else ()
+
+
+@functools.cache
+def _find_kind(name: str) -> type[endpoint_kinds.EndpointKind] | None:
+    try:
+        return endpoint_kinds.EndpointKind.find(name)
+    except plugins.UnknownPlugin:
+        return None
+
+
 def describe_no_bundle() -> outcomes.NotRun:
     """Return the refusal of an entry that has no configuration."""
     return outcomes.NotRun(
--- a/marigoldramp/endpoint_kinds.py
+++ b/marigoldramp/endpoint_kinds.py
@@ -14,8 +14,10 @@
 
 from . import asgi
 from . import bundle
+from . import cache_events
 from . import connections
 from . import map_ranks
+from . import messages
 from . import plugins
 from . import rank_engines
 from . import settings
@@ -82,6 +84,7 @@
 
     def __init__(self, *, settings: settings.Agent) -> None:
         self.settings = settings
+        self.on_cache_change: cache_events.OnChange = _ignore
         origin = httpcore.URL(settings.endpoint).origin
         self.host = origin.host.decode()
         self.port = origin.port
@@ -131,6 +134,19 @@
     async def watch(self) -> None:
         """Follow what the endpoint publishes, for as long as it runs."""
 
+    def complete(self, load: messages.Load) -> messages.Load:
+        """Return the agent's load with what the endpoint adds to it."""
+        return load
+
+    @classmethod
+    def chain(cls, body: bytes) -> tuple[bytes, ...]:
+        """Return digests of the blocks of a request's prompt.
+
+        Each covers all blocks before it too, as the endpoint computes them
+        for its prefix cache; empty where there is none.
+        """
+        return ()
+
     def is_end(self, *, headers: asgi.Headers, tail: bytes) -> bool:
         """Whether a body whose last bytes are ``tail`` was whole."""
         return True
@@ -174,5 +190,9 @@
         )
 
 
+def _ignore(change: cache_events.Change) -> None:
+    """Stand in for whoever listens, until there is one."""
+
+
 def _measure(headers: asgi.Headers) -> int:
     return sum(len(key) + len(value) for key, value in headers)
--- a/marigoldramp/entry.py
+++ b/marigoldramp/entry.py
@@ -109,6 +109,7 @@
         )
         members = runtime.members
         members.on_heartbeat(self._note_heartbeat)
+        members.on_cache_events(self.router.note_cache_events)
         members.on_dead(self._note_gone)
         members.on_leaving(self._note_gone)
         members.on_silent(self._note_silent)
@@ -139,7 +140,6 @@
         while self.in_flight():
             await anyio.sleep(IDLE_CHECK)
 
-    # Pages for callers
     def alarms(self) -> list[status.Alarm]:
         found = alarms.nearly_full(
             name=alarms.Name.CALLS_NEARLY_FULL,
@@ -162,6 +162,7 @@
             found.append(alarms.make(alarms.Name.NO_ENDPOINT, detail))
         return found
 
+    # Pages for callers
 
     async def _send_addresses(self, scope: Any, send: asgi.Send) -> None:
         asking = self._identify(scope)
--- a/marigoldramp/membership.py
+++ b/marigoldramp/membership.py
@@ -18,6 +18,7 @@
 import anyio
 import anyio.abc
 
+from . import cache_datagrams
 from . import heartbeats
 from . import messages
 from . import peer_choice
@@ -47,6 +48,9 @@
 SEED_EVERY = 10.0
 
 
+OnCacheEvents = Callable[[messages.CacheEvents], None]
+
+
 class Membership:
     """Peers of one process.
 
@@ -74,6 +78,10 @@
         self._codec = heartbeats.Codec(
             sealer=sealer, wall=wall, most_senders=settings.table
         )
+        self._cache_codec = cache_datagrams.Codec(
+            sealer=sealer, wall=wall, most_senders=settings.table
+        )
+        self._on_cache_events: list[OnCacheEvents] = []
         self._table = peer_table.Table(most=settings.table)
         self._events = peer_events.Events()
         self._sender = peer_sender.Sender(
@@ -177,6 +185,26 @@
         """Call once when the list or a peer says that we are leaving."""
         self._events.told_leaving.append(callback)
 
+    def on_cache_events(self, callback: OnCacheEvents) -> None:
+        """Call with what an engine tells of its prefix cache."""
+        self._on_cache_events.append(callback)
+
+    def send_cache_events(self, events: messages.CacheEvents) -> int:
+        """Send to every attended entry; return the bytes this took."""
+        datagram = self._cache_codec.encode(events)
+        size = 0
+        for record in self._table:
+            if record.role is not messages.Role.ENTRY or not record.attended:
+                continue
+            if record.state in peer_table.USABLE:
+                self._transport.send(
+                    datagram=datagram,
+                    host=record.host,
+                    port=record.datagram_port,
+                )
+                size += len(datagram)
+        return size
+
     def peers(self, role: messages.Role) -> tuple[Peer, ...]:
         """Return the peers that may be given work."""
         now = self._clock()
@@ -278,6 +306,9 @@
         )
 
     def _receive(self, datagram: bytes) -> None:
+        if cache_datagrams.is_cache_events(datagram):
+            self._receive_cache_events(datagram)
+            return
         accepted = self._codec.accept(datagram)
         match accepted:
             case messages.Heartbeat():
@@ -290,6 +321,14 @@
                     assert heartbeat is not None
                     self.suspect(heartbeat.instance)
 
+    def _receive_cache_events(self, datagram: bytes) -> None:
+        match self._cache_codec.accept(datagram):
+            case messages.CacheEvents() as events:
+                for callback in self._on_cache_events:
+                    callback(events)
+            case heartbeats.Refused(reason=reason):
+                self.refusals[reason] = self.refusals.get(reason, 0) + 1
+
     def _wake(self, instance: str) -> bool:
         return self._links.wake(instance)
 
--- a/marigoldramp/messages.py
+++ b/marigoldramp/messages.py
@@ -99,6 +99,26 @@
     known: tuple[KnownInstance, ...] = ()
 
 
+class CacheEvents(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """One datagram about the prefix cache of an agent's engine.
+
+    :ivar sequence: grows by one with each such datagram of the incarnation.
+    :ivar sent_at: wall clock in seconds.
+    :ivar gap: what was told before no longer holds.
+    :ivar stored: digests of blocks that came into the cache.
+    :ivar evicted: digests of blocks that left it before those came.
+    """
+
+    instance: str
+    service: str
+    incarnation: int
+    sequence: int
+    sent_at: float
+    gap: bool = False
+    stored: tuple[bytes, ...] = ()
+    evicted: tuple[bytes, ...] = ()
+
+
 class Binding(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """Contents of a bound idempotency key.
 
--- a/marigoldramp/routing.py
+++ b/marigoldramp/routing.py
@@ -122,6 +122,12 @@
     ) -> Option:
         """Pick one of the options, of which there is at least one."""
 
+    def note_cache_events(self, events: messages.CacheEvents) -> None:
+        """Take in what an engine tells of its prefix cache."""
+
+    def forget(self, instance: str) -> None:
+        """Forget an endpoint that is dead or gone."""
+
 
 class Router:
     """Chooses an endpoint for each call.
@@ -163,6 +169,14 @@
         """Forget an endpoint that is dead or gone."""
         for table in self._services.values():
             table.pop(instance, None)
+        for policy in self._policies.values():
+            policy.forget(instance)
+
+    def note_cache_events(self, events: messages.CacheEvents) -> None:
+        """Pass what an engine tells of its cache to the service's policy."""
+        policy = self._policies.get(events.service)
+        if policy is not None:
+            policy.note_cache_events(events)
 
     def choose(
         self,
--- a/marigoldramp_measure/site.py
+++ b/marigoldramp_measure/site.py
@@ -7,6 +7,7 @@
 import dataclasses
 import hashlib
 import pathlib
+import random as random_module
 import tempfile
 from typing import Any
 from typing import AsyncIterator
@@ -28,12 +29,14 @@
 from marigoldramp import store
 from marigoldramp_standins import answers
 from marigoldramp_standins import batching
-from marigoldramp_standins import engine as engine_standin
+from marigoldramp_standins import engine_api
 from marigoldramp_standins import instance_list
 from marigoldramp_standins import jobs
+from marigoldramp_standins import load_reports
 from marigoldramp_standins import memory
 from marigoldramp_standins import objects
-from marigoldramp_standins import processes
+from marigoldramp_standins import orders
+from marigoldramp_standins import prefixes
 from marigoldramp_standins import web
 
 MODEL = 'm'
@@ -64,12 +67,31 @@
     cache_blocks: int = 4096
     event_lag: float = 0.5
     event_loss: float = 0.02
+    load_lag: float = 0.5
     speed: batching.Speed = batching.Speed()
     kind: str = 'model_engine'
     routing: str = 'two_choices'
     agent: dict[str, Any] = dataclasses.field(default_factory=dict)
 
 
+class CountingCache(prefixes.PrefixCache):
+    """A prefix cache that counts what it was asked for and what it had."""
+
+    __slots__ = ('asked', 'found')
+
+    def __init__(self, *, capacity: int, log: prefixes.EventLog) -> None:
+        super().__init__(capacity=capacity, log=log)
+        self.asked = 0
+        self.found = 0
+
+    def count_leading(self, *, blocks: tuple[bytes, ...]) -> int:
+        """Return how many blocks from the start on are in the cache."""
+        found = super().count_leading(blocks=blocks)
+        self.asked += len(blocks)
+        self.found += found
+        return found
+
+
 class Engine:
     """An engine stand-in whose jobs are all remembered.
 
@@ -77,16 +99,23 @@
     """
 
     def __init__(self, *, layout: Layout, seed: int) -> None:
-        self.server = engine_standin.make_server(
-            models=(MODEL,),
-            speed=layout.speed,
-            slots=layout.slots,
-            resume_seconds=layout.resume_seconds,
-            cache_blocks=layout.cache_blocks,
-            seed=seed,
+        events = prefixes.EventLog(
+            lag=layout.event_lag,
+            loss=layout.event_loss,
+            chance=random_module.Random(seed),
+        )
+        self.cache = CountingCache(capacity=layout.cache_blocks, log=events)
+        self.server = engine_api.EngineServer(
+            engine=batching.Engine(
+                cache=self.cache,
+                speed=layout.speed,
+                slots=layout.slots,
+                resume_seconds=layout.resume_seconds,
+            ),
+            book=orders.OrderBook(models=(MODEL,)),
+            events=events,
+            load=load_reports.LoadLog(lag=layout.load_lag),
         )
-        self.server.events.lag = layout.event_lag
-        self.server.events.loss = layout.event_loss
         self.jobs: dict[str, jobs.Job] = {}
         self._note_load = self.server.engine.on_change
         self.server.engine.on_change = self._note
@@ -169,6 +198,9 @@
             group.start_soon(engine.core.run)
             agents.append(builder.start_agent(number, address, layout))
         entry = builder.start_entry()
+        while not builder.is_listening():
+            await anyio.sleep(LOOK_AGAIN)
+        builder.register()
         while not builder.is_ready():
             await anyio.sleep(LOOK_AGAIN)
         members = entry.runtime.members
@@ -203,6 +235,31 @@
         """Whether every instance has its bundle."""
         return all(one.ready for one in self._runtimes)
 
+    def is_listening(self) -> bool:
+        """Whether every instance knows its ports."""
+        return all(
+            hasattr(one, 'members') and one.members.identity.datagram_port
+            for one in self._runtimes
+        )
+
+    def register(self) -> None:
+        """Put the instances on the list by which they find each other."""
+        for one in self._runtimes:
+            identity = one.members.identity
+            is_entry = identity.role is messages.Role.ENTRY
+            self._listed.put(
+                instance=store.Instance(
+                    name=identity.instance,
+                    role='entry' if is_entry else 'endpoint',
+                    data_centre=identity.data_centre,
+                    host=identity.host,
+                    call_port=identity.call_port,
+                    control_port=identity.control_port,
+                    datagram_port=identity.datagram_port,
+                    service=identity.service,
+                )
+            )
+
     def stop(self) -> None:
         """End every instance at once."""
         for one in self._runtimes:
@@ -213,7 +270,7 @@
         self, number: int, address: str, layout: Layout
     ) -> agent_module.Agent:
         """Start an agent beside an engine."""
-        settings = self._register(
+        settings = self._make_settings(
             f'agent-{number}',
             'agent',
             {
@@ -230,7 +287,7 @@
 
     def start_entry(self) -> entry_module.Entry:
         """Start the entry."""
-        settings = self._register('entry-0', 'entry', {})
+        settings = self._make_settings('entry-0', 'entry', {})
         program = entry_module.Entry(settings=settings)
         self._start(program, settings)
         return program
@@ -253,22 +310,9 @@
         self._runtimes.append(runtime)
         self._group.start_soon(runtime.run)
 
-    def _register(
+    def _make_settings(
         self, name: str, role: str, changes: dict[str, Any]
     ) -> settings_module.Settings:
-        ports = [processes.find_free_port(host=web.HOST) for _ in range(3)]
-        self._listed.put(
-            instance=store.Instance(
-                name=name,
-                role='endpoint' if role == 'agent' else role,
-                data_centre='east',
-                host=web.HOST,
-                call_port=ports[0],
-                control_port=ports[1],
-                datagram_port=ports[2],
-                service=SERVICE if role == 'agent' else '',
-            )
-        )
         return _read_settings(
             {
                 'instance': name,
@@ -278,12 +322,7 @@
                     'poll_instances': POLL_INSTANCES,
                 },
                 'security': {'fleet_key': 'env:UNUSED', 'sign_offs': 0},
-                role: {
-                    'call_port': ports[0],
-                    'control_port': ports[1],
-                    'datagram_port': ports[2],
-                    **changes,
-                },
+                role: changes,
             }
         )
 
--- a/marigoldrampplug/model_engine.py
+++ b/marigoldrampplug/model_engine.py
@@ -1,17 +1,25 @@
 """Endpoint kind for model engines: streams, priority and cancelling."""
 
 import dataclasses
+import hashlib
+import time
+from typing import Any
 from typing import Awaitable
 from typing import Callable
 import urllib.parse
 
 import anyio
 import httpcore
+import msgspec
 
 from marigoldramp import asgi
 from marigoldramp import connections
 from marigoldramp import endpoint_kinds
+from marigoldramp import engine_loads
+from marigoldramp import engine_reports
 from marigoldramp import event_streams
+from marigoldramp import messages
+from marigoldramp import settings as settings_module
 
 END_MARK = b'data: [DONE]'
 #: Times that a stream is resumed without a new byte in between, and in all.
@@ -23,6 +31,22 @@
 CANCEL_SECONDS = 0.5
 
 
+class Message(msgspec.Struct, frozen=True, kw_only=True):
+    """One message of a chat request, as far as its text is concerned."""
+
+    role: str
+    content: Any
+
+
+class Prompt(msgspec.Struct, frozen=True, kw_only=True):
+    """The part of a chat request that an engine keeps in its cache."""
+
+    messages: tuple[Message, ...]
+
+
+_PROMPTS = msgspec.json.Decoder(Prompt)
+
+
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Foreign:
     """The engine no longer has the stream, or went on with another one."""
@@ -44,6 +68,18 @@
     STREAM_PATH = '/v1/streams/{}'
     #: Headers by which a caller could raise its own priority.
     OWN_PRIORITY = frozenset({PRIORITY_HEADER, b'priority'})
+    #: Page with the load report, and the one with the cache events.
+    LOAD_PATH = '/load'
+    EVENTS_PATH = '/cache-events'
+    #: Bytes of a block of the prefix cache, and of its digest.
+    BLOCK_BYTES = 256
+    DIGEST_BYTES = 8
+    #: Blocks of a prompt that are looked at, so that a long one costs little.
+    MOST_BLOCKS = 128
+
+    def __init__(self, *, settings: settings_module.Agent) -> None:
+        super().__init__(settings=settings)
+        self.load = engine_loads.EngineLoad(clock=time.monotonic)
 
     async def exchange(
         self,
@@ -57,6 +93,7 @@
         When the exchange itself is cancelled, the engine is told at once.
         """
         stream = event_streams.Stream(sink=sink, name=self.STREAM_HEADER)
+        self.load.begin()
         try:
             result = await super().exchange(
                 request=self._set_priority(request),
@@ -73,6 +110,48 @@
         except anyio.get_cancelled_exc_class():
             await self._cancel(stream)
             raise
+        finally:
+            self.load.end()
+
+    async def watch(self) -> None:
+        """Follow the engine's load and its cache."""
+        reader = engine_reports.Reader(host=self.host, port=self.port)
+        events = engine_reports.EventFollower(
+            reader=reader,
+            path=self.EVENTS_PATH,
+            on_change=lambda change: self.on_cache_change(change),
+        )
+
+        async def follow_load() -> None:
+            await engine_reports.follow_load(
+                reader=reader, target=self.LOAD_PATH, load=self.load
+            )
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(follow_load)
+            group.start_soon(events.run)
+
+    def complete(self, load: messages.Load) -> messages.Load:
+        """Add the work that others have on the engine."""
+        return self.load.add_to(load)
+
+    @classmethod
+    def chain(cls, body: bytes) -> tuple[bytes, ...]:
+        """Return the digests of the prompt's whole blocks."""
+        try:
+            prompt = _PROMPTS.decode(body)
+        except msgspec.MsgspecError:
+            return ()
+        digests = []
+        digest = b''
+        text = _join(prompt, cls.BLOCK_BYTES * cls.MOST_BLOCKS)
+        for end in range(cls.BLOCK_BYTES, len(text) + 1, cls.BLOCK_BYTES):
+            block = text[end - cls.BLOCK_BYTES : end]
+            digest = hashlib.blake2b(
+                digest + block, digest_size=cls.DIGEST_BYTES
+            ).digest()
+            digests.append(digest)
+        return tuple(digests)
 
     def is_end(self, *, headers: asgi.Headers, tail: bytes) -> bool:
         """A stream is whole when its end mark has come.
@@ -212,6 +291,19 @@
         return self.STREAM_PATH.format(quoted)
 
 
+def _join(prompt: Prompt, most: int) -> bytes:
+    """Return the beginning of the text over which prefixes are cached.
+
+    It ends before the first content that is no plain text.
+    """
+    text = b''
+    for message in prompt.messages:
+        if not isinstance(message.content, str) or len(text) >= most:
+            break
+        text += f'{message.role}: {message.content}\n'.encode()
+    return text[:most]
+
+
 def _has_end_mark(tail: bytes) -> bool:
     """Whether the last event is the end mark, with the line that ends it."""
     lines = tail.replace(b'\r\n', b'\n')
--- a/tests/test_model_engine.py
+++ b/tests/test_model_engine.py
@@ -285,3 +285,29 @@
                 await anyio.sleep(0)
             group.cancel_scope.cancel()
         assert not engine.running
+
+
+async def test_watching_tells_of_the_cache():
+    async with standing_in() as (engine, kind):
+        changes, changed = [], anyio.Event()
+
+        def note(change):
+            changes.append(change)
+            changed.set()
+
+        kind.on_cache_change = note
+        request = answers.ChatRequest(
+            model='m',
+            messages=(answers.Message(role='user', content='x' * 1000),),
+        )
+        body = msgspec.json.encode(request)
+        async with anyio.create_task_group() as group:
+            group.start_soon(engine.run)
+            group.start_soon(kind.watch)
+            result = await fake_endpoint.exchange(
+                kind, fake_endpoint.Sink(), target=CHAT, body=body
+            )
+            await changed.wait()
+            group.cancel_scope.cancel()
+        assert result == WHOLE
+        assert [one.stored for one in changes] == [kind.chain(body)]
