Give a caller's own key another chance after "not run"

The claim is replaced by a conditional update, but only once the key's own agent has barred it; "not run" for another reason, such as an agent that could not be reached, leaves the old key able to run.

Ruled out: replacing on every "not run", as another entry that still holds the old key could then run it beside the new one.

--- a/marigoldramp/calls.py
+++ b/marigoldramp/calls.py
@@ -15,6 +15,7 @@
 from . import callers
 from . import configuration
 from . import deliveries
+from . import endpoint_kinds
 from . import keys
 from . import limits
 from . import logs
@@ -194,24 +195,26 @@
     ) -> outcomes.Refusal | None:
         """Deliver a call that may run once.
 
-        A key that this entry made for the request alone is replaced when
-        its agent has barred it; nobody else can ever use it.
+        A key that did not run is replaced where that is safe, see
+        :meth:`.keys.Keys.renew`.
         """
         service = delivery.admitted.service
         excluded: set[str] = set()
         for _ in range(MOST_OWN_KEYS):
             targets = self._keys.targets(service=service.name, bound=bound)
             refusal = await delivery.run_at(targets)
-            if not isinstance(refusal, outcomes.NotRun) or not bound.own:
+            if not isinstance(refusal, outcomes.NotRun):
                 return refusal
             excluded.add(bound.binding.agent)
-            anew = await self._keys.find(
+            anew = await self._keys.renew(
+                bound=bound,
+                barred=delivery.barred,
                 service=service,
                 facts=delivery.admitted.facts,
                 wishes=delivery.admitted.wishes,
                 exclude=frozenset(excluded),
             )
-            if not isinstance(anew, keys.Bound):
+            if anew is None:
                 return refusal
             bound = anew
             delivery.rebind(bound)
@@ -341,6 +344,13 @@
             remaining=intake.deadline - self._tools.clock(),
             tokens=chat.tokens if chat else 0,
             prompt_bytes=len(intake.body) if chat else 0,
+            prefix=(
+                endpoint_kinds.find_chain(
+                    kind=intake.matched.service.kind, body=intake.body
+                )
+                if chat
+                else ()
+            ),
         )
 
     async def _bind(
--- a/marigoldramp/deliveries.py
+++ b/marigoldramp/deliveries.py
@@ -119,6 +119,7 @@
         'relayed',
         'tokens',
         'maybe',
+        'barred',
         'attempt',
         'first_byte_at',
         'at_work',
@@ -141,6 +142,7 @@
         self.relayed = admitted.wishes.resume_from
         self.tokens = 0
         self.maybe = not admitted.first
+        self.barred = False
         self.attempt = 0
         self.first_byte_at = 0.0
         self.at_work: routing.Candidate | None = None
@@ -219,7 +221,9 @@
         )
 
     def rebind(self, bound: keys.Bound) -> None:
-        """Go on under a new key, after the old one was barred."""
+        """Go on under a new key, after the old one did not run."""
+        self.barred = False
+        self.maybe = not bound.first
         self.admitted = dataclasses.replace(
             self.admitted, key=bound.key, binding=bound.binding
         )
@@ -338,6 +342,7 @@
             # The agent answers for all attempts that it was sent; for a
             # bound key, for all attempts there ever were.
             self.maybe = before and not self.admitted.key
+            self.barred = bool(self.admitted.key)
 
     def _can_run(self, target: routing.Candidate) -> bool:
         """Whether that process may run the call; only one may run a key."""
--- a/marigoldramp/keys.py
+++ b/marigoldramp/keys.py
@@ -21,14 +21,16 @@
     """A key and what it is bound to.
 
     :ivar first: no attempt with this key was made before.
-    :ivar own: this entry made the key for this request alone, so a barred
-        one can be replaced without the caller's help.
+    :ivar own: this entry made the key for this request alone, so one that
+        did not run can be replaced without the caller's help.
+    :ivar claim: the claim that pairs a caller's own key with this one.
     """
 
     key: str
     binding: messages.Binding
     first: bool
     own: bool
+    claim: claims.Claimed | None = None
 
 
 class Keys:
@@ -67,14 +69,10 @@
         service: bundle.Service,
         facts: routing.CallFacts,
         wishes: callers.Wishes,
-        exclude: frozenset[str] = frozenset(),
     ) -> Bound | outcomes.Refusal:
-        """Return the bound key of a call.
-
-        :param exclude: agents that are not to get a new key.
-        """
+        """Return the bound key of a call."""
         if not wishes.key:
-            return self._bind_anew(service, facts, exclude)
+            return self._bind_anew(service, facts, frozenset())
         opened = self._binder.open(
             key=wishes.key, customer=facts.customer, service=service.name
         )
@@ -93,6 +91,43 @@
             case bindings.Bare():
                 return await self._claim(service, facts, wishes)
 
+    async def renew(
+        self,
+        *,
+        bound: Bound,
+        barred: bool,
+        service: bundle.Service,
+        facts: routing.CallFacts,
+        wishes: callers.Wishes,
+        exclude: frozenset[str],
+    ) -> Bound | None:
+        """Return another key for a call that did not run, if it may have one.
+
+        A key of this request's own is known to nobody else.  A claimed one
+        is known to every entry that has read the claim, so it is replaced
+        only once its agent has barred it: an entry that comes late with the
+        old key is refused then, and finds the new one.
+
+        :param barred: the agent itself has refused the key for good.
+        :param exclude: agents that are not to get the new key.
+        """
+        if not bound.own and not (barred and bound.claim):
+            return None
+        anew = self._bind_anew(service, facts, exclude)
+        if not isinstance(anew, Bound):
+            return None
+        if bound.claim is None:
+            return anew
+        replaced = await self._claims.replace(
+            customer=facts.customer,
+            service=service.name,
+            key=wishes.key,
+            old=bound.claim,
+            bound=anew.key,
+        )
+        found = self._open_claimed(replaced, facts, service)
+        return found if isinstance(found, Bound) else None
+
     def targets(
         self, *, service: str, bound: Bound
     ) -> tuple[routing.Candidate, ...]:
@@ -154,8 +189,17 @@
             key=wishes.key,
             bound=anew.key,
         )
+        found = self._open_claimed(claimed, facts, service)
+        return found if isinstance(found, Bound) else self.doubt(found, wishes)
+
+    def _open_claimed(
+        self,
+        claimed: claims.Claimed | outcomes.OutcomeUnknown,
+        facts: routing.CallFacts,
+        service: bundle.Service,
+    ) -> Bound | outcomes.OutcomeUnknown:
         if not isinstance(claimed, claims.Claimed):
-            return self.doubt(claimed, wishes)
+            return claimed
         opened = self._binder.open(
             key=claimed.bound, customer=facts.customer, service=service.name
         )
@@ -169,6 +213,7 @@
             binding=opened,
             first=claimed.first,
             own=False,
+            claim=claimed,
         )
 
     def doubt(
