Cut prompts into blocks in a module of their own

Prompts are now cut by prompts.py, and a chain is found by the kind's name in endpoint_kinds.py, where a kind that this version lacks gives no chain. The class is looked up once: the registry lists the plug-in package's directory at each look.

--- a/marigoldramp/endpoint_kinds.py
+++ b/marigoldramp/endpoint_kinds.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import functools
 from typing import Awaitable
 from typing import Callable
 from typing import Protocol
@@ -190,6 +191,21 @@
         )
 
 
+def find_chain(*, kind: str, body: bytes) -> tuple[bytes, ...]:
+    """Return the chain of a prompt for endpoints of a kind, by its name."""
+    found = _find(kind)
+    return found.chain(body) if found else ()
+
+
+@functools.cache
+def _find(kind: str) -> type[EndpointKind] | None:
+    # An older instance may not have the plug-in that a bundle names.
+    try:
+        return EndpointKind.find(kind)
+    except plugins.UnknownPlugin:
+        return None
+
+
 def _ignore(change: cache_events.Change) -> None:
     """Stand in for whoever listens, until there is one."""
 
--- a/marigoldrampplug/model_engine.py
+++ b/marigoldrampplug/model_engine.py
@@ -1,16 +1,13 @@
 """Endpoint kind for model engines: streams, priority and cancelling."""
 
 import dataclasses
-import hashlib
 import time
-from typing import Any
 from typing import Awaitable
 from typing import Callable
 import urllib.parse
 
 import anyio
 import httpcore
-import msgspec
 
 from marigoldramp import asgi
 from marigoldramp import connections
@@ -19,6 +16,7 @@
 from marigoldramp import engine_reports
 from marigoldramp import event_streams
 from marigoldramp import messages
+from marigoldramp import prompts
 from marigoldramp import settings as settings_module
 
 END_MARK = b'data: [DONE]'
@@ -31,22 +29,6 @@
 CANCEL_SECONDS = 0.5
 
 
-class Message(msgspec.Struct, frozen=True, kw_only=True):
-    """One message of a chat request, as far as its text is concerned."""
-
-    role: str
-    content: Any
-
-
-class Prompt(msgspec.Struct, frozen=True, kw_only=True):
-    """The part of a chat request that an engine keeps in its cache."""
-
-    messages: tuple[Message, ...]
-
-
-_PROMPTS = msgspec.json.Decoder(Prompt)
-
-
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Foreign:
     """The engine no longer has the stream, or went on with another one."""
@@ -138,20 +120,12 @@
     @classmethod
     def chain(cls, body: bytes) -> tuple[bytes, ...]:
         """Return the digests of the prompt's whole blocks."""
-        try:
-            prompt = _PROMPTS.decode(body)
-        except msgspec.MsgspecError:
-            return ()
-        digests = []
-        digest = b''
-        text = _join(prompt, cls.BLOCK_BYTES * cls.MOST_BLOCKS)
-        for end in range(cls.BLOCK_BYTES, len(text) + 1, cls.BLOCK_BYTES):
-            block = text[end - cls.BLOCK_BYTES : end]
-            digest = hashlib.blake2b(
-                digest + block, digest_size=cls.DIGEST_BYTES
-            ).digest()
-            digests.append(digest)
-        return tuple(digests)
+        text = prompts.join(body=body, most=cls.BLOCK_BYTES * cls.MOST_BLOCKS)
+        return prompts.chain(
+            text=text,
+            block_bytes=cls.BLOCK_BYTES,
+            digest_bytes=cls.DIGEST_BYTES,
+        )
 
     def is_end(self, *, headers: asgi.Headers, tail: bytes) -> bool:
         """A stream is whole when its end mark has come.
@@ -291,19 +265,6 @@
         return self.STREAM_PATH.format(quoted)
 
 
-def _join(prompt: Prompt, most: int) -> bytes:
-    """Return the beginning of the text over which prefixes are cached.
-
-    It ends before the first content that is no plain text.
-    """
-    text = b''
-    for message in prompt.messages:
-        if not isinstance(message.content, str) or len(text) >= most:
-            break
-        text += f'{message.role}: {message.content}\n'.encode()
-    return text[:most]
-
-
 def _has_end_mark(tail: bytes) -> bool:
     """Whether the last event is the end mark, with the line that ends it."""
     lines = tail.replace(b'\r\n', b'\n')
