--- a/marigoldramp_standins/site.py
+++ b/marigoldramp_standins/site.py
@@ -100,7 +100,7 @@
         """End an agent as a crash does; its address refuses connections."""
         self.agents[number].kill()
         for row in self.links:
-            self._scopes[row[number]].cancel()
+            self.stop_link(row[number])
 
     async def restart_agent(self, number: int) -> None:
         """Start a new incarnation at a new address; the entries learn it."""
@@ -262,6 +262,10 @@
         number = self.agents.index(process)
         return [self.backs[number], *(row[number] for row in self.links)]
 
+    def stop_link(self, link: links.Link) -> None:
+        """Let a link's address refuse connections from now on."""
+        self._scopes[link].cancel()
+
     def all_links(self) -> list[links.Link]:
         """Return every link of the site."""
         between = [link for row in self.links for link in row]
--- a/tests/matrix_cells.py
+++ b/tests/matrix_cells.py
@@ -119,6 +119,8 @@
         # The retry has a key of its own if the call was told "not run".
         if _refused(cell.heard[1], outcomes.NotRun):
             self._check_unrun(retry, cell.heard[1])
+        if {'duplicate', 'reorder'} & set(cell.landed):
+            cell.check(matrix_faults.came_twice(site), 'no bytes came twice')
         await self._check_once(ask)
         self._check_answers()
         await self._check_unharmed()
--- a/tests/matrix_faults.py
+++ b/tests/matrix_faults.py
@@ -4,7 +4,9 @@
 from typing import Callable
 
 import anyio
+import matrix_fakes
 
+from marigoldramp import heads
 from marigoldramp import steps
 from marigoldramp_standins import links
 from marigoldramp_standins import service
@@ -113,11 +115,25 @@
     site.links[0][0].new_fault = links.Fault.HELD
 
     async def pass_later(_):
+        # The link learns of the connection after the entry does.
+        for _ in range(20):
+            await anyio.sleep(0)
         site.links[0][0].new_fault = links.Fault.NONE
 
     site.at(S.CALL_SENT, pass_later)
 
 
+def came_twice(site):
+    """Whether bytes of one call came to the agent more than once."""
+    calls = [
+        matrix_fakes.HEADS.decode_call(value.decode()).call
+        for taken in site.agents[0].taken
+        for key, value in taken.headers
+        if key == heads.CALL_HEADER
+    ]
+    return len(set(calls)) < len(calls)
+
+
 async def lose_endpoint_reply(site):
     endpoint = site.endpoints[0]
     if isinstance(endpoint, service.Service):
