Read from agents and endpoints without a timer for each chunk

Cause, by a profile of 32 streams of 160 tokens at the entry: of a relayed chunk's time 40% was httpcore's stream on anyio, which for each read opens a cancel scope, sets and drops a timer and takes the socket into and out of the selector; h11 was 16%, the send to the caller 27%. tcp_streams.Stream is a network stream for httpcore that leaves the socket in the selector and moves one timer on lazily. Ruled out: reading without a time limit, as a silent connection would then be noticed by nobody.

--- a/marigoldramp/connections.py
+++ b/marigoldramp/connections.py
@@ -8,8 +8,11 @@
 import dataclasses
 from typing import Iterable
 
+import anyio
 import httpcore
 
+from . import tcp_streams
+
 READ_CHUNK = 65536
 #: Seconds after which an idle connection is not used again.
 IDLE_SECONDS = 30.0
@@ -40,10 +43,9 @@
 ) -> httpcore.AsyncHTTP11Connection | Unreached:
     """Open a connection within a time."""
     try:
-        stream = await httpcore.AnyIOBackend().connect_tcp(
-            host, port, timeout=seconds
-        )
-    except (httpcore.NetworkError, httpcore.TimeoutException) as error:
+        with anyio.fail_after(seconds):
+            stream = await tcp_streams.connect(host=host, port=port)
+    except OSError as error:  # TimeoutError is one of them
         return Unreached(detail=explain(error))
     return httpcore.AsyncHTTP11Connection(
         origin=httpcore.Origin(b'http', host.encode(), port),
--- /dev/null
+++ b/marigoldramp/tcp_streams.py
@@ -0,0 +1,216 @@
+"""TCP streams for httpcore that cost little for each read.
+
+httpcore's own stream opens a cancel scope, sets and drops a timer, and takes
+the socket into and out of the selector, for each read.  On a relayed answer
+that is done for each chunk, and it was the largest part of a chunk's cost.
+This stream leaves the socket in the selector and has one timer for all
+reads, which is moved on lazily.
+"""
+
+import asyncio
+import select
+from typing import Any
+
+import httpcore
+
+#: Received bytes that wait for their reader before reading is paused.
+MOST_WAITING = 262144
+
+
+class Stream(asyncio.Protocol, httpcore.AsyncNetworkStream):
+    """One connection, read and written by one task at a time."""
+
+    __slots__ = (
+        '_loop',
+        '_transport',
+        '_received',
+        '_waiting',
+        '_paused',
+        '_ended',
+        '_error',
+        '_reader',
+        '_writer',
+        '_timer',
+        '_due',
+    )
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._received: list[bytes] = []
+        self._waiting = 0
+        self._paused = False
+        self._ended = False
+        self._error: str | None = None
+        self._reader: asyncio.Future[None] | None = None
+        self._writer: asyncio.Future[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._due = 0.0
+
+    # Called by the event loop
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Keep bytes for the reader; pause when they are many."""
+        self._received.append(data)
+        self._waiting += len(data)
+        if self._waiting > MOST_WAITING and not self._paused:
+            self._paused = True
+            self._open().pause_reading()
+        _wake(self._reader)
+
+    def eof_received(self) -> bool:
+        """Note that the peer sends nothing more; the transport closes."""
+        self._ended = True
+        _wake(self._reader)
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Note the end, and why."""
+        if exc is not None:
+            self._error = str(exc) or type(exc).__name__
+        self._ended = True
+        self._transport = None
+        _wake(self._reader)
+        _wake(self._writer)
+
+    def pause_writing(self) -> None:
+        """Make writers wait: the peer takes the bytes too slowly."""
+        self._writer = self._loop.create_future()
+
+    def resume_writing(self) -> None:
+        """Let the writer go on."""
+        _wake(self._writer)
+        self._writer = None
+
+    # Called by httpcore
+
+    async def read(
+        self, max_bytes: int, timeout: float | None = None
+    ) -> bytes:
+        """Return the next bytes; nothing when the peer has ended.
+
+        :raises httpcore.ReadTimeout: nothing came in time.
+        :raises httpcore.ReadError: the connection was lost.
+        """
+        if not self._received and not self._ended:
+            self._set_due(timeout)
+            self._reader = self._loop.create_future()
+            try:
+                await self._reader
+            finally:
+                self._reader = None
+        if self._received:
+            return self._take(max_bytes)
+        if self._error is not None:
+            raise httpcore.ReadError(self._error)
+        if self._ended:
+            return b''
+        raise httpcore.ReadTimeout()
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Send bytes; wait while the peer is far behind.
+
+        :raises httpcore.WriteTimeout: the peer took too little in time.
+        :raises httpcore.WriteError: the connection was lost.
+        """
+        if not buffer:
+            return
+        if self._transport is None or self._transport.is_closing():
+            raise httpcore.WriteError(self._error or 'the connection ended')
+        self._transport.write(buffer)
+        if self._writer is None:
+            return
+        done, _ = await asyncio.wait((self._writer,), timeout=timeout)
+        if not done:
+            raise httpcore.WriteTimeout()
+        if self._transport is None:
+            raise httpcore.WriteError(self._error or 'the connection ended')
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._transport is not None:
+            self._transport.abort()
+
+    def get_extra_info(self, info: str) -> Any:
+        """Answer what httpcore asks of an idle connection."""
+        if info == 'is_readable':
+            return self._is_readable()
+        return None
+
+    # Parts
+
+    def _open(self) -> asyncio.Transport:
+        assert self._transport is not None
+        return self._transport
+
+    def _take(self, most: int) -> bytes:
+        data = b''.join(self._received)
+        taken, rest = data[:most], data[most:]
+        self._received = [rest] if rest else []
+        self._waiting = len(rest)
+        if self._paused and self._waiting <= MOST_WAITING:
+            self._paused = False
+            if self._transport is not None:
+                self._transport.resume_reading()
+        return taken
+
+    def _is_readable(self) -> bool:
+        """Whether bytes or an end have come, even if not yet looked at.
+
+        On an idle connection both mean that the peer has closed it, or has
+        sent what no request asked for.
+        """
+        if self._received or self._ended or self._transport is None:
+            return True
+        descriptor = self._transport.get_extra_info('socket').fileno()
+        poll = select.poll()
+        poll.register(descriptor, select.POLLIN)
+        return bool(poll.poll(0))
+
+    def _set_due(self, timeout: float | None) -> None:
+        """Have the reader woken after a time.
+
+        Most reads end early, so the timer stays as it is and looks at the
+        time due when it fires.
+        """
+        if timeout is None:
+            self._due = float('inf')
+            return
+        self._due = self._loop.time() + timeout
+        if self._timer is not None:
+            if self._timer.when() <= self._due:
+                return
+            self._timer.cancel()
+        self._timer = self._loop.call_at(self._due, self._look_at_time)
+
+    def _look_at_time(self) -> None:
+        self._timer = None
+        if self._reader is None or self._due == float('inf'):
+            return
+        if self._loop.time() >= self._due:
+            _wake(self._reader)
+        else:
+            self._timer = self._loop.call_at(self._due, self._look_at_time)
+
+
+def _wake(future: 'asyncio.Future[None] | None') -> None:
+    if future is not None and not future.done():
+        future.set_result(None)
+
+
+async def connect(*, host: str, port: int) -> Stream:
+    """Open a connection.
+
+    :raises OSError: it could not be opened.
+    """
+    loop = asyncio.get_running_loop()
+    _, stream = await loop.create_connection(Stream, host, port)
+    return stream
