Plan map changes from what ranks count

Cause: a led group kept its first map for ever, as nothing planned. The leader's planner asks the group's agents once an interval what their ranks have counted, estimates popularity, lets the bundle's policy propose, and holds the proposal against the rate of the weight store and the slack of the calls in flight.

Ruled out: counts on the heartbeats, as a report of 61 layers of 128 experts is 8 KB and a datagram 1.2 KB.

--- a/marigoldramp/agent.py
+++ b/marigoldramp/agent.py
@@ -8,6 +8,7 @@
 
 from . import admission
 from . import agent_calls
+from . import alarms
 from . import asgi
 from . import bindings
 from . import bundle
@@ -17,20 +18,25 @@
 from . import executor
 from . import heads
 from . import keys
+from . import map_conversation
+from . import membership
 from . import messages
 from . import peers
+from . import planner
 from . import predecessors
 from . import rank_groups
 from . import runtime as runtime_module
 from . import settings as settings_module
+from . import status
 from . import steps
-from . import store
 
 #: Records in one hand-over message.
 HAND_OVER_BATCH = 64
 #: Agents that are asked to take the records, as some may be gone.
 MOST_ASKED = 4
 IDLE_CHECK = 0.02
+#: Seconds for which the leader of a group cannot settle it.
+MAP_STALLED_AFTER = 30.0
 
 
 class Agent(runtime_module.Program):
@@ -47,6 +53,7 @@
             settings=settings.agent
         )
         self.rank_group: rank_groups.RankGroup | None = None
+        self.planner: planner.Planner | None = None
         self._described: bundle.Group | None = None
         self._group_changed = anyio.Event()
         self._leading = anyio.CancelScope()
@@ -145,6 +152,43 @@
         )
         return peers.HandOverReply(kept=kept, reason='' if kept else 'full')
 
+    def alarms(self) -> list[status.Alarm]:
+        return [
+            *alarms.nearly_full(
+                name=alarms.Name.QUEUE_NEARLY_FULL,
+                count=self.queue.load().queued,
+                bound=self.settings.queue,
+                setting='agent.queue',
+            ),
+            *alarms.nearly_full(
+                name=alarms.Name.RECORDS_NEARLY_FULL,
+                count=len(self.executor.records),
+                bound=self.settings.records,
+                setting='agent.records',
+            ),
+            *self._show_group(),
+        ]
+
+    def _show_group(self) -> list[status.Alarm]:
+        """Return what the leader of a rank group has found."""
+        found = []
+        if self.planner is not None:
+            found = [
+                alarms.make(alarms.Name.STRAGGLER_RANK, str(one))
+                for one in self.planner.findings()
+            ]
+        leader = self.rank_group.leader if self.rank_group else None
+        trouble = leader.trouble if leader else None
+        if self.runtime.watch.lasts(
+            alarms.Name.MAP_CHANGE_STALLED,
+            present=trouble not in (None, map_conversation.Trouble.DEPOSED),
+            seconds=MAP_STALLED_AFTER,
+        ):
+            assert trouble is not None
+            detail = f'{self.settings.group}: {trouble.value}'
+            found.append(alarms.make(alarms.Name.MAP_CHANGE_STALLED, detail))
+        return found
+
     # Rank groups
 
     def _start_ranks(self, group: anyio.abc.TaskGroup) -> None:
@@ -172,8 +216,13 @@
             self._described = described
             with anyio.CancelScope() as self._leading:
                 if described is not None:
-                    planner = rank_groups.StayPlanner()
-                    await rank_group.lead(group=described, planner=planner)
+                    self.planner = planner.Planner(
+                        group=described,
+                        collect=rank_group.collect,
+                        slack=self.executor.slack,
+                        clock=self.runtime.clock,
+                    )
+                    await rank_group.lead(group=described, plans=self.planner)
                 await changed.wait()
 
     def _find_group(self) -> bundle.Group | None:
@@ -210,31 +259,47 @@
 
     async def _hand_over(self) -> None:
         """Give the records to the agents that entries will ask for them."""
-        others = [
-            row
-            for row in self.runtime.listed
-            if row.service == self.service
-            and row.name != self.instance
-            and not row.leaving
-        ]
-        others.sort(key=lambda row: keys.rank(self.instance, row.name))
         records = self.executor.records.describe()
         kept = 0
-        for row in others[:MOST_ASKED]:
-            kept += await self._hand_over_to(row, records)
-            if kept >= keys.MOST_SUCCESSORS:
+        for peer in self._list_successors()[:MOST_ASKED]:
+            kept += await self._hand_over_to(peer, records)
+            if kept == keys.MOST_SUCCESSORS:
                 return
+        if not kept:
+            logging.warning('no agent took the %d records', len(records))
+            self.runtime.watch.note(
+                alarms.Name.RECORDS_NOT_HANDED_OVER,
+                f'no agent of {self.service} took {len(records)} records',
+            )
+
+    def _list_successors(self) -> list[membership.Peer]:
+        """Return the other agents of the service, the next one first.
+
+        Agents do not heartbeat each other, so that most are known by name
+        only.  Had this waited for heartbeats of theirs, no record would
+        ever be handed over; trying a few shows who lives.
+        """
+        others = [
+            peer
+            for peer in self.runtime.members.all_peers()
+            if peer.role is messages.Role.AGENT
+            and peer.service == self.service
+            and peer.state is not membership.State.DEAD
+            and not peer.leaving
+        ]
+        others.sort(key=lambda peer: keys.rank(self.instance, peer.instance))
+        return others
 
     async def _hand_over_to(
-        self, row: store.Instance, records: list[predecessors.HandedOver]
+        self, peer: membership.Peer, records: list[predecessors.HandedOver]
     ) -> bool:
-        """Hand all records to one agent; say whether it has them all."""
+        """Return whether a peer has taken all records."""
         for start in range(0, max(1, len(records)), HAND_OVER_BATCH):
             batch = records[start : start + HAND_OVER_BATCH]
             reply = await self.runtime.client.hand_over(
-                row.host,
-                row.control_port,
-                receiver=row.name,
+                peer.host,
+                peer.control_port,
+                receiver=peer.instance,
                 request=peers.HandOverRequest(
                     agent=self.instance,
                     service=self.service,
@@ -244,9 +309,9 @@
                 ),
             )
             if isinstance(reply, peers.Unreachable) or not reply.kept:
-                logging.warning('%s took no records', row.name)
+                logging.warning('%s took no records', peer.instance)
                 return False
-        logging.info('handed %d records to %s', len(records), row.name)
+        logging.info('handed %d records to %s', len(records), peer.instance)
         return True
 
 
--- a/marigoldramp/executions.py
+++ b/marigoldramp/executions.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import math
 from typing import AsyncIterator
 
 import anyio
@@ -29,6 +30,7 @@
     :ivar status: HTTP status of the answer, 0 before it has begun.
     :ivar refusal: how the call ended without a whole answer.
     :ivar scope: cancelling it ends the call's work at the endpoint.
+    :ivar deadline: end of the call by the agent's clock.
     :ivar window: bytes that are kept behind the fastest reader.
     :ivar given_up: the caller has gone; the work ends with the last reader.
     """
@@ -40,6 +42,7 @@
         'headers',
         'refusal',
         'scope',
+        'deadline',
         'window',
         'readers',
         'given_up',
@@ -58,6 +61,7 @@
         self.headers: asgi.Headers = []
         self.refusal: outcomes.Refusal | None = None
         self.scope = anyio.CancelScope()
+        self.deadline = math.inf
         self.window = window
         self.readers = 0
         self.given_up = False
--- a/marigoldramp/executor.py
+++ b/marigoldramp/executor.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 from typing import Callable
 
 import anyio
@@ -27,6 +28,8 @@
 #: Headers of a caller that the endpoint does not get.
 _CALLER_ONLY = frozenset({b'authorization', b'host', b'content-length'})
 
+MILLISECONDS = 1000.0
+
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Call:
@@ -110,6 +113,20 @@
             return self._attach_idempotent(call)
         return self._attach_recorded(call)
 
+    def slack(self) -> float:
+        """Return the seconds by which every running call can be delayed.
+
+        What a call still needs is not known; the smoothed service time of
+        the endpoint stands for it, which is too much for most.
+        """
+        needed = self._queue.load().service_ms / MILLISECONDS
+        ends = [
+            execution.deadline
+            for execution in self._calls.values()
+            if execution.state is executions.State.RUNNING
+        ]
+        return min(ends, default=math.inf) - self._clock() - needed
+
     def knows(self, call: Call) -> executions.Execution | None:
         """Return the execution to which a call would attach, if any."""
         if call.head.idempotent:
@@ -236,6 +253,7 @@
     ) -> None:
         if self._group is None:
             raise RuntimeError('the executor has not been started')
+        execution.deadline = call.deadline
         self._calls[name] = execution
         self._group.start_soon(self._run, call, execution, name)
 
--- /dev/null
+++ b/marigoldramp/layer_moves.py
@@ -0,0 +1,211 @@
+"""Search for moves of experts within one layer.
+
+Two kinds of move lower the load of the most loaded rank: a *replacement*
+puts a replica of an expert in the place of an expert that other ranks hold
+as well (one load of weights), and a *swap* exchanges two experts (two loads).
+Each is judged by what it does to the loads of the ranks that it touches.
+"""
+
+import dataclasses
+from typing import Iterator
+from typing import Sequence
+
+from . import expert_maps
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Replacement:
+    """Rank ``rank`` drops ``old`` (``None``: a free slot), loads ``new``."""
+
+    rank: int
+    old: int | None
+    new: int
+
+    loads = 1
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Swap:
+    """Ranks exchange ``first_expert`` and ``second_expert``."""
+
+    first: int
+    first_expert: int
+    second: int
+    second_expert: int
+
+    loads = 2
+
+
+Move = Replacement | Swap
+
+
+class LayerSearch:
+    """The state of one layer while moves are sought.
+
+    :param popularity: load of each expert, in any unit.
+    :param slots: experts that a rank can hold.
+    """
+
+    __slots__ = ('_slots', '_ranks', '_popularity', '_holders', 'loads')
+
+    def __init__(
+        self,
+        *,
+        layer: expert_maps.Layer,
+        popularity: Sequence[float],
+        slots: int,
+    ) -> None:
+        self._slots = slots
+        self._ranks = [list(held) for held in layer]
+        self._popularity = popularity
+        self._holders: list[set[int]] = [set() for _ in popularity]
+        for rank, held in enumerate(layer):
+            for expert in held:
+                self._holders[expert].add(rank)
+        self.loads = expert_maps.rank_loads(layer=layer, popularity=popularity)
+
+    @property
+    def skew(self) -> float:
+        """Return the largest rank load over the mean."""
+        return expert_maps.skew(self.loads)
+
+    def layer(self) -> expert_maps.Layer:
+        """Return the layer with all moves made."""
+        return tuple(tuple(sorted(held)) for held in self._ranks)
+
+    def find(self) -> Move | None:
+        """Return the move that lowers the excess load most, per load.
+
+        Excess is the sum of squares of what ranks carry above the mean: it
+        falls also when one of several equally loaded ranks is relieved, at
+        which the largest load itself does not change yet.
+        """
+        order = sorted(range(len(self.loads)), key=self.loads.__getitem__)
+        hot = order[-1]
+        mean = sum(self.loads) / len(self.loads)
+        best: Move | None = None
+        best_gain = 0.0
+        for move in self.candidates(hot, order[:-1]):
+            gain = self._judge(move, hot, mean) / move.loads
+            if gain > best_gain:
+                best = move
+                best_gain = gain
+        return best
+
+    def candidates(self, hot: int, others: Sequence[int]) -> Iterator[Move]:
+        for rank in others:
+            for expert in self._ranks[hot]:
+                if rank not in self._holders[expert]:
+                    yield from self._pair(hot, expert, rank)
+        yield from self._lighten(hot)
+
+    def _pair(self, hot: int, expert: int, rank: int) -> Iterator[Move]:
+        if len(self._ranks[rank]) < self._slots:
+            yield Replacement(rank=rank, old=None, new=expert)
+        for other in self._ranks[rank]:
+            if len(self._holders[other]) > 1:
+                yield Replacement(rank=rank, old=other, new=expert)
+            if hot not in self._holders[other]:
+                yield Swap(
+                    first=hot,
+                    first_expert=expert,
+                    second=rank,
+                    second_expert=other,
+                )
+
+    def _lighten(self, hot: int) -> Iterator[Move]:
+        """Let the hot rank give up a replica for the coldest expert."""
+        dropped = [
+            expert
+            for expert in self._ranks[hot]
+            if len(self._holders[expert]) > 1
+        ]
+        if not dropped:
+            return
+        coldest = min(
+            (
+                expert
+                for expert, holders in enumerate(self._holders)
+                if hot not in holders
+            ),
+            key=lambda one: self._popularity[one]
+            / (len(self._holders[one]) + 1),
+            default=None,
+        )
+        if coldest is not None:
+            for expert in dropped:
+                yield Replacement(rank=hot, old=expert, new=coldest)
+
+    def changes(self, move: Move) -> dict[int, float]:
+        """Return by how much a move changes the load of each rank."""
+        changes: dict[int, float] = {}
+        match move:
+            case Replacement(rank=rank, old=old, new=new):
+                self._add_holder(changes, new, rank)
+                if old is not None:
+                    self._drop_holder(changes, old, rank)
+            case Swap():
+                first = self._share(move.first_expert)
+                second = self._share(move.second_expert)
+                changes[move.first] = second - first
+                changes[move.second] = first - second
+        return changes
+
+    def _share(self, expert: int) -> float:
+        return self._popularity[expert] / len(self._holders[expert])
+
+    def _add_holder(
+        self, changes: dict[int, float], expert: int, rank: int
+    ) -> None:
+        holders = self._holders[expert]
+        share = self._popularity[expert] / (len(holders) + 1)
+        less = share - self._share(expert)
+        for holder in holders:
+            changes[holder] = changes.get(holder, 0.0) + less
+        changes[rank] = changes.get(rank, 0.0) + share
+
+    def _drop_holder(
+        self, changes: dict[int, float], expert: int, rank: int
+    ) -> None:
+        holders = self._holders[expert]
+        share = self._share(expert)
+        more = self._popularity[expert] / (len(holders) - 1) - share
+        for holder in holders:
+            if holder != rank:
+                changes[holder] = changes.get(holder, 0.0) + more
+        changes[rank] = changes.get(rank, 0.0) - share
+
+    def _judge(self, move: Move, hot: int, mean: float) -> float:
+        """Return how much excess a move removes; negative is worse."""
+        gain = 0.0
+        limit = self.loads[hot]
+        for rank, change in self.changes(move).items():
+            load = self.loads[rank]
+            after = load + change
+            if rank != hot and after >= limit:
+                return -1.0
+            gain += max(load - mean, 0.0) ** 2 - max(after - mean, 0.0) ** 2
+        return gain
+
+    def apply(self, move: Move) -> None:
+        """Make a move."""
+        for rank, change in self.changes(move).items():
+            self.loads[rank] += change
+        match move:
+            case Replacement(rank=rank, old=old, new=new):
+                if old is not None:
+                    self._take_away(rank, old)
+                self._give(rank, new)
+            case Swap():
+                self._take_away(move.first, move.first_expert)
+                self._take_away(move.second, move.second_expert)
+                self._give(move.first, move.second_expert)
+                self._give(move.second, move.first_expert)
+
+    def _give(self, rank: int, expert: int) -> None:
+        self._ranks[rank].append(expert)
+        self._holders[expert].add(rank)
+
+    def _take_away(self, rank: int, expert: int) -> None:
+        self._ranks[rank].remove(expert)
+        self._holders[expert].discard(rank)
--- a/marigoldramp/map_orders.py
+++ b/marigoldramp/map_orders.py
@@ -13,12 +13,19 @@
 import msgspec
 
 from . import expert_maps
+from . import popularity
 
 
 class Ask(msgspec.Struct, frozen=True, array_like=True, kw_only=True, tag='q'):
     """Report fence and state; changes nothing and needs no fence."""
 
 
+class Count(
+    msgspec.Struct, frozen=True, array_like=True, kw_only=True, tag='n'
+):
+    """Send what the ranks have counted; changes nothing, needs no fence."""
+
+
 class Inspect(
     msgspec.Struct, frozen=True, array_like=True, kw_only=True, tag='i'
 ):
@@ -92,6 +99,7 @@
 
 Body = (
     Ask
+    | Count
     | Inspect
     | Confirm
     | Fetch
@@ -159,6 +167,7 @@
     :ivar fence: the highest fence that the agent knows, 0 for none yet.
     :ivar states: all ranks of the agent whose engine answered.
     :ivar expert_map: the answer to ``Fetch``.
+    :ivar reports: the answer to ``Count``, one a rank.
     """
 
     refusal: Refusal
@@ -166,6 +175,7 @@
     incarnation: int
     states: tuple[RankState, ...] = ()
     expert_map: expert_maps.ExpertMap | None = None
+    reports: tuple[popularity.Report, ...] = ()
 
     @property
     def accepted(self) -> bool:
--- a/marigoldramp/map_ranks.py
+++ b/marigoldramp/map_ranks.py
@@ -16,6 +16,7 @@
 
 from . import expert_maps
 from . import map_orders
+from . import popularity
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -47,6 +48,10 @@
     ) -> expert_maps.ExpertMap | None:
         """Return a map that the rank uses or has loaded."""
 
+    async def fetch_report(self) -> popularity.Report | None:
+        """Return what the rank has counted since it was last asked."""
+        return None
+
     @abc.abstractmethod
     async def prepare(
         self, *, fence: int, expert_map: expert_maps.ExpertMap
--- a/marigoldramp/rank_groups.py
+++ b/marigoldramp/rank_groups.py
@@ -9,17 +9,18 @@
 from typing import Mapping
 from typing import Sequence
 
+import anyio
 import msgspec
 
 from . import bundle
 from . import expert_maps
 from . import leases
-from . import map_conversation
 from . import map_fences
 from . import map_leader
 from . import map_orders
 from . import map_ranks
 from . import peers
+from . import planner
 from . import rendezvous
 from . import store as store_module
 
@@ -132,6 +133,8 @@
     ) -> None:
         self._name = name
         self._instance = instance
+        self._incarnation = incarnation
+        self._engines = dict(engines)
         self._platform = platform
         self._listed = listed
         self._clock = clock
@@ -147,7 +150,7 @@
         )
 
     async def lead(
-        self, *, group: bundle.Group, planner: map_leader.Planner
+        self, *, group: bundle.Group, plans: map_leader.Planner
     ) -> None:
         """Lead the group whenever the lease is this agent's."""
         self.leader = map_leader.Leader(
@@ -163,7 +166,7 @@
             transport=self._transport,
             lease=self._make_lease(),
             renew_seconds=RENEW_SECONDS,
-            planner=planner,
+            planner=plans,
             clock=self._clock,
             pace=self._pace,
         )
@@ -188,7 +191,10 @@
         except msgspec.MsgspecError:
             reason = map_orders.Refusal.MALFORMED
             return peers.MapReply(accepted=False, reason=reason)
-        reply = await self.ranks.handle(decoded)
+        if isinstance(decoded.body, map_orders.Count):
+            reply = await self._count()
+        else:
+            reply = await self.ranks.handle(decoded)
         return peers.MapReply(
             accepted=reply.accepted,
             fence=reply.fence,
@@ -196,6 +202,44 @@
             state=msgspec.msgpack.encode(reply),
         )
 
+    async def _count(self) -> map_orders.Reply:
+        """Return what the ranks beside this agent have counted."""
+        reports = [await one.fetch_report() for one in self._engines.values()]
+        return map_orders.Reply(
+            refusal=map_orders.Refusal.NONE,
+            fence=self.ranks.fence or 0,
+            incarnation=self._incarnation,
+            reports=tuple(one for one in reports if one is not None),
+        )
+
+    async def collect(self) -> tuple[planner.AgentReports, ...]:
+        """Ask every agent of the group what its ranks have counted.
+
+        An agent that does not answer is left out; the estimate goes on
+        without it.
+        """
+        collected: list[planner.AgentReports] = []
+
+        async def ask(agent: str) -> None:
+            order = map_orders.Order(
+                group=self._name,
+                leader=self._instance,
+                fence=0,
+                incarnation=0,
+                sequence=0,
+                body=map_orders.Count(),
+            )
+            reply = await self._transport.order(rank_agent=agent, order=order)
+            if isinstance(reply, map_orders.Reply):
+                collected.append(
+                    planner.AgentReports(agent=agent, reports=reply.reports)
+                )
+
+        async with anyio.create_task_group() as tasks:
+            for agent in self.agents():
+                tasks.start_soon(ask, agent)
+        return tuple(sorted(collected, key=lambda one: one.agent))
+
     def agents(self) -> Sequence[str]:
         """Return the names of the agents that carry the group."""
         return [row.name for row in self._listed() if row.group == self._name]
@@ -239,19 +283,3 @@
                 return 0
             case store_module.Unavailable():
                 return None
-
-
-class StayPlanner:
-    """Plans nothing; for a group whose policy never moves experts."""
-
-    async def plan(
-        self,
-        *,
-        expert_map: expert_maps.ExpertMap,
-        conversation: map_conversation.Conversation,
-    ) -> map_leader.Plan | None:
-        """Want no change."""
-        return None
-
-    def ended(self, *, plan: map_leader.Plan, done: bool) -> None:
-        """Take note of nothing."""
--- a/marigoldramp_standins/demo_fleet.py
+++ b/marigoldramp_standins/demo_fleet.py
@@ -69,7 +69,8 @@
     async def start(self, *, entries: int) -> None:
         """Start everything and return when it is ready."""
         self._say(
-            'Starting the platform, two engines, a rank group and two services ...'
+            'Starting the platform, two engines, a rank group and two '
+            'services ...'
         )
         await self._start_standins()
         self._nodes = self._lay_out(entries)
--- a/marigoldramp_standins/group_engine.py
+++ b/marigoldramp_standins/group_engine.py
@@ -16,6 +16,7 @@
 from marigoldramp import map_ranks
 from marigoldramp import rank_engines
 
+from . import counts as counts_module
 from . import group as groups
 from . import web
 
@@ -37,8 +38,17 @@
 class GroupEngine:
     """HTTP form of a stand-in group."""
 
-    def __init__(self, *, group: groups.Group, step_seconds: float) -> None:
+    def __init__(
+        self,
+        *,
+        group: groups.Group,
+        step_seconds: float,
+        counts: counts_module.Counts | None = None,
+    ) -> None:
         self.group = group
+        self._counts = counts or counts_module.Counts(
+            layers=1, experts=1, seed=0
+        )
         self._engines = group.engines()
         self._step_seconds = step_seconds
 
@@ -57,6 +67,8 @@
             case ('GET', 'ranks', rank):
                 answer = await self._engines[int(rank)].state()
                 await _answer(exchange, answer)
+            case ('GET', 'ranks', rank, 'report'):
+                await self._send_report(exchange, int(rank))
             case ('GET', 'ranks', rank, 'maps', version):
                 await self._send_map(exchange, int(rank), version)
             case ('POST', 'ranks', rank, verb):
@@ -75,6 +87,18 @@
             versions=sorted(str(one) for one in self.group.versions()),
         )
 
+    async def _send_report(self, exchange: web.Exchange, rank: int) -> None:
+        state = self.group.ranks[rank]
+        if state.schedule is None or not state.alive:
+            await exchange.refuse(status=404, error='the rank has no map')
+            return
+        report = self._counts.report(
+            rank=rank,
+            steps=state.entered,
+            in_force=state.maps[state.schedule.in_force],
+        )
+        await exchange.answer_json(report)
+
     async def _send_map(
         self, exchange: web.Exchange, rank: int, version: str
     ) -> None:
@@ -149,12 +173,18 @@
     parser.add_argument('--host', default=web.HOST)
     parser.add_argument('--port', type=int, default=0)
     parser.add_argument('--ranks', type=int, default=8)
+    parser.add_argument('--experts', type=int, default=32)
+    parser.add_argument('--layers', type=int, default=4)
+    parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--step-seconds', type=float, default=0.02)
     parser.add_argument('--load-seconds', type=float, default=0.05)
     flags = parser.parse_args()
     engine = GroupEngine(
         group=groups.Group(ranks=flags.ranks, load_seconds=flags.load_seconds),
         step_seconds=flags.step_seconds,
+        counts=counts_module.Counts(
+            layers=flags.layers, experts=flags.experts, seed=flags.seed
+        ),
     )
 
     async def run() -> None:
--- a/tests/test_rank_groups.py
+++ b/tests/test_rank_groups.py
@@ -116,7 +116,7 @@
                 made = make_group(name, client, platform, port)
 
                 async def lead(made=made):
-                    await made.lead(group=GROUP, planner=planner)
+                    await made.lead(group=GROUP, plans=planner)
 
                 tasks.start_soon(lead)
             await until(lambda: planner.done is not None)
