Stay with an agent while it is being verified

Cause: a call that got no byte for a second has its agent verified, and while that runs the agent counts as suspect; every other call of that agent that was silent in the same moment left it, was tried again on the retry budget or ended in connection_lost, with its work still running. Under load, with first tokens after more than a second, healthy endpoints lost calls so. The verdict comes in less than the next silence, so such a call now waits for it; an agent that is dead is left at that look.

The test of the five states fails for suspect before and passes now. Ruled out: the engine and the agent, which answered every call; a longer silence, which only moves the point.

--- a/marigoldramp/deliveries.py
+++ b/marigoldramp/deliveries.py
@@ -37,8 +37,15 @@
 #: Longest time that is spent on telling an agent that a caller has gone.
 GIVE_UP_SECONDS = 0.5
 TOKEN_MARK = b'data:'
-#: States of an agent that is likely to be at work on a silent call.
-_WORTH_WAITING = frozenset({membership.State.ALIVE, membership.State.SILENT})
+#: States of an agent that is likely to be at work on a silent call.  One
+#: that is just being verified counts: its verdict comes before the next look.
+_WORTH_WAITING = frozenset(
+    {
+        membership.State.ALIVE,
+        membership.State.SILENT,
+        membership.State.SUSPECT,
+    }
+)
 _R = outcomes.Reason
 #: Refusals that speak for one attempt only: the process that gave them has
 #: noted nothing about the call, so others of its attempts may still run.
