Correct load reports by own sends and observed waits

Now an endpoint is ranked by the agent's forecast, what this entry has in flight beyond the report, how far its slots are taken, how much longer own calls took than promised (beyond what chance explains, fading), and doubt: overdue calls without an answer since, missing reports, failures in a row.

--- a/marigoldramp/estimates.py
+++ b/marigoldramp/estimates.py
@@ -83,6 +83,11 @@
         value = known.value + deviations * known.deviation
         return value * known.fresh(now=self._clock())
 
+    def deviation(self, *, priority: int, size: float) -> float:
+        """Return the mean deviation of the seconds."""
+        known = self._classes.get(_class_of(priority=priority, size=size))
+        return 0.0 if known is None else known.deviation
+
 
 def _class_of(*, priority: int, size: float) -> int:
     bits = int(max(0.0, size)).bit_length()
--- a/marigoldramp_measure/fakes.py
+++ b/marigoldramp_measure/fakes.py
@@ -75,12 +75,14 @@
 
     :ivar factor: its engine takes so many times as long.
     :ivar dead: it takes calls and sends nothing any more.
+    :ivar mute: calls to it and their answers are lost, its reports are not.
     :ivar lies_low: it reports no load and a fast engine.
     :ivar delay: its reports arrive so much later.
     """
 
     factor: float = 1.0
     dead: bool = False
+    mute: bool = False
     lies_low: bool = False
     delay: float = 0.0
 
@@ -125,7 +127,7 @@
         """Take one attempt, as an agent would."""
         await anyio.sleep(NETWORK_SECONDS)
         self.received += 1
-        if self.faults.dead:
+        if self.faults.dead or self.faults.mute:
             await anyio.sleep_forever()
         slot = await self.queue.enter(
             waiting=admission.Waiting(
--- a/marigoldramp_measure/tables.py
+++ b/marigoldramp_measure/tables.py
@@ -2,9 +2,13 @@
 
 import csv
 import dataclasses
+import math
 import pathlib
 from typing import Any
 from typing import Sequence
+from typing import TypeVar
+
+R = TypeVar('R', bound=Any)
 
 
 def write(*, rows: Sequence[Any], path: pathlib.Path) -> None:
@@ -30,6 +34,17 @@
     return str(value)
 
 
+def average(rows: Sequence[R]) -> R:
+    """Return the rows' mean; texts are those of the first."""
+    means = {}
+    for field in dataclasses.fields(rows[0]):
+        values = [getattr(row, field.name) for row in rows]
+        if not isinstance(values[0], str):
+            known = [value for value in values if not math.isnan(value)]
+            means[field.name] = sum(known) / len(known) if known else math.nan
+    return dataclasses.replace(rows[0], **means)
+
+
 def quantile(values: Sequence[float], share: float) -> float:
     """Return a quantile by the nearest rank; NaN of nothing."""
     if not values:
--- a/marigoldrampplug/two_choices.py
+++ b/marigoldrampplug/two_choices.py
@@ -1,4 +1,4 @@
-"""Two choices by estimated wait."""
+"""Two choices by estimated end."""
 
 import random as random_module
 from typing import Sequence
@@ -7,7 +7,7 @@
 
 
 class TwoChoices(routing.RoutingPolicy):
-    """Draws two endpoints and takes the one with the shorter wait.
+    """Draws two endpoints and takes the one that ranks first.
 
     Taking the best of all would send every entry to the same endpoint until
     the next report; drawing two spreads them.
@@ -22,4 +22,4 @@
     ) -> routing.Option:
         """Return the better of two options drawn at random."""
         drawn = random.sample(options, min(2, len(options)))
-        return min(drawn, key=lambda option: option.wait)
+        return min(drawn, key=lambda option: option.rank)
