Remember customers' shares while the live entries stay

Cause: each call ranked all live entries by hash, twice, to find its customer's share. Measured: 18 us a time at 8 entries, 1,743 us at 350, so at the two-year size a call would spend 3.5 ms of an entry's processor on this alone. Remembered by customer, and looked at again four times a second: 1.3 us at 8 and 1.4 us at 350.

Ruled out: a faster hash, as the work would still grow with the fleet. Shares follow a death of an entry within a quarter of a second and a change of the bundle at once; both are tests.

--- a/marigoldramp/calls.py
+++ b/marigoldramp/calls.py
@@ -70,7 +70,12 @@
         self._keys = keys
         self._settings = settings
         self._metrics = metrics
-        self._live_entries = live_entries
+        self._shares = shares.Shares(
+            entry=tools.instance,
+            live_entries=live_entries,
+            clock=tools.clock,
+            most=settings.customers,
+        )
         self._budgets: dict[str, retries.Budget] = {}
         self._routes: routes.RouteTable | None = None
         self._routes_number = 0
@@ -326,11 +331,7 @@
         return self._routes
 
     def _share(self, customer: bundle.Customer) -> float:
-        return shares.equal_share(
-            customer=customer,
-            entry=self._tools.instance,
-            live_entries=self._live_entries(),
-        )
+        return self._shares.find(customer)
 
     # From an intake to a delivery
 
