Take the demo's ports from below the range of outgoing connections

Cause, seen when two fleets started while other tests ran: a port that was free when it was looked up went to some outgoing connection before its process listened, and the process ended with "Address already in use"; four of eight starts failed so within a minute. Ports now come from 20000 to 32000, below the system's range of 32768 to 60999. Ruled out: keeping the sockets open until the start, as the programs take no sockets from a parent. After the change six of six starts came up; tests/test_demo.py passes (17).

--- a/marigoldramp_standins/processes.py
+++ b/marigoldramp_standins/processes.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -13,6 +14,7 @@
 import anyio.abc
 
 LOG_TAIL_LINES = 15
+PORTS = range(20000, 32000)
 
 
 class Failed(Exception):
@@ -153,15 +155,20 @@
 
 
 def find_free_port(*, host: str) -> int:
-    """Return a port that is free for TCP and UDP at this moment."""
+    """Return a port that is free for TCP and UDP at this moment.
+
+    It is taken from below the range out of which the system serves outgoing
+    connections: one of those could else get it before the process that it
+    is meant for listens, which then ends with "address already in use".
+    """
     while True:
+        port = random.choice(PORTS)
         with (
             socket.socket(type=socket.SOCK_STREAM) as stream,
             socket.socket(type=socket.SOCK_DGRAM) as datagram,
         ):
-            stream.bind((host, 0))
-            port: int = stream.getsockname()[1]
             try:
+                stream.bind((host, port))
                 datagram.bind((host, port))
             except OSError:
                 continue
