--- a/marigoldramp/agent_calls.py
+++ b/marigoldramp/agent_calls.py
@@ -62,6 +62,11 @@
         self._closed = False
         self.ready = False
 
+    @property
+    def closed(self) -> bool:
+        """Whether no new call is taken any more."""
+        return self._closed
+
     def close(self) -> None:
         """Take no new call from now on; retries and readers still come."""
         self._closed = True
--- a/marigoldramp/runtime.py
+++ b/marigoldramp/runtime.py
@@ -216,11 +216,12 @@
         )
         self._show_gauges()
         self.program.start(self, group)
+        # Calls that the first heartbeat brings would wait in vain without it.
+        group.start_soon(self.server.run)
         await self.members.start(group)
         await steps.reach(steps.Step.START_LISTENING, self.settings.instance)
         group.start_soon(self._poll_instances)
         group.start_soon(self.config.run)
-        group.start_soon(self.server.run)
         group.start_soon(self._await_bundle)
 
     async def _await_bundle(self) -> None:
@@ -336,9 +337,8 @@
 
     def list_alarms(self) -> list[status.Alarm]:
         """Return what an operator should look at."""
-        common = self._alarms.show(
-            bundle=self.config.number, found=self.config.findings
-        )
+        found = self.config.findings
+        common = self._alarms.show(bundle=self.config.number, found=found)
         return [*common, *self.program.alarms()]
 
     def _show_gauges(self) -> None:
--- a/tests/process_site.py
+++ b/tests/process_site.py
@@ -147,6 +147,8 @@
 class Site:
     """Processes of one test; :func:`run` makes one and ends it."""
 
+    membership = {'heartbeat': 0.2, 'suspect_after': 0.7}
+
     def __init__(self, folder, stack):
         self.folder = folder
         self.stack = stack
@@ -212,11 +214,7 @@
                 'fleet_key': 'env:PROCESS_SITE_KEY',
                 'operators': security.operators,
             },
-            'membership': {
-                'heartbeat': 0.2,
-                'suspect_after': 0.7,
-                'seeds': list(seeds),
-            },
+            'membership': {**self.membership, 'seeds': list(seeds)},
             role: own,
         }
         path = self.folder / f'{name}.yaml'
