Test calls in flight and the announcement during a stop

Server and peers make good for much: the server itself waits for its requests, and an agent that has closed refuses. What was not looked at: a non-idempotent call that runs when the records are handed over, and calls during the linger time.

Ruled out: timing the announcement, as its end is a step.

--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -59,6 +59,8 @@
     site.instances.lag = 1e9
 
 
+#: Faults that keep no peer from hearing of a stop.
+MILD = (do_nothing, stop_store, lag_list)
 FAULTS = (do_nothing, kill, stop_store, cut_peer, freeze_peer, lag_list)
 AGENT_LEAVES = (
     S.DRAIN_STARTED,
@@ -91,12 +93,21 @@
 
 
 async def use_keys(site, agent):
-    """Use one key of an agent and return it, with one that stays unused."""
+    """Use one key of an agent and return it, with two unused ones."""
     entry = site.nodes['entry-1']
-    used, unused, *_ = (await site.keys_by_agent(entry))[agent.name]
+    used, unused, long, *_ = (await site.keys_by_agent(entry))[agent.name]
     ran = await site.call(entry, 'POST', '/orders/x', key=used)
     assert ran.body == b'x ran'
-    return used, unused
+    return used, unused, long
+
+
+async def order(site, entry, key):
+    """Give an order that the endpoint holds; the caller goes at the end."""
+    return await site.call(entry, 'POST', '/orders/held-z', key=key)
+
+
+async def has_run(node, name):
+    return node.endpoint.runs[name] > 0
 
 
 @pytest.mark.parametrize('fault', FAULTS, ids=lambda f: f.__name__)
@@ -112,7 +123,9 @@
         entries = [site.nodes['entry-1'], site.nodes['entry-2']]
         async with site.open_stream(entries[0], 'held') as stream:
             leaving = site.find_runner('held')
-            used, unused = await use_keys(site, leaving)
+            used, unused, long = await use_keys(site, leaving)
+            site.group.start_soon(order, site, entries[0], long)
+            await process_site.until(lambda: has_run(leaving, 'held-z'))
             site.at(leaving.name, step, fault)
             leaving.process.runtime.request_stop()
             if step in LATE:
@@ -120,6 +133,9 @@
             await site.until_landed()
             if fault is not kill:
                 await get_pages(site, entries[:1], 'during', 4)
+            if step is S.DRAIN_ANNOUNCED and fault in MILD:
+                await get_pages(site, entries, 'announced', 10)
+                assert leaving.endpoint.runs['announced'] == 0
             site.let_go.set()
             killed = fault is kill and step not in LATE
             if not killed:
@@ -138,12 +154,16 @@
         for entry in entries:
             again = await site.call(entry, 'POST', '/orders/x', key=used)
             barred = await site.call(entry, 'POST', '/orders/y', key=unused)
+            ended = await order(site, entry, long)
             if handed_over:
                 assert again.body == b'x ran'
+                assert ended.body == b'held-z ran'
                 assert isinstance(barred.refusal, outcomes.NotRun)
             else:
                 assert isinstance(again.refusal, outcomes.OutcomeUnknown)
+                assert isinstance(ended.refusal, outcomes.OutcomeUnknown)
         assert site.count_runs('x') == 1 and not site.count_runs('y')
+        assert site.count_runs('held-z') == 1
 
 
 @pytest.mark.parametrize('fault', FAULTS, ids=lambda f: f.__name__)
@@ -170,6 +190,8 @@
                 told = await site.addresses(leaving)
                 assert leaving.address not in told
                 assert await site.read_ready(leaving) == 503
+            if step is S.DRAIN_ANNOUNCED and fault in MILD:
+                assert await site.addresses(other) == [other.address]
             if fault is freeze_peer:
                 await thaw_peer(site, leaving)
             await get_pages(site, [other], 'during', 4)
