--- a/tests/test_measure_path.py
+++ b/tests/test_measure_path.py
@@ -8,6 +8,7 @@
 
 from marigoldramp_measure import memory
 from marigoldramp_measure import path
+from marigoldramp_measure import slopes
 from marigoldramp_measure import usage
 
 FLOATS = strategies.floats(min_value=-1e3, max_value=1e3)
@@ -74,3 +75,18 @@
     growth = memory.find_growth(points)
     assert growth.kibibytes == pytest.approx(2.0)
     assert (growth.points, growth.largest) == (3, 40)
+
+
+def test_points_of_one_name_make_one_line():
+    points = [
+        slopes.Point(what=name, x=x, value=value, load=0.0)
+        for name, x, value in (
+            ('a', 1.0, 2.0),
+            ('b', 0.0, 5.0),
+            ('a', 3.0, 8.0),
+            ('b', 2.0, 5.0),
+        )
+    ]
+    lines = slopes.draw_lines(points)
+    assert [one.what for one in lines] == ['a', 'b']
+    assert [one.slope for one in lines] == pytest.approx([3.0, 0.0])
