--- a/marigoldramp/runtime.py
+++ b/marigoldramp/runtime.py
@@ -345,7 +345,6 @@
         """Put the state of the process on the metrics page."""
         self.metrics.gauge('bundle', lambda: self.config.number)
         self.metrics.gauge('calls_in_flight', self.program.in_flight)
-        self.metrics.gauge('ready', lambda: self.ready and not self.leaving)
         self.metrics.gauge('alarms', lambda: self.watch.count)
 
     def describe(self) -> status.Status:
