--- a/marigoldramp/predecessors.py
+++ b/marigoldramp/predecessors.py
@@ -128,8 +128,9 @@
         for record in handed_over:
             if self._held >= self._most:
                 return False
+            # A hand-over whose reply was lost comes twice.
+            self._held += record.digest not in found.answers
             found.answers[record.digest] = record.answer
-            self._held += 1
         found.complete = found.complete or complete
         return True
 
