Split reading a request and answering a caller from calls

Reading a request stands in intakes.py, what a caller has been sent in caller_answers.py, and both claims share one write. Ruled out: a mix-in, which would hide what a delivery still knows.

--- a/marigoldramp/calls.py
+++ b/marigoldramp/calls.py
@@ -1,6 +1,5 @@
 """The entry's side of a call, from the caller's request to its answer."""
 
-import dataclasses
 import functools
 import secrets
 from typing import Any
@@ -16,6 +15,7 @@
 from . import configuration
 from . import deliveries
 from . import endpoint_kinds
+from . import intakes
 from . import keys
 from . import limits
 from . import logs
@@ -34,19 +34,6 @@
 MOST_OWN_KEYS = 3
 
 
-@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
-class Intake:
-    """A request that is whole, known and allowed, but not yet admitted."""
-
-    call: str
-    customer: bundle.Customer
-    matched: routes.Matched
-    wishes: callers.Wishes
-    request: asgi.Request
-    body: bytes
-    deadline: float
-
-
 class Calls:
     """ASGI application that serves callers' calls.
 
@@ -77,8 +64,12 @@
             most=settings.customers,
         )
         self._budgets: dict[str, retries.Budget] = {}
-        self._routes: routes.RouteTable | None = None
-        self._routes_number = 0
+        self._reader = intakes.Reader(
+            config=config,
+            shares=self._shares,
+            settings=settings,
+            clock=tools.clock,
+        )
         self.in_flight = 0
         self.closed = False
 
@@ -108,7 +99,7 @@
 
     async def _admit(
         self,
-        intake: Intake,
+        intake: intakes.Intake,
         receive: asgi.Receive,
         send: asgi.Send,
         begun: float,
@@ -129,7 +120,9 @@
             await self._deliver(delivery, bound, grant, receive, begun)
         finally:
             if isinstance(grant, limits.Grant):
-                self._limits.release(grant=grant, tokens_used=delivery.tokens)
+                self._limits.release(
+                    grant=grant, tokens_used=delivery.answer.tokens
+                )
 
     async def _deliver(
         self,
@@ -154,7 +147,7 @@
                 if limit.cancelled_caught:
                     refusal = delivery.describe_deadline()
                 if refusal is not None:
-                    await delivery.refuse(refusal)
+                    await delivery.answer.refuse(refusal)
                 group.cancel_scope.cancel()
         if gone.cancelled_caught:
             if not delivery.admitted.wishes.resumable:
@@ -256,10 +249,7 @@
         call: str,
         scope: MutableMapping[str, Any],
         receive: asgi.Receive,
-    ) -> Intake | outcomes.NotRun:
-        table = self.find_routes()
-        if table is None:
-            return describe_no_bundle()
+    ) -> intakes.Intake | outcomes.NotRun:
         if self.in_flight > self._settings.calls:
             return outcomes.NotRun(
                 reason=outcomes.Reason.QUEUE_FULL,
@@ -272,70 +262,18 @@
                 detail='this entry is stopping; use another address',
                 retry_after=0.0,
             )
-        request = asgi.read_head(scope)
-        customer = callers.identify(request=request, config=self._config)
-        if isinstance(customer, outcomes.NotRun):
-            return customer
-        body = await asgi.read_body(
-            receive=receive,
-            limit=self._settings.body_bytes,
-            seconds=self._settings.body_timeout,
-        )
-        if isinstance(body, outcomes.NotRun):
-            return body
-        return self._match(call, table, customer, request, body)
-
-    def _match(
-        self,
-        call: str,
-        table: routes.RouteTable,
-        customer: bundle.Customer,
-        request: asgi.Request,
-        body: bytes,
-    ) -> Intake | outcomes.NotRun:
-        matched = table.match(request=request, body=body)
-        if isinstance(matched, outcomes.NotRun):
-            return matched
-        if matched.service.name not in customer.services:
-            return outcomes.NotRun(
-                reason=outcomes.Reason.NOT_ALLOWED,
-                detail=f'the key may not call {matched.service.name}',
-            )
-        if self._share(customer) == 0.0:
-            return outcomes.NotRun(
-                reason=outcomes.Reason.WRONG_INSTANCE,
-                detail='ask for addresses; other entries serve this key',
-                retry_after=0.0,
-            )
-        wishes = callers.read_wishes(request=request, route=matched.route)
-        if isinstance(wishes, outcomes.NotRun):
-            return wishes
-        return Intake(
-            call=call,
-            customer=customer,
-            matched=matched,
-            wishes=wishes,
-            request=request,
-            body=body,
-            deadline=self._tools.clock() + wishes.seconds,
-        )
+        return await self._reader.read(call=call, scope=scope, receive=receive)
 
     def find_routes(self) -> routes.RouteTable | None:
-        """Return the routes of the bundle in force, made once for each."""
-        in_force = self._config.in_force
-        if in_force is None:
-            return None
-        if self._routes is None or self._routes_number != in_force.number:
-            self._routes = routes.RouteTable(config=in_force)
-            self._routes_number = in_force.number
-        return self._routes
+        """Return the routes of the bundle in force, ``None`` without one."""
+        return self._reader.find_routes()
 
     def _share(self, customer: bundle.Customer) -> float:
         return self._shares.find(customer)
 
     # From an intake to a delivery
 
-    def _describe(self, intake: Intake) -> routing.CallFacts:
+    def _describe(self, intake: intakes.Intake) -> routing.CallFacts:
         chat = intake.matched.facts
         return routing.CallFacts(
             call=intake.call,
@@ -355,7 +293,7 @@
         )
 
     async def _bind(
-        self, intake: Intake, facts: routing.CallFacts
+        self, intake: intakes.Intake, facts: routing.CallFacts
     ) -> keys.Bound | outcomes.Refusal | None:
         """Return the bound key of a call, before its deadline.
 
@@ -378,7 +316,7 @@
 
     def _prepare(
         self,
-        intake: Intake,
+        intake: intakes.Intake,
         facts: routing.CallFacts,
         bound: keys.Bound | None,
         send: asgi.Send,
@@ -418,17 +356,17 @@
         begun: float,
     ) -> None:
         service = delivery.admitted.service.name
-        if delivery.first_byte_at:
+        if delivery.answer.first_byte_at:
             self._metrics.record(
                 'call_first_byte_seconds',
-                delivery.first_byte_at - begun,
+                delivery.answer.first_byte_at - begun,
                 service=service,
             )
         self._count(service, refusal, begun)
 
     def _note_end(
         self,
-        intake: Intake | None,
+        intake: intakes.Intake | None,
         refusal: outcomes.Refusal,
         begun: float,
     ) -> None:
@@ -456,15 +394,6 @@
         )
 
 
-def describe_no_bundle() -> outcomes.NotRun:
-    """Return the refusal of an entry that has no configuration."""
-    return outcomes.NotRun(
-        reason=outcomes.Reason.NO_BUNDLE,
-        detail='this entry has no configuration yet',
-        retry_after=RETRY_WHEN_FULL,
-    )
-
-
 def _doubt(
     request: asgi.Request, refusal: outcomes.NotRun
 ) -> outcomes.Refusal:
--- a/marigoldramp/claims.py
+++ b/marigoldramp/claims.py
@@ -67,21 +67,7 @@
         may have run: the outcome is unknown, not "not run".
         """
         name = _name(customer=customer, service=service, key=key)
-        value = msgspec.msgpack.encode(
-            Claim(bound=bound, made_at=self._wall())
-        )
-        written = await self._platform.write(
-            key=name, value=value, expected=store.CREATE
-        )
-        match written:
-            case store.Written():
-                return Claimed(
-                    bound=bound, first=True, version=written.version
-                )
-            case store.Conflict() | store.Uncertain():
-                return await self._read(name, bound)
-            case store.Unavailable(detail=detail):
-                return _describe_away(detail)
+        return await self._pair(name, bound, store.CREATE)
 
     async def replace(
         self,
@@ -98,17 +84,20 @@
         chance; the conditional update lets one entry only do so.
         """
         name = _name(customer=customer, service=service, key=key)
+        return await self._pair(name, bound, old.version)
+
+    async def _pair(
+        self, name: store.Key, bound: str, expected: int
+    ) -> Claimed | outcomes.OutcomeUnknown:
         value = msgspec.msgpack.encode(
             Claim(bound=bound, made_at=self._wall())
         )
         written = await self._platform.write(
-            key=name, value=value, expected=old.version
+            key=name, value=value, expected=expected
         )
         match written:
-            case store.Written():
-                return Claimed(
-                    bound=bound, first=True, version=written.version
-                )
+            case store.Written(version=version):
+                return Claimed(bound=bound, first=True, version=version)
             case store.Conflict() | store.Uncertain():
                 return await self._read(name, bound)
             case store.Unavailable(detail=detail):
--- a/marigoldramp/deliveries.py
+++ b/marigoldramp/deliveries.py
@@ -8,11 +8,11 @@
 from typing import Callable
 
 import anyio
-import httpcore
 
 from . import asgi
 from . import attempts
 from . import bundle
+from . import caller_answers
 from . import callers
 from . import connections
 from . import heads
@@ -20,14 +20,11 @@
 from . import membership
 from . import messages
 from . import outcomes
-from . import problems
 from . import resumes
 from . import retries
 from . import routing
 from . import steps
 
-CALL_HEADER = b'marigoldramp-call'
-EVENT_STREAM = b'text/event-stream'
 #: Attempts on new connections after one was lost without being silent.
 MOST_LOST = 3
 #: Seconds between two such attempts.
@@ -36,7 +33,6 @@
 RESUMED_ATTEMPT = 1000
 #: Longest time that is spent on telling an agent that a caller has gone.
 GIVE_UP_SECONDS = 0.5
-TOKEN_MARK = b'data:'
 #: States of an agent that is likely to be at work on a silent call.  One
 #: that is just being verified counts: its verdict comes before the next look.
 _WORTH_WAITING = frozenset(
@@ -110,27 +106,20 @@
 class Delivery:
     """One call on its way.
 
-    :ivar started: the head of the answer has gone to the caller.
-    :ivar relayed: bytes of the answer that the caller has been sent.
-    :ivar tokens: generated tokens that were relayed.
+    :ivar answer: what the caller has been sent.
     :ivar maybe: some attempt may have run.
     :ivar at_work: the agent that has been asked and has not answered.
     """
 
     __slots__ = (
         '_tools',
-        '_send',
         '_budget',
         'admitted',
-        'started',
-        'relayed',
-        'tokens',
+        'answer',
         'maybe',
         'barred',
         'attempt',
-        'first_byte_at',
         'at_work',
-        '_events',
     )
 
     def __init__(
@@ -142,18 +131,18 @@
         budget: retries.Budget,
     ) -> None:
         self._tools = tools
-        self._send = send
         self._budget = budget
         self.admitted = admitted
-        self.started = False
-        self.relayed = admitted.wishes.resume_from
-        self.tokens = 0
+        self.answer = caller_answers.CallerAnswer(
+            call=admitted.call,
+            send=send,
+            clock=tools.clock,
+            resume_from=admitted.wishes.resume_from,
+        )
         self.maybe = not admitted.first
         self.barred = False
         self.attempt = 0
-        self.first_byte_at = 0.0
         self.at_work: routing.Candidate | None = None
-        self._events = False
 
     # Choosing where to ask
 
@@ -174,7 +163,7 @@
             refusal = await self.ask(chosen)
             if refusal is None:
                 return None
-            if self.started or not self._budget.take():
+            if self.answer.started or not self._budget.take():
                 return self.soften(refusal)
             excluded.add(chosen.instance)
 
@@ -386,7 +375,9 @@
             await steps.reach(
                 steps.Step.CALL_ANSWER_STARTED, self.admitted.call
             )
-            return await self._relay(target, result)
+            resume = b'' if self.admitted.key else self._make_resume(target)
+            await self.answer.start(result, resume=resume)
+            return await self.answer.relay(result)
         finally:
             with anyio.CancelScope(shield=True):
                 await attempt.close()
@@ -411,7 +402,7 @@
             remaining=remaining,
             key=admitted.key,
             settle=settle,
-            resume_from=self.relayed,
+            resume_from=self.answer.relayed,
             weight=admitted.customer.weight,
             bundle=admitted.bundle_number,
         )
@@ -430,7 +421,7 @@
         A long call is silent too, while its agent is alive; and a call that
         may run once is known to no other agent.
         """
-        if self.admitted.key or self.started:
+        if self.admitted.key or self.answer.started:
             return False
         peer = self._tools.members.find(target.instance)
         return peer is None or peer.state not in _WORTH_WAITING
@@ -452,60 +443,6 @@
         remaining = self.admitted.deadline - self._tools.clock()
         return dataclasses.replace(self.admitted.facts, remaining=remaining)
 
-    # Answering the caller
-
-    async def _relay(
-        self, target: routing.Candidate, answering: attempts.Answering
-    ) -> attempts.Lost | None:
-        """Relay an answer; ``None`` when it is whole."""
-        if not self.started:
-            await self._start(target, answering)
-        try:
-            async for chunk in answering.chunks():
-                await self._send(
-                    {
-                        'type': 'http.response.body',
-                        'body': chunk,
-                        'more_body': True,
-                    }
-                )
-                self.relayed += len(chunk)
-                if self._events:
-                    self.tokens += chunk.count(TOKEN_MARK)
-        except httpcore.TimeoutException as error:
-            return attempts.Lost(
-                detail=connections.explain(error), silent=True
-            )
-        except connections.LOST as error:
-            return attempts.Lost(
-                detail=connections.explain(error), silent=False
-            )
-        await self._send({'type': 'http.response.body', 'body': b''})
-        await steps.reach(steps.Step.CALL_ANSWER_ENDED, self.admitted.call)
-        return None
-
-    async def _start(
-        self, target: routing.Candidate, answering: attempts.Answering
-    ) -> None:
-        self.started = True
-        self.first_byte_at = self._tools.clock()
-        own = [
-            pair
-            for pair in answering.headers
-            if not pair[0].startswith(heads.OWN_PREFIX)
-        ]
-        self._events = _is_event_stream(own)
-        own.append((CALL_HEADER, self.admitted.call.encode()))
-        if not self.admitted.key:
-            own.append((callers.RESUME_HEADER, self._make_resume(target)))
-        await self._send(
-            {
-                'type': 'http.response.start',
-                'status': answering.status,
-                'headers': own,
-            }
-        )
-
     def _make_resume(self, target: routing.Candidate) -> bytes:
         return self._tools.resumes.make(
             resumes.Resume(
@@ -517,35 +454,6 @@
             )
         )
 
-    async def refuse(self, refusal: outcomes.Refusal) -> None:
-        """Give the caller the final answer of a call that has none.
-
-        An answer that has begun ends with an explicit error and a cut
-        connection, so that nobody takes the part for the whole.
-        """
-        if not self.started:
-            await asgi.send_refusal(
-                send=self._send, refusal=refusal, call=self.admitted.call
-            )
-            return
-        if self._events:
-            await self._send(
-                {
-                    'type': 'http.response.body',
-                    'body': problems.encode_event(
-                        refusal=refusal, call=self.admitted.call
-                    ),
-                    'more_body': True,
-                }
-            )
-
-
-def _is_event_stream(headers: asgi.Headers) -> bool:
-    for key, value in headers:
-        if key == b'content-type':
-            return value.startswith(EVENT_STREAM)
-    return False
-
 
 def _keep_headers(headers: asgi.Headers) -> asgi.Headers:
     """Return the caller's headers that its endpoint gets."""
--- a/marigoldramp/entry.py
+++ b/marigoldramp/entry.py
@@ -20,6 +20,7 @@
 from . import credentials
 from . import deliveries
 from . import heads
+from . import intakes
 from . import keys
 from . import limits
 from . import membership
@@ -188,7 +189,7 @@
         """Return who asks for a page, by the bundle in force."""
         table = self.calls.find_routes()
         if table is None:
-            return calls.describe_no_bundle()
+            return intakes.describe_no_bundle()
         customer = callers.identify(
             request=asgi.read_head(scope), config=self.runtime.config
         )
