--- a/marigoldramp/estimates.py
+++ b/marigoldramp/estimates.py
@@ -95,11 +95,15 @@
 
 
 class Rate:
-    """Sum of amounts a second over about the last ten seconds."""
+    """Sum of amounts a second over the last few seconds.
 
-    __slots__ = ('_sum', '_at')
+    :param seconds: an amount counts for about so long.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ('_seconds', '_sum', '_at')
+
+    def __init__(self, *, seconds: float = RATE_SECONDS) -> None:
+        self._seconds = seconds
         self._sum = 0.0
         self._at = 0.0
 
@@ -110,7 +114,7 @@
 
     def rate(self, *, now: float) -> float:
         """Return the amount a second."""
-        return self._faded(now=now) / RATE_SECONDS
+        return self._faded(now=now) / self._seconds
 
     def _faded(self, *, now: float) -> float:
-        return self._sum * math.exp((self._at - now) / RATE_SECONDS)
+        return self._sum * math.exp((self._at - now) / self._seconds)
--- a/marigoldramp/limits.py
+++ b/marigoldramp/limits.py
@@ -6,19 +6,23 @@
 """
 
 import dataclasses
+import math
 from typing import Callable
 
 from . import bundle
+from . import estimates
 from . import outcomes
 
 #: Seconds of the sustained rate that a customer may use in one burst.
 BURST_SECONDS = 1.0
-#: A full bucket and no call in flight for this long: the state is dropped.
-IDLE_SECONDS = 30.0
-#: How often idle state is looked for, in admissions.
+#: State is looked at after so many admissions, and when the table is full.
 SWEEP_EVERY = 1024
+#: Span over which it is counted what a customer asks for.
+ASKED_SECONDS = 2.0
 #: Time to come back that a caller is told when no slot is free.
 CONCURRENCY_RETRY_AFTER = 0.2
+#: Longest time to come back that is told.
+MOST_RETRY_AFTER = 60.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -32,41 +36,94 @@
     tokens: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class _Allowance:
+    """What an entry may let through of one customer, by its share."""
+
+    requests: float
+    tokens: float
+    calls: int
+
+    @classmethod
+    def of(cls, *, customer: bundle.Customer, share: float) -> '_Allowance':
+        """Return a share of a customer's limits, of calls at least one."""
+        return cls(
+            requests=customer.requests_per_second * share,
+            tokens=customer.tokens_per_second * share,
+            calls=max(1, int(customer.concurrent_calls * share)),
+        )
+
+    def most_requests(self) -> float:
+        """Return the size of the request bucket; at least one call."""
+        return max(1.0, self.requests * BURST_SECONDS)
+
+    def most_tokens(self) -> float:
+        """Return the size of the token bucket."""
+        return self.tokens * BURST_SECONDS
+
+
 class _Account:
-    """What one customer has left at this entry."""
+    """What one customer has left at this entry, and what it asks for.
+
+    :ivar tokens: negative while more were generated than was expected.
+    :ivar full_at: clock time at which both buckets are full again.
+    """
 
-    __slots__ = ('requests', 'tokens', 'calls', 'filled_at')
+    __slots__ = (
+        'requests',
+        'tokens',
+        'calls',
+        'filled_at',
+        'full_at',
+        'token_rate',
+        'asked_requests',
+        'asked_tokens',
+    )
 
-    def __init__(self, *, requests: float, tokens: float, now: float) -> None:
-        self.requests = requests
-        self.tokens = tokens
+    def __init__(self, *, allowance: _Allowance, now: float) -> None:
+        self.requests = allowance.most_requests()
+        self.tokens = allowance.most_tokens()
         self.calls = 0
         self.filled_at = now
+        self.full_at = now
+        self.token_rate = allowance.tokens
+        self.asked_requests = estimates.Rate(seconds=ASKED_SECONDS)
+        self.asked_tokens = estimates.Rate(seconds=ASKED_SECONDS)
 
-    def fill(
-        self, *, customer: bundle.Customer, share: float, now: float
-    ) -> None:
+    def fill(self, *, allowance: _Allowance, now: float) -> None:
         """Add what has accrued since the last look."""
         passed = max(0.0, now - self.filled_at)
         self.filled_at = now
-        rate = customer.requests_per_second * share
+        self.token_rate = allowance.tokens
         self.requests = min(
-            most_requests(customer, share), self.requests + rate * passed
+            allowance.most_requests(),
+            self.requests + allowance.requests * passed,
         )
-        token_rate = customer.tokens_per_second * share
         self.tokens = min(
-            token_rate * BURST_SECONDS, self.tokens + token_rate * passed
+            allowance.most_tokens(), self.tokens + allowance.tokens * passed
         )
 
+    def charge(
+        self, *, tokens: int, allowance: _Allowance, now: float
+    ) -> None:
+        """Take out what one call costs."""
+        self.requests -= 1.0
+        self.tokens -= tokens
+        self.calls += 1
+        lacking = max(
+            _wait(
+                allowance.most_requests() - self.requests, allowance.requests
+            ),
+            _wait(allowance.most_tokens() - self.tokens, allowance.tokens),
+        )
+        self.full_at = now + lacking
 
-def most_requests(customer: bundle.Customer, share: float) -> float:
-    """Return the size of the request bucket; at least one whole call."""
-    return max(1.0, customer.requests_per_second * share * BURST_SECONDS)
-
-
-def most_calls(customer: bundle.Customer, share: float) -> int:
-    """Return the calls that may be in flight at a share of the limit."""
-    return max(1, int(customer.concurrent_calls * share))
+    def settle(self, tokens: float, *, now: float) -> None:
+        """Give back tokens, or take more where the number is negative."""
+        self.tokens += tokens
+        if tokens < 0.0:
+            late = _wait(-tokens, self.token_rate)
+            self.full_at = max(self.full_at, now) + late
 
 
 class Limits:
@@ -96,83 +153,127 @@
         :param tokens: generated tokens that the call is expected to take.
         :param share: fraction of the limits that this entry may use.
         """
+        if share <= 0.0:
+            return _refuse(
+                outcomes.Reason.RATE_LIMIT,
+                'other entries serve this customer; ask for the addresses',
+                0.0,
+            )
         now = self._clock()
         self._admissions += 1
         if self._admissions % SWEEP_EVERY == 0:
             self._sweep(now=now)
-        account = self._find(customer=customer, share=share, now=now)
+        allowance = _Allowance.of(customer=customer, share=share)
+        account = self._find(customer.name, allowance=allowance, now=now)
         if account is None:
             return _refuse(
                 outcomes.Reason.CONCURRENCY_LIMIT,
                 'this entry serves as many customers as it can',
                 CONCURRENCY_RETRY_AFTER,
             )
-        account.fill(customer=customer, share=share, now=now)
-        if account.calls >= most_calls(customer, share):
-            return _refuse(
-                outcomes.Reason.CONCURRENCY_LIMIT,
-                'too many calls in flight for this customer',
-                CONCURRENCY_RETRY_AFTER,
-            )
-        if account.requests < 1.0:
-            rate = max(1e-6, customer.requests_per_second * share)
-            return _refuse(
-                outcomes.Reason.RATE_LIMIT,
-                'the request rate of this customer is used up',
-                (1.0 - account.requests) / rate,
-            )
-        if tokens and account.tokens <= 0.0:
-            rate = max(1e-6, customer.tokens_per_second * share)
-            return _refuse(
-                outcomes.Reason.TOKEN_LIMIT,
-                'the token rate of this customer is used up',
-                (1.0 - account.tokens) / rate,
-            )
-        account.requests -= 1.0
-        account.tokens -= tokens
-        account.calls += 1
+        account.asked_requests.add(1.0, now=now)
+        account.asked_tokens.add(tokens, now=now)
+        account.fill(allowance=allowance, now=now)
+        refusal = _check(account=account, allowance=allowance, tokens=tokens)
+        if refusal is not None:
+            return refusal
+        account.charge(tokens=tokens, allowance=allowance, now=now)
         return Grant(customer=customer.name, tokens=tokens)
 
     def release(self, *, grant: Grant, tokens_used: int) -> None:
         """End a call and settle the tokens that it really took."""
-        account = self._accounts.get(grant.customer)
-        if account is None:
-            return
+        account = self._accounts[grant.customer]
         account.calls -= 1
-        account.tokens += grant.tokens - tokens_used
+        account.settle(grant.tokens - tokens_used, now=self._clock())
+
+    def demand(self, customer: bundle.Customer) -> float:
+        """Return what a customer asks for here, over its whole limits.
+
+        It is the largest of the three fractions, admitted or not.
+        """
+        account = self._accounts.get(customer.name)
+        if account is None:
+            return 0.0
+        now = self._clock()
+        return max(
+            account.asked_requests.rate(now=now)
+            / customer.requests_per_second,
+            account.asked_tokens.rate(now=now) / customer.tokens_per_second,
+            account.calls / customer.concurrent_calls,
+        )
+
+    def customers(self) -> tuple[str, ...]:
+        """Return the names of the customers whose state is held."""
+        return tuple(self._accounts)
 
     def _find(
-        self, *, customer: bundle.Customer, share: float, now: float
+        self, name: str, *, allowance: _Allowance, now: float
     ) -> _Account | None:
-        account = self._accounts.get(customer.name)
+        account = self._accounts.get(name)
         if account is not None:
             return account
         if len(self._accounts) >= self._most_customers:
             self._sweep(now=now)
         if len(self._accounts) >= self._most_customers:
             return None
-        account = _Account(
-            requests=most_requests(customer, share),
-            tokens=customer.tokens_per_second * share * BURST_SECONDS,
-            now=now,
-        )
-        self._accounts[customer.name] = account
+        account = _Account(allowance=allowance, now=now)
+        self._accounts[name] = account
         return account
 
     def _sweep(self, *, now: float) -> None:
-        """Drop accounts that are idle and full again by now."""
+        """Drop the accounts that a new one would equal.
+
+        An account dropped while it owes tokens would let its customer have
+        them twice, seen as a rate above the limit in bursts.
+        """
         idle = [
             name
             for name, account in self._accounts.items()
-            if not account.calls and now - account.filled_at > IDLE_SECONDS
+            if not account.calls
+            and now >= account.full_at
+            and now >= account.filled_at + ASKED_SECONDS
         ]
         for name in idle:
             del self._accounts[name]
 
 
+def _check(
+    *, account: _Account, allowance: _Allowance, tokens: int
+) -> outcomes.NotRun | None:
+    """Return why a call is above the limits, if it is."""
+    if account.calls >= allowance.calls:
+        return _refuse(
+            outcomes.Reason.CONCURRENCY_LIMIT,
+            'too many calls in flight for this customer',
+            CONCURRENCY_RETRY_AFTER,
+        )
+    if account.requests < 1.0:
+        return _refuse(
+            outcomes.Reason.RATE_LIMIT,
+            'the request rate of this customer is used up',
+            _wait(1.0 - account.requests, allowance.requests),
+        )
+    if tokens and account.tokens <= 0.0:
+        return _refuse(
+            outcomes.Reason.TOKEN_LIMIT,
+            'the token rate of this customer is used up',
+            _wait(1.0 - account.tokens, allowance.tokens),
+        )
+    return None
+
+
+def _wait(lacking: float, rate: float) -> float:
+    """Return the seconds in which an amount accrues."""
+    if lacking <= 0.0:
+        return 0.0
+    return lacking / rate if rate > 0.0 else math.inf
+
+
 def _refuse(
     reason: outcomes.Reason, detail: str, retry_after: float
 ) -> outcomes.NotRun:
     return outcomes.NotRun(
-        reason=reason, detail=detail, retry_after=retry_after
+        reason=reason,
+        detail=detail,
+        retry_after=min(MOST_RETRY_AFTER, retry_after),
     )
--- a/marigoldramp/messages.py
+++ b/marigoldramp/messages.py
@@ -72,6 +72,8 @@
         ``receiver_leaving`` and ``echo`` speak; a successor ignores them.
     :ivar asks: the sender has chosen to heartbeat the receiver and wants to
         be answered; an answer itself wants none.
+    :ivar interval_ms: the sender heartbeats no peer more often than this,
+        and wants to be heartbeated no more often either.
     :ivar wants_known: the sender's instance list is away, so the receiver is
         asked to tell which instances it hears.
     :ivar known: some of those, where the receiver has asked.
@@ -95,6 +97,7 @@
     load: Load | None = None
     receiver_incarnation: int = 0
     asks: bool = False
+    interval_ms: int = 0
     wants_known: bool = False
     known: tuple[KnownInstance, ...] = ()
 
@@ -119,6 +122,32 @@
     evicted: tuple[bytes, ...] = ()
 
 
+class Demand(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """What a customer asks of one entry.
+
+    :ivar fraction: of the customer's whole limit, admitted or not.
+    """
+
+    customer: str
+    fraction: float
+
+
+class Usage(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """One datagram between two entries that serve the same customers.
+
+    :ivar sequence: grows by one with each such datagram of the incarnation.
+    :ivar sent_at: wall clock in seconds.
+    :ivar hears: the sender has lately heard the receiver's usage.
+    """
+
+    entry: str
+    incarnation: int
+    sequence: int
+    sent_at: float
+    hears: bool = False
+    demands: tuple[Demand, ...] = ()
+
+
 class Binding(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """Contents of a bound idempotency key.
 
