--- a/marigoldramp/cache_events.py
+++ b/marigoldramp/cache_events.py
@@ -20,9 +20,11 @@
 #: the names of instance and service it stays below 1,200 bytes.
 DIGESTS_BYTES = 880
 DIGEST_HEAD = 2
-#: Blocks of one prompt that are passed on.  Prompts share their beginnings,
+#: Blocks of one prompt that are looked at.  Prompts share their beginnings,
 #: hardly ever their ends.
-MOST_OF_PROMPT = 64
+MOST_OF_PROMPT = 128
+#: One in so many digests is passed on, chosen by the digest itself.
+SAMPLE = 8
 #: Digests that wait for their turn, and digests that entries know of.
 MOST_PENDING = 2048
 MOST_PUBLISHED = 8192
@@ -46,6 +48,16 @@
     gap: bool = False
 
 
+def is_sampled(digest: bytes) -> bool:
+    """Whether a block is one of those that agents and entries speak of.
+
+    A digest covers all blocks before its own too, so some of a prompt's
+    blocks tell nearly as much as all.  Every process picks the same ones,
+    so what was told as stored is also told as evicted.
+    """
+    return not digest[-1] % SAMPLE
+
+
 OnChange = Callable[[Change], None]
 #: Sends to all entries and returns the bytes that this took.
 Send = Callable[[messages.CacheEvents], int]
@@ -106,8 +118,9 @@
         """Take in a change; what cannot be passed on becomes a gap."""
         if change.gap:
             self._forget()
-        self._stored.update(dict.fromkeys(change.stored[:MOST_OF_PROMPT]))
-        for digest in change.evicted:
+        stored = filter(is_sampled, change.stored[:MOST_OF_PROMPT])
+        self._stored.update(dict.fromkeys(stored))
+        for digest in filter(is_sampled, change.evicted):
             # Entries know nothing of a block that they were never told of.
             if digest in self._published:
                 del self._published[digest]
--- a/marigoldramp/prefix_index.py
+++ b/marigoldramp/prefix_index.py
@@ -8,6 +8,7 @@
 import dataclasses
 from typing import Sequence
 
+from . import cache_events
 from . import messages
 
 #: Blocks remembered of one endpoint; the least recently used go first.
@@ -72,21 +73,29 @@
         """
         cache = self._find(instance)
         for digest in reversed(prefix):
-            cache.add(digest)
+            if cache_events.is_sampled(digest):
+                cache.add(digest)
 
     def forget(self, instance: str) -> None:
         """Forget an endpoint that is gone."""
         self._caches.pop(instance, None)
 
     def count(self, *, instance: str, prefix: Sequence[bytes]) -> int:
-        """Return how many blocks from the start an endpoint may have."""
+        """Return how many blocks from the start an endpoint may have.
+
+        Blocks that are never spoken of count as theirs whose digest covers
+        them.
+        """
         cache = self._caches.get(instance)
         if cache is None:
             return 0
+        count = 0
         for index, digest in enumerate(prefix):
-            if digest not in cache.blocks:
-                return index
-        return len(prefix)
+            if digest in cache.blocks:
+                count = index + 1
+            elif cache_events.is_sampled(digest):
+                break
+        return count
 
     def _find(self, instance: str) -> _Cache:
         cache = self._caches.get(instance)
--- a/marigoldrampplug/model_engine.py
+++ b/marigoldrampplug/model_engine.py
@@ -6,6 +6,7 @@
 from typing import Callable
 import urllib.parse
 
+from absl import logging
 import anyio
 import httpcore
 
@@ -163,10 +164,17 @@
                 # Only the end of the HTTP body was lost.
                 return endpoint_kinds.Whole()
             before = stream.size
+            logging.info(
+                'call %s: going on with its stream after byte %d: %s',
+                request.call,
+                before,
+                broken.detail,
+            )
             match await self._resume_once(request, stream):
                 case endpoint_kinds.Whole() as whole:
                     return whole
                 case Foreign(detail=detail):
+                    logging.warning('call %s: %s', request.call, detail)
                     return endpoint_kinds.Broken(
                         detail=f'{broken.detail}; {detail}'
                     )
