Check the names of rebalancing plug-ins in a bundle

Cause: a group that names an unknown rebalancing policy passed the check and would have failed at the agent that leads the group, after sign-off and roll. The new row of test_bundle failed before and passes now.

--- a/marigoldramp/bundle_checks.py
+++ b/marigoldramp/bundle_checks.py
@@ -68,6 +68,8 @@
 class _Checks:
     """Collects findings about one bundle."""
 
+    __slots__ = ('_items', '_loaded', '_services', 'found')
+
     def __init__(self, *, loaded: Checked) -> None:
         self.found: list[findings.Finding] = []
         self._loaded = loaded
@@ -140,7 +142,16 @@
             )
 
     def check_groups(self) -> None:
+        from . import placement
+
         for index, group in self.sound('groups'):
+            self._check_plugin(
+                placement.RebalancingPolicy,
+                group.rebalancing,
+                'groups',
+                index,
+                'rebalancing',
+            )
             self.refer(group.service, 'groups', index, 'service')
             places = group.ranks * group.slots
             if places < group.experts:
--- a/tests/test_bundle.py
+++ b/tests/test_bundle.py
@@ -112,6 +112,13 @@
             'groups[0].slots',
             '2 ranks of 3 slots hold 6 experts, not 8',
         ),
+        (
+            'groups: [{name: g, service: s, ranks: 2, experts: 8, layers: 1, '
+            'slots: 4, rebalancing: incrementl}]\n' + SERVICE % 'model: m',
+            1,
+            'groups[0].rebalancing',
+            "did you mean 'incremental'?",
+        ),
         (
             'customers: [{name: a, key_digests: [], services: [x]}]',
             1,
