Report faults of form beside faults of shape in settings

Cause: the checks that reach across fields ran only on settings without any other fault, so an operator with a misspelt key learnt of a secret in clear in the second round only. They run on the file with defaults in place of what is faulty now. A port above 65,535 is a finding as well; the process would have failed when it listened. Ruled out: pydantic for the cross checks, as it is loaded only to list faults.

--- a/marigoldramp/bounds.py
+++ b/marigoldramp/bounds.py
@@ -23,3 +23,10 @@
 ]
 #: The largest load over the mean, hence never below one.
 Skew = Annotated[float, msgspec.Meta(ge=1.0), annotated_types.Ge(1.0)]
+#: A TCP or UDP port; 0 lets the system pick one.
+Port = Annotated[
+    int,
+    msgspec.Meta(ge=0, le=65535),
+    annotated_types.Ge(0),
+    annotated_types.Le(65535),
+]
--- a/marigoldramp/settings.py
+++ b/marigoldramp/settings.py
@@ -89,9 +89,9 @@
 
     __pydantic_config__: ClassVar[documents.Config] = documents.STRICT
 
-    call_port: bounds.NonNegativeInt
-    control_port: bounds.NonNegativeInt
-    datagram_port: bounds.NonNegativeInt
+    call_port: bounds.Port
+    control_port: bounds.Port
+    datagram_port: bounds.Port
     drain_limit: bounds.PositiveFloat
     keep_addresses: bounds.PositiveFloat
     bindings: bounds.PositiveInt
@@ -114,9 +114,9 @@
 
     __pydantic_config__: ClassVar[documents.Config] = documents.STRICT
 
-    call_port: bounds.NonNegativeInt
-    control_port: bounds.NonNegativeInt
-    datagram_port: bounds.NonNegativeInt
+    call_port: bounds.Port
+    control_port: bounds.Port
+    datagram_port: bounds.Port
     drain_limit: bounds.PositiveFloat
     linger: bounds.NonNegativeFloat
     head_bytes: bounds.PositiveInt
@@ -176,12 +176,46 @@
     loaded = documents.load(
         text=text, source=path, shape=Settings, under=_read_defaults()
     )
-    if loaded.value is None:
+    value = loaded.value or _repair(loaded)
+    if value is None:
         return loaded
-    found = settings_checks.check_form(loaded.value, loaded)
+    faulty = {one.field for one in loaded.findings}
+    found = [
+        one
+        for one in settings_checks.check_form(value, loaded)
+        if one.field not in faulty
+    ]
     if not found:
         return loaded
-    return dataclasses.replace(loaded, value=None, findings=found)
+    both = tuple(sorted([*loaded.findings, *found]))
+    return dataclasses.replace(loaded, value=None, findings=both)
+
+
+def _repair(loaded: documents.Loaded[Settings]) -> Settings | None:
+    """Return the settings with defaults in place of what is faulty.
+
+    They serve only to find the remaining faults, so that an operator learns
+    of all in one round.
+    """
+    if loaded.tree is None or not isinstance(loaded.tree.value, dict):
+        return None
+    sound = loaded.tree
+    for one in loaded.findings:
+        sound = _drop(sound, one.field.split('.'))
+    whole = documents.merge(under=_read_defaults(), over=sound)
+    return documents.convert(whole, Settings)
+
+
+def _drop(node: nodes.Node, path: list[str]) -> nodes.Node:
+    """Return a tree without the member at a path."""
+    if not isinstance(node.value, dict) or path[0] not in node.value:
+        return node
+    members = dict(node.value)
+    member = members.pop(path[0])
+    if len(path) > 1:
+        inner = _drop(member.node, path[1:])
+        members[path[0]] = nodes.Member(place=member.place, node=inner)
+    return nodes.Node(place=node.place, value=members)
 
 
 def check_role(
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -67,6 +67,18 @@
         ('agent: {ranks: [1, 1], group: g}', [('agent.ranks', 1)]),
         ('agent: {ranks: [-1], group: g}', [('agent.ranks[0]', 1)]),
         ('logging: {level: loud}', [('logging.level', 1)]),
+        ('entry: {call_port: 80000}', [('entry.call_port', 1)]),
+        (
+            'datacentre: x\nplatform: {address: nope, timeout: -1}\n'
+            'security: {fleet_key: hunter2}\nentry: {call_port: -1}',
+            [
+                ('datacentre', 1),
+                ('platform.address', 2),
+                ('platform.timeout', 2),
+                ('security.fleet_key', 3),
+                ('entry.call_port', 4),
+            ],
+        ),
     ],
 )
 def test_wrong_values_are_found(tmp_path, text, expected):
