--- a/marigoldramp_measure/memory.py
+++ b/marigoldramp_measure/memory.py
@@ -18,6 +18,23 @@
 from . import tables
 from . import usage
 
+#: What the programs import, least first; the last is the whole entry.
+IMPORTS = (
+    'anyio._backends._asyncio',
+    'uvicorn.protocols.http.httptools_impl',
+    'httpcore',
+    'msgspec',
+    'yaml',
+    'absl.logging',
+    'cyclopts',
+    'cryptography.hazmat.primitives.asymmetric.ed25519',
+    'opentelemetry.exporter.prometheus',
+    'grpc.aio',
+    'marigoldramp.entry',
+    'marigoldramp.agent',
+)
+#: Customers in the bundle of an idle process: today's and in two years.
+BUNDLES = (1, 10_000, 40_000)
 CUSTOMERS = 3000
 CUSTOMER_STEPS = (500, 1000, 2000, 3000)
 RECORD_STEPS = (1000, 2000, 4000, 8000)
@@ -80,7 +97,8 @@
 def run(*, seed: int, out: pathlib.Path) -> None:
     """Measure memory; the seed changes nothing here."""
     levels = measure_imports()
-    levels += anyio.run(_measure_idle)
+    for customers in BUNDLES:
+        levels += anyio.run(_measure_idle, customers)
     tables.write(rows=levels, path=out / 'memory_idle.csv')
     points = anyio.run(_measure_streams)
     points += anyio.run(_measure_customers)
@@ -94,7 +112,7 @@
 
 
 def measure_imports() -> list[Level]:
-    """Return the memory of a new process after some imports."""
+    """Return the memory of new processes, each with one import more."""
     # usage is not imported there: it would bring numpy into the figure.
     read = (
         "import pathlib; print([line.split()[1] for line in pathlib.Path("
@@ -102,34 +120,31 @@
         "if line.startswith('VmRSS:')][0])"
     )
     rows = []
-    for when, names in (
-        ('the interpreter alone', ''),
-        ('after import of the entry', 'import marigoldramp.entry; '),
-        ('after import of the agent', 'import marigoldramp.agent; '),
-        ('after import of the command line', 'import marigoldramp.ui; '),
-    ):
+    for count in range(len(IMPORTS) + 1):
+        names = IMPORTS[:count]
+        imports = ''.join(f'import {name}; ' for name in names)
         done = subprocess.run(
-            [sys.executable, '-c', names + read],
+            [sys.executable, '-c', imports + read],
             check=True,
             capture_output=True,
         )
         rows.append(
             Level(
                 process='python',
-                when=when,
+                when=f'with {names[-1]}' if names else 'interpreter',
                 mebibytes=int(done.stdout) * KIBIBYTE / MEBIBYTE,
             )
         )
     return rows
 
 
-async def _measure_idle() -> list[Level]:
-    async with fleet.start() as running:
+async def _measure_idle(customers: int) -> list[Level]:
+    async with fleet.start(customers=customers) as running:
         await anyio.sleep(SETTLE_SECONDS)
         return [
             Level(
                 process=name,
-                when='started, idle',
+                when=f'idle, customers in the bundle: {customers}',
                 mebibytes=_read(running, name) / MEBIBYTE,
             )
             for name in (fleet.ENTRY, fleet.ENGINE_AGENT, fleet.LEDGER_AGENT)
--- a/marigoldramp_measure/slopes.py
+++ b/marigoldramp_measure/slopes.py
@@ -17,6 +17,7 @@
 from typing import Sequence
 
 import anyio
+import msgspec
 
 from marigoldramp import bundle
 from marigoldramp import customers
@@ -42,6 +43,7 @@
 ENTRIES = (8, 90, 180, 350)
 CUSTOMERS = (2_500, 10_000, 20_000, 40_000)
 ROUNDS = 300
+READINGS = 20
 MICRO = 1e6
 
 
@@ -216,11 +218,37 @@
             points.append(
                 _point('table of peers: bytes over instances', count, held)
             )
+            points += _measure_reading(rows, one)
             group.cancel_scope.cancel()
         await one.stop()
     return points
 
 
+def _measure_reading(
+    rows: list[store.Instance], one: instances.Instance
+) -> list[Point]:
+    """Return size and processor time of a reading of the instance list.
+
+    The time is that of decoding and taking in, without the HTTP exchange.
+    """
+    text = msgspec.json.encode(store.Instances(instances=tuple(rows)))
+
+    def read() -> None:
+        listed = msgspec.json.decode(text, type=store.Instances)
+        one.members.seed(listed.instances)
+
+    return [
+        _point(
+            'reading of the list: bytes over instances', len(rows), len(text)
+        ),
+        _point(
+            'reading of the list: us over instances',
+            len(rows),
+            _time(read, READINGS),
+        ),
+    ]
+
+
 def _list_instance(number: int) -> store.Instance:
     entry = number % 4 == 0
     return store.Instance(
@@ -350,9 +378,9 @@
     return points
 
 
-def _time(work: Callable[[], None]) -> float:
+def _time(work: Callable[[], None], rounds: int = ROUNDS) -> float:
     """Return the processor microseconds of one round."""
     begun = time.process_time()
-    for _ in range(ROUNDS):
+    for _ in range(rounds):
         work()
-    return (time.process_time() - begun) / ROUNDS * MICRO
+    return (time.process_time() - begun) / rounds * MICRO
