Exchange usage between entries, also where no call has come

Limits list what their customers ask for, shares look the entries up once for both rules and rank by the common rendezvous function. Correction: the test of an entry that hears nobody let everything through; mended, it fails without the check of freshness and passes with it.

--- a/marigoldramp/demands.py
+++ b/marigoldramp/demands.py
@@ -115,13 +115,11 @@
         for one in asked:
             if not self._matters(one):
                 continue
-            self._published[one.customer] = one.fraction
-            demand = messages.Demand(
-                customer=one.customer, fraction=one.fraction
-            )
+            demand = self._add(customer=one.customer, fraction=one.fraction)
             for peer in one.serving:
                 if peer != self._entry:
                     told.setdefault(peer, []).append(demand)
+        self._answer(told, known={one.customer for one in asked})
         return [
             Report(
                 peer=peer,
@@ -131,6 +129,26 @@
             for peer, demands in told.items()
         ]
 
+    def _add(self, *, customer: str, fraction: float) -> messages.Demand:
+        self._published[customer] = fraction
+        return messages.Demand(customer=customer, fraction=fraction)
+
+    def _answer(
+        self, told: dict[str, list[messages.Demand]], *, known: set[str]
+    ) -> None:
+        """Answer peers about customers of which nothing came here.
+
+        Without an answer a peer cannot know that it may have this entry's
+        part too, and a customer that keeps to one entry would lose it.
+        """
+        for peer, heard in self._heard.items():
+            if not self.hears(peer):
+                continue
+            for customer, fraction in heard.demands.items():
+                if fraction > 0.0 and customer not in known:
+                    demand = self._add(customer=customer, fraction=0.0)
+                    told.setdefault(peer, []).append(demand)
+
     def _matters(self, asked: Asked) -> bool:
         """Return whether anybody presses against its share of a customer.
 
--- a/marigoldramp/limits.py
+++ b/marigoldramp/limits.py
@@ -36,6 +36,17 @@
     tokens: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Asking:
+    """What a customer asks of this entry.
+
+    :ivar fraction: of its whole limits, whether it was admitted or not.
+    """
+
+    customer: bundle.Customer
+    fraction: float
+
+
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class _Allowance:
     """What an entry may let through of one customer, by its share."""
@@ -65,11 +76,13 @@
 class _Account:
     """What one customer has left at this entry, and what it asks for.
 
+    :ivar customer: as the bundle described it at the last call.
     :ivar tokens: negative while more were generated than was expected.
     :ivar full_at: clock time at which both buckets are full again.
     """
 
     __slots__ = (
+        'customer',
         'requests',
         'tokens',
         'calls',
@@ -80,7 +93,14 @@
         'asked_tokens',
     )
 
-    def __init__(self, *, allowance: _Allowance, now: float) -> None:
+    def __init__(
+        self,
+        *,
+        customer: bundle.Customer,
+        allowance: _Allowance,
+        now: float,
+    ) -> None:
+        self.customer = customer
         self.requests = allowance.most_requests()
         self.tokens = allowance.most_tokens()
         self.calls = 0
@@ -118,6 +138,18 @@
         )
         self.full_at = now + lacking
 
+    def asks(self, *, now: float) -> float:
+        """Return what is asked for, admitted or not, over the whole limits.
+
+        It is the largest of the three fractions.
+        """
+        customer = self.customer
+        return max(
+            self.asked_requests.rate(now=now) / customer.requests_per_second,
+            self.asked_tokens.rate(now=now) / customer.tokens_per_second,
+            self.calls / customer.concurrent_calls,
+        )
+
     def settle(self, tokens: float, *, now: float) -> None:
         """Give back tokens, or take more where the number is negative."""
         self.tokens += tokens
@@ -164,7 +196,7 @@
         if self._admissions % SWEEP_EVERY == 0:
             self._sweep(now=now)
         allowance = _Allowance.of(customer=customer, share=share)
-        account = self._find(customer.name, allowance=allowance, now=now)
+        account = self._find(customer, allowance=allowance, now=now)
         if account is None:
             return _refuse(
                 outcomes.Reason.CONCURRENCY_LIMIT,
@@ -186,38 +218,27 @@
         account.calls -= 1
         account.settle(grant.tokens - tokens_used, now=self._clock())
 
-    def demand(self, customer: bundle.Customer) -> float:
-        """Return what a customer asks for here, over its whole limits.
-
-        It is the largest of the three fractions, admitted or not.
-        """
-        account = self._accounts.get(customer.name)
-        if account is None:
-            return 0.0
+    def list_asking(self) -> list[Asking]:
+        """Return what each customer with state here asks for."""
         now = self._clock()
-        return max(
-            account.asked_requests.rate(now=now)
-            / customer.requests_per_second,
-            account.asked_tokens.rate(now=now) / customer.tokens_per_second,
-            account.calls / customer.concurrent_calls,
-        )
-
-    def customers(self) -> tuple[str, ...]:
-        """Return the names of the customers whose state is held."""
-        return tuple(self._accounts)
+        return [
+            Asking(customer=account.customer, fraction=account.asks(now=now))
+            for account in self._accounts.values()
+        ]
 
     def _find(
-        self, name: str, *, allowance: _Allowance, now: float
+        self, customer: bundle.Customer, *, allowance: _Allowance, now: float
     ) -> _Account | None:
-        account = self._accounts.get(name)
+        account = self._accounts.get(customer.name)
         if account is not None:
+            account.customer = customer
             return account
         if len(self._accounts) >= self._most_customers:
             self._sweep(now=now)
         if len(self._accounts) >= self._most_customers:
             return None
-        account = _Account(allowance=allowance, now=now)
-        self._accounts[name] = account
+        account = _Account(customer=customer, allowance=allowance, now=now)
+        self._accounts[customer.name] = account
         return account
 
     def _sweep(self, *, now: float) -> None:
--- a/marigoldramp/shares.py
+++ b/marigoldramp/shares.py
@@ -7,46 +7,27 @@
 """
 
 import dataclasses
-import hashlib
 import math
 from typing import Callable
 from typing import Collection
 
 from . import bundle
+from . import demands
+from . import rendezvous
 
 #: Seconds between two looks at which entries are up.
 LOOK_SECONDS = 0.25
 
 
-@dataclasses.dataclass(slots=True, frozen=True, kw_only=True, order=True)
-class _Ranked:
-    weight: int
-    instance: str
-
-
-def rank(*, customer: str, instance: str) -> int:
-    """Return the rendezvous weight of an entry for a customer."""
-    digest = hashlib.blake2b(
-        f'{customer}\0{instance}'.encode(), digest_size=8
-    ).digest()
-    return int.from_bytes(digest, 'big')
-
-
 def entries_of(
     customer: bundle.Customer, live_entries: Collection[str]
 ) -> tuple[str, ...]:
     """Return the entries that serve a customer, best first."""
-    ranked = sorted(
-        (
-            _Ranked(
-                weight=rank(customer=customer.name, instance=instance),
-                instance=instance,
-            )
-            for instance in live_entries
-        ),
-        reverse=True,
+    return rendezvous.choose(
+        key=customer.name,
+        names=live_entries,
+        count=max(1, customer.entries),
     )
-    return tuple(one.instance for one in ranked[: max(1, customer.entries)])
 
 
 def equal_share(
@@ -74,14 +55,17 @@
 
 
 class Shares:
-    """Shares of customers at one entry, remembered while nothing changes.
+    """Shares of customers at one entry.
 
     Ranking 350 entries takes over a millisecond, and each call needs its
-    customer's share.
+    customer's share, so the entries that serve a customer are remembered
+    while the live ones stay.
 
     :param live_entries: returns the names of the entries that are up.
     :param clock: seconds; the live entries are looked at again by it.
     :param most: customers remembered at once.
+    :param known: what is asked at this entry and at its peers; without it
+        all entries that serve a customer have equal shares.
     """
 
     __slots__ = (
@@ -89,9 +73,10 @@
         '_live_entries',
         '_clock',
         '_most',
+        '_demands',
         '_live',
         '_looked_at',
-        '_known',
+        '_serving',
     )
 
     def __init__(
@@ -101,28 +86,37 @@
         live_entries: Callable[[], Collection[str]],
         clock: Callable[[], float],
         most: int,
+        known: demands.Demands | None = None,
     ) -> None:
         self._entry = entry
         self._live_entries = live_entries
         self._clock = clock
         self._most = most
+        self._demands = known
         self._live: frozenset[str] = frozenset()
         self._looked_at = -math.inf
-        self._known: dict[_Sharing, float] = {}
+        self._serving: dict[_Sharing, tuple[str, ...]] = {}
 
     def find(self, customer: bundle.Customer) -> float:
         """Return the share of a customer's limits that this entry may use."""
+        serving = self.serving(customer)
+        if self._entry not in serving:
+            return 0.0
+        if self._demands is None:
+            return 1.0 / len(serving)
+        return self._demands.share(customer=customer.name, serving=serving)
+
+    def serving(self, customer: bundle.Customer) -> tuple[str, ...]:
+        """Return the entries that serve a customer, best first."""
         self._look()
         sharing = _Sharing(customer=customer.name, entries=customer.entries)
-        share = self._known.get(sharing)
-        if share is None:
-            share = equal_share(
-                customer=customer, entry=self._entry, live_entries=self._live
-            )
-            if len(self._known) >= self._most:
-                self._known.clear()
-            self._known[sharing] = share
-        return share
+        serving = self._serving.get(sharing)
+        if serving is None:
+            serving = entries_of(customer, self._live)
+            if len(self._serving) >= self._most:
+                self._serving.clear()
+            self._serving[sharing] = serving
+        return serving
 
     def _look(self) -> None:
         now = self._clock()
@@ -132,4 +126,4 @@
         live = frozenset(self._live_entries())
         if live != self._live:
             self._live = live
-            self._known.clear()
+            self._serving.clear()
--- a/marigoldramp_measure/limits.py
+++ b/marigoldramp_measure/limits.py
@@ -6,9 +6,12 @@
 
 import collections
 import dataclasses
+import functools
 import pathlib
 import random as random_module
 import tracemalloc
+from typing import Callable
+from typing import Collection
 
 import anyio
 import msgspec
@@ -17,6 +20,8 @@
 from marigoldramp import demands
 from marigoldramp import limits
 from marigoldramp import messages
+from marigoldramp import shares
+from marigoldramp import usage_exchange
 
 from . import plots
 from . import tables
@@ -105,23 +110,38 @@
 
 
 class _Entry:
-    """The real limits and demands of one entry."""
-
-    def __init__(self, *, name: str, rule: str) -> None:
-        self.name = name
-        self.rule = rule
+    """The real limits, shares and exchange of one entry."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        rule: str,
+        live: Callable[[], Collection[str]],
+        send: usage_exchange.Send,
+    ) -> None:
         self.limits = limits.Limits(clock=virtual.clock, most_customers=10)
-        self.demands = demands.Demands(
-            entry=name, clock=virtual.clock, most_peers=64
+        known = demands.Demands(entry=name, clock=virtual.clock, most_peers=64)
+        self.shares = shares.Shares(
+            entry=name,
+            live_entries=live,
+            clock=virtual.clock,
+            most=10,
+            known=known if rule == 'by_demand' else None,
+        )
+        self.exchange = usage_exchange.Exchange(
+            entry=name,
+            incarnation=1,
+            limits=self.limits,
+            shares=self.shares,
+            known=known,
+            send=send,
+            wall=virtual.clock,
         )
-        self.sequence = 0
 
-    def admit(self, *, serving: tuple[str, ...]) -> bool:
+    def admit(self) -> bool:
         """Ask for one call, which ends at once."""
-        if self.rule == 'equal':
-            share = 1.0 / len(serving) if self.name in serving else 0.0
-        else:
-            share = self.demands.share(customer=CUSTOMER.name, serving=serving)
+        share = self.shares.find(CUSTOMER)
         grant = self.limits.admit(customer=CUSTOMER, tokens=0, share=share)
         if not isinstance(grant, limits.Grant):
             return False
@@ -135,15 +155,16 @@
     def __init__(self, *, scenario: Scenario, rule: str, seed: int) -> None:
         self.scenario = scenario
         self.random = random_module.Random(seed)
-        self.entries = {name: _Entry(name=name, rule=rule) for name in ENTRIES}
+        self.rule = rule
+        self.entries: dict[str, _Entry] = {}
         self.admitted: list[float] = []
         self.bytes = 0
 
     def _is_faulty(self) -> bool:
         return FAULT_AT <= virtual.clock() < FAULT_ENDS
 
-    def serving(self, entry: str) -> tuple[str, ...]:
-        """Return who serves the customer, as an entry sees it."""
+    def _list_live(self, entry: str) -> Collection[str]:
+        """Return the entries that serve the customer, as one sees them."""
         now = virtual.clock()
         first, second, third = ENTRIES
         if self.scenario.dies and now >= FAULT_AT + VERDICT_SECONDS:
@@ -152,6 +173,14 @@
             return (second, third)
         return (first, second)
 
+    def _make_entry(self, name: str) -> _Entry:
+        return _Entry(
+            name=name,
+            rule=self.rule,
+            live=functools.partial(self._list_live, name),
+            send=functools.partial(self._send, name),
+        )
+
     def _choose(self) -> str:
         """Return the entry to which the next call goes."""
         scenario, now = self.scenario, virtual.clock()
@@ -180,49 +209,33 @@
             name = self._choose()
             if self.is_dead(name):
                 continue
-            if self.entries[name].admit(serving=self.serving(name)):
+            if self.entries[name].admit():
                 self.admitted.append(virtual.clock())
 
-    async def _publish(self, entry: _Entry, phase: float) -> None:
+    async def _publish(self, name: str, phase: float) -> None:
         await anyio.sleep(phase)
-        while True:
-            serving = self.serving(entry.name)
-            asked = demands.Asked(
-                customer=CUSTOMER.name,
-                fraction=entry.limits.demand(CUSTOMER),
-                serving=serving,
-            )
-            if entry.name in serving and not self.is_dead(entry.name):
-                for report in entry.demands.publish([asked]):
-                    self._send(entry, report)
+        while not self.is_dead(name):
+            self.entries[name].exchange.publish()
             await anyio.sleep(demands.PUBLISH_SECONDS)
 
-    def _send(self, entry: _Entry, report: demands.Report) -> None:
-        entry.sequence += 1
-        usage = messages.Usage(
-            entry=entry.name,
-            incarnation=1,
-            sequence=entry.sequence,
-            sent_at=virtual.clock(),
-            hears=report.hears,
-            demands=report.demands,
-        )
+    def _send(self, name: str, peer: str, usage: messages.Usage) -> None:
         self.bytes += 2 * (len(msgspec.msgpack.encode(usage)) + OVERHEAD)
         cut = self.scenario.cut and self._is_faulty()
-        if cut and entry.name == ENTRIES[0]:
+        if cut and name == ENTRIES[0]:
             return
         if self.random.random() >= self.scenario.loss:
-            self.entries[report.peer].demands.note(usage)
+            self.entries[peer].exchange.receive(usage)
 
     async def main(self) -> None:
         """Send calls and datagrams until the end."""
         async with anyio.create_task_group() as tasks:
-            for position, entry in enumerate(self.entries.values()):
-                tasks.start_soon(self._publish, entry, 0.17 * position)
+            for position, name in enumerate(ENTRIES):
+                self.entries[name] = self._make_entry(name)
+                tasks.start_soon(self._publish, name, 0.17 * position)
             await self._call()
             tasks.cancel_scope.cancel()
 
-    def summarise(self, *, rule: str) -> Row:
+    def summarise(self) -> Row:
         """Return the row of figures."""
         counts = collections.Counter(int(at) for at in self.admitted)
         last = int(SECONDS - WINDOW)
@@ -234,7 +247,7 @@
         used = steady / LIMIT / (SECONDS - WARM)
         return Row(
             scenario=self.scenario.name,
-            rule=rule,
+            rule=self.rule,
             used=used,
             unused=max(0.0, 1.0 - used),
             most=max(windows) / LIMIT / WINDOW,
@@ -252,11 +265,14 @@
 
 def weigh_memory(customers: int) -> Memory:
     """Return the bytes that one customer's state takes."""
+    known = [
+        dataclasses.replace(CUSTOMER, name=f'customer-{number}')
+        for number in range(customers)
+    ]
     tracemalloc.start()
     before, _ = tracemalloc.get_traced_memory()
     table = limits.Limits(clock=lambda: 0.0, most_customers=customers)
-    for number in range(customers):
-        customer = dataclasses.replace(CUSTOMER, name=f'customer-{number}')
+    for customer in known:
         table.admit(customer=customer, tokens=1, share=0.5)
     after, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
@@ -272,7 +288,7 @@
         for rule in RULES:
             one = _Run(scenario=scenario, rule=rule, seed=seed)
             virtual.drive(one.main)
-            rows.append(one.summarise(rule=rule))
+            rows.append(one.summarise())
             if scenario.name == 'entry_dies':
                 counts = collections.Counter(int(at) for at in one.admitted)
                 seconds = range(int(SECONDS))
--- a/tests/test_demands.py
+++ b/tests/test_demands.py
@@ -31,13 +31,13 @@
             for entry in entries
         }
 
-    def publish(self, entry, *, lost=False):
-        asked = demands.Asked(
+    def publish(self, entry, *, asked=True, deaf=()):
+        one = demands.Asked(
             customer='c',
             fraction=self.fractions[entry],
             serving=tuple(self.demands),
         )
-        reports = self.demands[entry].publish([asked])
+        reports = self.demands[entry].publish([one] if asked else [])
         for report in reports:
             usage = messages.Usage(
                 entry=entry,
@@ -47,7 +47,7 @@
                 hears=report.hears,
                 demands=report.demands,
             )
-            if not lost:
+            if report.peer not in deaf:
                 self.demands[report.peer].note(usage)
         return reports
 
@@ -56,8 +56,7 @@
         for _ in range(rounds):
             self.clock.now += demands.PUBLISH_SECONDS
             for entry in self.demands:
-                lost = any(peer in deaf for peer in self.demands)
-                self.publish(entry, lost=lost and entry not in deaf)
+                self.publish(entry, deaf=deaf)
 
     def shares(self):
         return [
@@ -103,6 +102,22 @@
     assert [site.publish(entry) for entry in SERVING] == [[], []]
 
 
+def test_an_entry_without_calls_answers_too():
+    """A customer that keeps to one entry must get the other one's part.
+
+    Symptom: a customer whose callers use one address gets half its limit.
+    Sequence: it presses at one entry; the other has no state of it.
+    Cause: an entry told peers only of customers that it had state of.
+    """
+    site = Site()
+    site.fractions['one'] = 2.0
+    for _ in range(3):
+        site.clock.now += demands.PUBLISH_SECONDS
+        site.publish('one')
+        site.publish('two', asked=False)
+    assert site.shares() == pytest.approx([0.95, 0.05])
+
+
 def test_an_entry_that_does_not_serve_has_no_share():
     site = Site()
     assert site.demands['one'].share(customer='c', serving=('two',)) == 0.0
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -141,5 +141,6 @@
     for _ in range(400):
         clock.now += 0.05
         table.admit(customer=customer, tokens=0, share=0.5)
-    assert table.demand(customer) == pytest.approx(2.0, rel=0.1)
-    assert table.demand(make_customer('other')) == 0.0
+    [asking] = table.list_asking()
+    assert asking.customer is customer
+    assert asking.fraction == pytest.approx(2.0, rel=0.1)
