--- a/tests/process_site.py
+++ b/tests/process_site.py
@@ -9,8 +9,8 @@
 import contextlib
 import dataclasses
 import hashlib
+import itertools
 import os
-import random
 import signal
 import socket
 import time
@@ -43,8 +43,9 @@
 LOOK_AGAIN = 0.02
 #: A test that waits longer than this for an event has failed.
 PATIENCE = 8.0
-#: Below the ports that the kernel gives to those who ask for any.
-PORTS = range(20_000, 32_000)
+#: Below the ports that the kernel gives to those who ask for any; test runs
+#: at the same time have blocks of their own.
+FIRST_PORT, BLOCKS, BLOCK = 20_000, 100, 120
 
 
 def make_bundle(number):
@@ -73,19 +74,27 @@
     )
 
 
-def find_port(taken):
-    """Return a port free for TCP and UDP that nobody gets by chance."""
-    while True:
-        port = random.SystemRandom().choice(PORTS)
+def list_ports():
+    """Return the ports of this test run, again and again."""
+    first = FIRST_PORT + os.getpid() % BLOCKS * BLOCK
+    return itertools.cycle(range(first, first + BLOCK))
+
+
+PORTS = list_ports()
+
+
+def find_port():
+    """Return a port that is free for TCP and UDP."""
+    for port in PORTS:
         with socket.socket() as one, socket.socket(type=2) as other:
+            # A port of an earlier test waits for late segments a minute.
+            one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
                 one.bind((HOST, port))
                 other.bind((HOST, port))
             except OSError:
                 continue
-        if port not in taken:
-            taken.add(port)
-            return port
+        return port
 
 
 class Endpoint:
@@ -155,7 +164,6 @@
         self.table = objects.Table()
         self.instances = instance_list.InstanceList()
         self.nodes = {}
-        self.taken = set()
         self.pool = httpcore.AsyncConnectionPool()
         self.tokens = status_module.Tokens(
             fleet_key=FLEET_KEY.encode(), wall=time.time
@@ -167,7 +175,7 @@
     async def add(self, name, *, seeds=(), **changes):
         """Lay out a node, put it on the instance list and start it."""
         role = name.split('-')[0]
-        ports = [find_port(self.taken) for _ in range(3)]
+        ports = [find_port() for _ in range(3)]
         own = {
             'call_port': ports[0],
             'control_port': ports[1],
