--- a/tests/test_prefix_affinity.py
+++ b/tests/test_prefix_affinity.py
@@ -101,7 +101,9 @@
     assert {entry.choose() for _ in range(20)} == {first}
 
 
-@pytest.mark.parametrize(('running', 'outbid'), [(0, False), (8, True)])
+@pytest.mark.parametrize(
+    ('running', 'outbid'), [(0, False), (2, False), (4, True), (8, True)]
+)
 def test_load_outbids_the_cache(running, outbid):
     """One endpoint gets all calls of a template and the others stand idle.
 
