Answer a broken body, and let the answer before broken bytes end

Bad input had no test through the whole path. Two faults of the HTTP server showed: a body that breaks off in its chunks got no answer at all, and bytes that cannot be understood behind a whole request cut off that request's answer, though it had run. Now the first is refused (as "outcome unknown" where the request has a key, which it may repeat), and the connection ends behind the answer that is on its way. Both tests failed before.

A head that is refused before it was read is still told "not run" even if it carries a key; that is left open.

--- a/marigoldramp/servers.py
+++ b/marigoldramp/servers.py
@@ -31,6 +31,7 @@
 KEEP_ALIVE = 60
 BACKLOG = 1024
 HEAD_END = b'\r\n\r\n'
+KEY_HEADER = b'idempotency-key'
 
 Application = Callable[
     [MutableMapping[str, Any], asgi.Receive, asgi.Send], Awaitable[None]
@@ -65,6 +66,8 @@
     bounds: Bounds
     head_size = 0
     head_timer: asyncio.TimerHandle | None = None
+    #: What still comes cannot be understood.
+    broken = False
 
     def connection_made(self, transport: Any) -> None:
         super().connection_made(transport)
@@ -78,6 +81,8 @@
             )
 
     def data_received(self, data: bytes) -> None:
+        if self.broken:
+            return
         if self.head_size == 0:
             self._expect_head()
         if self.head_timer is not None and not self._fits(data):
@@ -112,9 +117,21 @@
         super().connection_lost(exc)
 
     def send_400_response(self, msg: str) -> None:
-        self._refuse(
-            outcomes.NotRun(reason=outcomes.Reason.MALFORMED, detail=msg)
-        )
+        refusal: outcomes.Refusal
+        refusal = outcomes.NotRun(reason=outcomes.Reason.MALFORMED, detail=msg)
+        if self._has_key():
+            # It may repeat a request that has run.
+            refusal = outcomes.OutcomeUnknown(
+                reason=outcomes.Reason.MALFORMED, detail=msg
+            )
+        self._refuse(refusal)
+
+    def _has_key(self) -> bool:
+        """Whether the request that is being read has an idempotency key."""
+        cycle = self.cycle
+        if cycle is None or cycle.response_complete:
+            return False
+        return any(name == KEY_HEADER for name, _ in cycle.scope['headers'])
 
     def _expect_head(self) -> None:
         self._stop_timer()
@@ -136,15 +153,26 @@
         """Answer with a refusal and close the connection.
 
         While an earlier request on the connection is being answered no
-        bytes may be put between; closing alone says enough then.
+        bytes may be put between.  Closing at once would cut its answer off,
+        though it has run, so the connection ends behind it.
         """
         self._stop_timer()
-        if self.transport.is_closing():
+        if self.transport.is_closing() or self.broken:
+            return
+        self.broken = True
+        if self._is_answering():
+            self.cycle.keep_alive = False
             return
-        if self.cycle is None or self.cycle.response_complete:
-            self.transport.write(_render(refusal))
+        self.transport.write(_render(refusal))
         self.transport.close()
 
+    def _is_answering(self) -> bool:
+        """Whether a request that has come whole has no whole answer yet."""
+        cycle = self.cycle
+        if cycle is None or cycle.response_complete:
+            return False
+        return cycle.response_started or not cycle.more_body
+
 
 def _render(refusal: outcomes.Refusal) -> bytes:
     """Return a whole HTTP/1.1 answer with the refusal."""
