Let the demo's ranks report compressed time

Each rank reported one second of counts an interval, and the estimate forgets half in a minute, so in the demo's six seconds it learnt nothing and the policy saw no skew. A step of the stand-in stands for a second now. Ruled out: a shorter half-life in the product, which would follow noise.

--- a/marigoldramp_standins/counts.py
+++ b/marigoldramp_standins/counts.py
@@ -10,6 +10,9 @@
 TOKENS_PER_STEP = 1000.0
 SECONDS_PER_TOKEN = 1e-5
 BASE_SECONDS = 1e-3
+#: Time that one step stands for in reports.  A stand-in steps for a few
+#: seconds only, in which an estimate over minutes would learn nothing.
+SECONDS_PER_STEP = 1.0
 
 
 class Counts:
@@ -41,7 +44,7 @@
         return popularity.Report(
             series=1,
             sequence=self._sequences[rank],
-            seconds=1.0 if since else 0.0,
+            seconds=since * SECONDS_PER_STEP,
             layers=tuple(
                 popularity.scale([share * TOKENS_PER_STEP for share in shares])
                 for shares in self._layers
