--- a/tests/matrix_faults.py
+++ b/tests/matrix_faults.py
@@ -90,6 +90,8 @@
 
 async def send_twice(site):
     """Send the bytes of the last request at the agent once more."""
+    if not site.agents[0].taken:
+        return
     taken = site.agents[0].taken[-1]
 
     async def send():
@@ -269,3 +271,22 @@
     Fault(name='stale list', land=replace_unseen, reason=not_own),
 )
 BY_NAME = {fault.name: fault for fault in FAULTS}
+
+#: Where the two faults of a pair land.
+FIRST_STEP, SECOND_STEP = S.CALL_SENT, S.AGENT_RECORDED
+
+
+def list_pairs(kind):
+    """Return the pairs of faults that can land one after the other."""
+    pairs = {}
+    for number, one in enumerate(FAULTS):
+        for other in FAULTS[number + 1 :]:
+            for first, second in ((one, other), (other, one)):
+                if first.reason(kind, FIRST_STEP):
+                    continue
+                if second.reason(kind, SECOND_STEP):
+                    continue
+                landings = ((FIRST_STEP, first), (SECOND_STEP, second))
+                pairs[f'{first.name} + {second.name}'] = landings
+                break
+    return pairs
