--- a/marigoldramp_measure/drive.py
+++ b/marigoldramp_measure/drive.py
@@ -68,6 +68,11 @@
         times, _ = await self._send('POST', path, body)
         return times
 
+    async def count_address_bytes(self) -> int:
+        """Ask which addresses to use; return the size of the answer."""
+        _, body = await self._send('GET', '/marigoldramp/addresses', b'')
+        return len(body)
+
     async def stream(self, number: int, tokens: int) -> Times:
         """Read a streamed draft to its end."""
         body = write_draft(number, tokens)
--- a/marigoldramp_measure/memory.py
+++ b/marigoldramp_measure/memory.py
@@ -28,7 +28,7 @@
     'absl.logging',
     'cyclopts',
     'cryptography.hazmat.primitives.asymmetric.ed25519',
-    'opentelemetry.exporter.prometheus',
+    'opentelemetry.sdk.metrics',
     'grpc.aio',
     'marigoldramp.entry',
     'marigoldramp.agent',
--- a/marigoldramp_measure/path.py
+++ b/marigoldramp_measure/path.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import functools
+import os
 import pathlib
 import random as random_module
 import time
@@ -17,6 +18,8 @@
 
 import anyio
 
+from marigoldramp import client
+
 from . import drive
 from . import fleet
 from . import tables
@@ -31,6 +34,10 @@
 CALL_COUNTS = (100, 300, 500)
 LENGTHS = (8, 64, 160)
 STREAMS = 24
+#: Process that makes the calls: the one that measures.
+CALLER = 'caller'
+#: How long a caller keeps an address answer; the settings' default.
+KEEP_SECONDS = 30.0
 MICRO = 1e6
 MILLI = 1e3
 
@@ -74,6 +81,18 @@
     load: float
 
 
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Addresses:
+    """Size of an answer to a caller that asks where to go.
+
+    :ivar seconds: how long the caller keeps it.
+    """
+
+    non_idempotent_services: int
+    size: int
+    seconds: float
+
+
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Sample:
     """One batch of work: its size and what a process spent on it.
@@ -149,6 +168,8 @@
         tables.write(rows=latencies, path=out / 'path_latency.csv')
         idle = await bench.measure_idle()
         tables.write(rows=idle, path=out / 'path_idle.csv')
+        addresses = await bench.measure_addresses()
+        tables.write(rows=[addresses], path=out / 'path_addresses.csv')
         costs = await bench.measure_costs(idle, random)
         tables.write(rows=costs, path=out / 'path_cost.csv')
         await bench.close()
@@ -157,7 +178,14 @@
 class Bench:
     """Drives one running fleet."""
 
-    __slots__ = ('_path', '_engine', '_ledger', '_processes', '_count')
+    __slots__ = (
+        '_path',
+        '_engine',
+        '_ledger',
+        '_client',
+        '_processes',
+        '_count',
+    )
 
     def __init__(self, running: fleet.MeasuredFleet) -> None:
         key = running.callers[0].key
@@ -168,12 +196,23 @@
             name: running.find_process(name)
             for name in (fleet.ENTRY, fleet.ENGINE_AGENT, fleet.LEDGER_AGENT)
         }
+        self._processes[CALLER] = os.getpid()
+        self._client = client.Client(addresses=[running.entry], key=key)
         self._count = 0
 
     async def close(self) -> None:
         """Close the connections."""
         for driver in (self._path, self._engine, self._ledger):
             await driver.close()
+        await self._client.close()
+
+    async def measure_addresses(self) -> Addresses:
+        """Return the size of an address answer, with keys in it."""
+        return Addresses(
+            non_idempotent_services=1,
+            size=await self._path.count_address_bytes(),
+            seconds=KEEP_SECONDS,
+        )
 
     async def measure_latency(self) -> list[Latency]:
         """Return what the path adds to a plain and to a streamed call."""
@@ -245,6 +284,7 @@
                 self._path.confirm_pledge,
                 fleet.LEDGER_AGENT,
             ),
+            ('call by the client library', self._call, CALLER),
         ):
             batches = [
                 Batch(calls=count, size=count, work=work)
@@ -266,6 +306,13 @@
         )
         return rows
 
+    async def _call(self, number: int) -> None:
+        """Make a plain call through the library that callers link."""
+        path = f'/receipts/{number}?bytes={drive.RECEIPT_BYTES}'
+        answer = await self._client.call(client.Call(method='GET', path=path))
+        if not isinstance(answer, client.Answer):
+            raise drive.Failed(str(answer))
+
     async def _measure_batches(
         self,
         batches: list[Batch],
