Show bundle, peers and alarms by the command line in a test

Cause: nothing ran "marigoldramp status" against processes that live; the table was tested with made-up answers only. After a roll of an older number the command shows the alarm by its name, the bundle in force and the peers.

Ruled out: a test of its own, as a start of processes takes most of the time of each.

--- a/tests/process_site.py
+++ b/tests/process_site.py
@@ -309,6 +309,20 @@
 
         await until(is_so)
 
+    async def show_status(self):
+        """Return what the command line shows of all instances."""
+        settings = self.folder / f'{next(iter(self.nodes))}.yaml'
+        return await processes.run(
+            arguments=[
+                'marigoldramp.ui',
+                'status',
+                '--peers',
+                '--settings',
+                str(settings),
+            ],
+            environment={'PROCESS_SITE_KEY': FLEET_KEY},
+        )
+
     # Asking
 
     async def is_ready(self, node):
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -289,6 +289,13 @@
         await process_site.until(lambda: has_alarm(site, entry))
         for node in (entry, agent):
             assert (await site.status(node)).bundle == 5
+        told = await site.show_status()
+        assert 'entry-1: bundle_kept_out: ' in told
+        table = [line.split() for line in told.splitlines()]
+        assert ['agent-1', 'agent', 'a', '5', 'ready'] in [
+            cells[:5] for cells in table
+        ]
+        assert 'PEER OF entry-1' in told
 
 
 async def is_true(value):
