Shorten heartbeats and forget peers that the list has dropped

Bytes bind before processor time, and a third of a heartbeat was what does not change in an incarnation. A peer that has echoed one gets the rest only; membership fills in what is missing before anybody reads it. When echoes stay out for 1.5 intervals the heartbeat is whole again, since the peer may have forgotten us.

The test of a forgetful peer showed a second fault: a dead peer stayed chosen, and was probed, for as long as the table held it, though the list no longer named it. Such a peer is not chosen any more and is forgotten.

Ruled out: shortening by a number in place of the instance name (12 bytes more, but a table of numbers to agree on).

--- a/marigoldramp/messages.py
+++ b/marigoldramp/messages.py
@@ -59,6 +59,10 @@
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """One datagram to a peer.
 
+    To a peer that has echoed one, what does not change in an incarnation is
+    left out: ``host`` is empty, and so are the data centre, the ports and
+    the service.  ``membership`` fills them in before anybody reads them.
+
     :ivar incarnation: random number of this start of the process.
     :ivar sequence: grows by one with each heartbeat of the incarnation.
     :ivar sent_at: wall clock in seconds.
--- a/marigoldramp/peer_choice.py
+++ b/marigoldramp/peer_choice.py
@@ -50,7 +50,7 @@
 
         :param users: entries that have heartbeated this agent lately.
         """
-        records = list(records)
+        records = [record for record in records if not record.is_gone()]
         self._score(records)
         entries = _of_role(records, messages.Role.ENTRY)
         if self._role is messages.Role.AGENT:
--- a/marigoldramp/peer_intake.py
+++ b/marigoldramp/peer_intake.py
@@ -8,6 +8,7 @@
 from typing import Iterable
 
 from absl import logging
+import msgspec
 
 from . import heartbeats
 from . import messages
@@ -62,9 +63,11 @@
 
     def hear(self, heartbeat: messages.Heartbeat) -> peer_table.Record | None:
         """Take a heartbeat that came as a datagram; return its sender."""
-        record = self._find(heartbeat)
-        if record is None:
+        whole = self._complete(heartbeat)
+        record = None if whole is None else self._find(whole)
+        if whole is None or record is None:
             return None
+        heartbeat = whole
         record.heard_at = self._clock()
         if heartbeat.asks:
             lasts = self._pace.answer_seconds(record)
@@ -109,15 +112,33 @@
             names.add(row.name)
             self._take_row(row, now)
         for record in list(self._table):
-            record.listed = record.instance in names
+            record.unlisted = record.instance not in names
             self.forget_if_gone(record)
 
     def forget_if_gone(self, record: peer_table.Record) -> None:
         """Forget a peer that nobody names and that does not live."""
-        gone = record.state in (State.DEAD, State.LISTED)
-        if gone and not record.listed and not record.attended:
+        if record.is_gone() and not record.attended:
             self._table.remove(record.instance)
 
+    def _complete(
+        self, heartbeat: messages.Heartbeat
+    ) -> messages.Heartbeat | None:
+        """Fill in what a short heartbeat leaves out, if it is known."""
+        if heartbeat.host:
+            return heartbeat
+        record = self._table.find(heartbeat.instance)
+        if record is None or record.incarnation != heartbeat.incarnation:
+            return None
+        return msgspec.structs.replace(
+            heartbeat,
+            data_centre=record.data_centre,
+            host=record.host,
+            call_port=record.call_port,
+            control_port=record.control_port,
+            datagram_port=record.datagram_port,
+            service=record.service,
+        )
+
     def _find(self, heartbeat: messages.Heartbeat) -> peer_table.Record | None:
         """Return the record of the sender, brought up to date."""
         own = self._sender.identity
--- a/marigoldramp/peer_sender.py
+++ b/marigoldramp/peer_sender.py
@@ -3,6 +3,8 @@
 import dataclasses
 from typing import Callable
 
+import msgspec
+
 from . import heartbeats
 from . import messages
 from . import peer_pace
@@ -13,6 +15,8 @@
 #: Peers told in one heartbeat to a peer whose instance list is away; some
 #: 70 bytes each.
 MOST_KNOWN = 6
+#: Intervals without an echo after which a heartbeat is whole again.
+WHOLE_AGAIN_INTERVALS = 1.5
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -93,6 +97,8 @@
             asks=record.chosen,
             known=known,
         )
+        if self._has_introduced(record, now):
+            heartbeat = _shorten(heartbeat)
         record.note_sent(heartbeat.sequence, now)
         self._send(heartbeat, record.host, record.datagram_port)
 
@@ -143,6 +149,18 @@
         datagram = self._codec.encode(heartbeat)
         self._transport.send(datagram=datagram, host=host, port=port)
 
+    def _has_introduced(self, record: peer_table.Record, now: float) -> bool:
+        """Return whether the peer knows what does not change about us.
+
+        A peer that has restarted or forgotten us cannot use a short
+        heartbeat and does not echo it, so the next one is whole again.
+        """
+        if not record.echoed:
+            return False
+        unechoed = now - record.unechoed_at
+        waited = WHOLE_AGAIN_INTERVALS * self._pace.interval_of(record)
+        return not record.unechoed or unechoed < waited
+
     def _lacks_list(self) -> bool:
         if self.listed_at is None:
             return True
@@ -179,6 +197,18 @@
         return tuple(_describe(record) for record in news)
 
 
+def _shorten(heartbeat: messages.Heartbeat) -> messages.Heartbeat:
+    return msgspec.structs.replace(
+        heartbeat,
+        data_centre='',
+        host='',
+        call_port=0,
+        control_port=0,
+        datagram_port=0,
+        service='',
+    )
+
+
 def _describe(record: peer_table.Record) -> messages.KnownInstance:
     return messages.KnownInstance(
         instance=record.instance,
--- a/marigoldramp/peer_table.py
+++ b/marigoldramp/peer_table.py
@@ -97,6 +97,7 @@
         0 for none, and ``unechoed_at`` when that was sent.
     :ivar said_leaving: it says itself that it leaves.
     :ivar told_leaving: callbacks have been told that it leaves.
+    :ivar unlisted: the instance list has been read and does not name it.
     :ivar doubted: somebody saw an error, so it has to be verified now.
     :ivar chosen: this process heartbeats it unasked.
     :ivar attended: a task runs for it.
@@ -128,7 +129,7 @@
     unechoed_at: float = 0.0
     said_leaving: bool = False
     told_leaving: bool = False
-    listed: bool = False
+    unlisted: bool = False
     flag: Flag = dataclasses.field(default_factory=Flag)
     doubted: bool = False
     chosen: bool = False
@@ -139,6 +140,11 @@
     pending_known: int = 0
     pending_in: int = 0
 
+    def is_gone(self) -> bool:
+        """Return whether the list no longer names it and it is not heard."""
+        silent = self.state in (State.DEAD, State.LISTED)
+        return silent and self.unlisted
+
     def is_asking(self, now: float) -> bool:
         """Return whether it heartbeats us of its own choice."""
         return now < self.answered_until
--- a/marigoldramp_measure/heartbeats.py
+++ b/marigoldramp_measure/heartbeats.py
@@ -30,6 +30,8 @@
 PEERS = (4, 8, 16, 24)
 LISTED = (100, 400, 1_280)
 SECONDS = 10.0
+#: Datagrams a second that stretch no interval.
+NO_BUDGET = 1e6
 DATAGRAMS = 20_000
 DATAGRAM_BYTES = 150
 MICRO = 1e6
@@ -118,7 +120,7 @@
             settings=dataclasses.replace(
                 settings,
                 membership=dataclasses.replace(
-                    settings.membership, peers=peers
+                    settings.membership, peers=peers, datagrams=NO_BUDGET
                 ),
             ),
             random=random_module.Random(random.random()),
--- a/marigoldramp_measure/verdicts.py
+++ b/marigoldramp_measure/verdicts.py
@@ -25,6 +25,9 @@
 from . import usage
 
 OBSERVERS = 8
+#: Eight observers and a victim know no more than nine peers, which leaves
+#: the interval as it is.
+DATAGRAMS = 50.0
 TRIALS = 3
 
 
@@ -66,6 +69,7 @@
     *,
     trials: int = TRIALS,
     observers: int = OBSERVERS,
+    datagrams: float = DATAGRAMS,
     seed: int = 1,
     out: pathlib.Path = pathlib.Path('out'),
 ) -> None:
@@ -73,6 +77,8 @@
 
     :param trials: victims of each fault.
     :param observers: instances that heartbeat the victim.
+    :param datagrams: the observers' budget; a smaller one stretches the
+        interval as more peers would.
     """
     out.mkdir(parents=True, exist_ok=True)
     rows = []
@@ -80,7 +86,8 @@
         random = random_module.Random(seed)
         times: list[float] = []
         for _ in range(trials):
-            times += anyio.run(_measure_verdict, fault, observers, random)
+            members = _make_observers(observers, datagrams, random)
+            times += anyio.run(_measure_verdict, fault, members, random)
         rows.append(
             VerdictRow(
                 fault=fault.value,
@@ -93,30 +100,47 @@
     tables.write(rows=rows, path=out / 'verdicts.csv')
 
 
-async def _measure_verdict(
-    fault: Fault, observers: int, random: random_module.Random
-) -> list[float]:
-    """Return the seconds from the signal to each observer's knowledge."""
-    members = [
+def _make_observers(
+    count: int, datagrams: float, random: random_module.Random
+) -> list[instances.Instance]:
+    settings = instances.read_settings({})
+    settings = dataclasses.replace(
+        settings,
+        membership=dataclasses.replace(
+            settings.membership, datagrams=datagrams
+        ),
+    )
+    return [
         instances.Instance(
             description=instances.Description(
                 name=f'entry-{number}', data_centre='a'
             ),
-            settings=instances.read_settings({}),
+            settings=settings,
             random=random_module.Random(random.random()),
         )
-        for number in range(observers)
+        for number in range(count)
     ]
+
+
+async def _measure_verdict(
+    fault: Fault,
+    members: list[instances.Instance],
+    random: random_module.Random,
+) -> list[float]:
+    """Return the seconds from the signal to each observer's knowledge."""
+    observers = len(members)
     known: list[float] = []
     async with anyio.create_task_group() as group:
         for member in members:
             await member.start(group)
             member.members.on_dead(lambda _: known.append(time.monotonic()))
             member.members.on_leaving(lambda _: known.append(time.monotonic()))
-        victim = await _start_victim(members)
+        rows = [member.row() for member in members]
+        victim, row = await _start_victim(rows)
+        group.start_soon(_read_list, members, [*rows, row])
         try:
             # At a random moment between two heartbeats.
-            await anyio.sleep(3.0 + random.random())
+            await anyio.sleep(4.0 + random.random())
             began = time.monotonic()
             victim.send_signal(SIGNALS[fault])
             await instances.wait_until(
@@ -135,20 +159,26 @@
 
 
 async def _start_victim(
-    members: list[instances.Instance],
-) -> anyio.abc.Process:
-    """Start a victim; it and the others learn of each other by the list."""
+    rows: list[store.Instance],
+) -> tuple[anyio.abc.Process, store.Instance]:
+    """Start a victim that knows these rows; return its own as well."""
     victim = await anyio.open_process(
         [sys.executable, '-m', 'marigoldramp_measure.verdicts', 'victim']
     )
-    rows = [member.row() for member in members]
     assert victim.stdin is not None and victim.stdout is not None
     await victim.stdin.send(msgspec.json.encode(rows) + b'\n')
     line = await _read_line(victim.stdout)
     row = msgspec.json.decode(line, type=store.Instance)
-    for member in members:
-        member.members.seed([row])
-    return victim
+    return victim, row
+
+
+async def _read_list(
+    members: list[instances.Instance], rows: list[store.Instance]
+) -> None:
+    while True:
+        for member in members:
+            member.members.seed(rows)
+        await anyio.sleep(1.0)
 
 
 async def _read_line(stream: anyio.abc.ByteReceiveStream) -> bytes:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -383,6 +383,36 @@
         assert many.events == [('dead', 'agent-1')]
 
 
+@pytest.mark.anyio
+async def test_heartbeats_get_shorter_once_they_are_echoed():
+    async with open_pair() as (site, entry, agent):
+        whole = site.network.sent[0][-1]
+        heard = []
+        entry.membership.on_heartbeat(heard.append)
+        await anyio.sleep(1)
+        assert len(site.network.sent[-1][-1]) < len(whole) - 8
+        assert heard[0].host == fake_network.HOST
+        assert heard[0].service == 's'
+
+
+@pytest.mark.anyio
+async def test_peer_that_has_forgotten_us_is_told_again():
+    """A peer is cut off for so long that it forgets us.
+
+    The short heartbeats that come once the cut has mended say too little
+    to answer them.
+    """
+    async with open_pair() as (site, entry, agent):
+        site.network.cut(entry, agent)
+        await anyio.sleep(10)
+        agent.membership.seed([agent.row()])
+        await anyio.sleep(10)
+        assert agent.membership.find('entry-1') is None
+        site.network.mend()
+        await anyio.sleep(15)
+        assert entry.state_of(agent) == agent.state_of(entry) == 'alive'
+
+
 @pytest.mark.anyio
 async def test_heartbeats_end_when_nobody_chooses_them():
     """Choices change as instances come and go.
