Try again for a free port of the peers' server

A measurement failed at its start with "address already in use" for port 0: 67,000 connections of other load runs stood in TIME_WAIT, more than there are ephemeral ports (32768 to 60999), and the bind found none.

--- a/marigoldramp/peer_server.py
+++ b/marigoldramp/peer_server.py
@@ -5,11 +5,13 @@
 """
 
 import abc
+import contextlib
 import time
 from typing import Any
 from typing import AsyncIterator
 from typing import Callable
 
+import anyio
 import google.protobuf.message
 import grpc
 
@@ -18,6 +20,9 @@
 from . import seals
 
 MOST_CONCURRENT = 256
+#: Attempts to find a free port, and seconds in between.
+BIND_ATTEMPTS = 20
+BIND_EVERY = 0.1
 
 
 class Handlers(abc.ABC):
@@ -111,12 +116,27 @@
                 ),
             )
         )
-        bound: int = self._server.add_insecure_port(
-            peer_messages.target_of(self._host, self._port)
-        )
+        bound = await self._bind(self._server)
         await self._server.start()
         return bound
 
+    async def _bind(self, server: Any) -> int:
+        """Bind the port; try again where any free one would do.
+
+        Thousands of connections that have just ended can hold every port
+        for a moment, and the system then finds none at the first attempt.
+        """
+        target = peer_messages.target_of(self._host, self._port)
+        for _ in range(BIND_ATTEMPTS - 1):
+            with contextlib.suppress(RuntimeError):
+                bound: int = server.add_insecure_port(target)
+                return bound
+            if self._port:
+                break
+            await anyio.sleep(BIND_EVERY)
+        bound = server.add_insecure_port(target)
+        return bound
+
     async def stop(self, grace: float = 0.0) -> None:
         """Refuse new requests; give running ones ``grace`` seconds."""
         server, self._server = self._server, None
