--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -1,15 +1,19 @@
 """Tests of the agent's planned stop, hand-over and alarms."""
 
 import dataclasses
+import types
 
 import process_site
 import pytest
 import runtime_site
 
+from marigoldramp import agent as agent_module
 from marigoldramp import alarms
+from marigoldramp import map_conversation
 from marigoldramp import outcomes
 from marigoldramp import peers
 from marigoldramp import runtime
+from marigoldramp import stragglers
 
 NAMES = ('entry-1', 'agent-1', 'agent-2')
 
@@ -176,3 +180,37 @@
         for key in (await site.keys_by_agent(entry))[agent.name][:2]:
             await site.call(entry, 'POST', '/orders/x', key=key)
         assert await list_alarms(site, agent) == ['records_nearly_full']
+
+
+@pytest.mark.parametrize(
+    'trouble, shown',
+    [
+        (None, False),
+        (map_conversation.Trouble.DEPOSED, False),
+        (map_conversation.Trouble.UNREACHED, True),
+        (map_conversation.Trouble.REFUSED, True),
+    ],
+)
+async def test_alarms_of_a_rank_group(tmp_path, monkeypatch, trouble, shown):
+    """Symptom: a group stands still or is slow and nobody is told.
+
+    Sequence: its leader cannot settle it; a rank is slow for no reason of
+    its load.  Cause: findings that stay with the leader.
+    """
+    monkeypatch.setattr(agent_module, 'MAP_STALLED_AFTER', 0.0)
+    async with runtime_site.run(tmp_path, 'entry-1', 'agent-1') as site:
+        agent = site.nodes['agent-1']
+        slow = stragglers.Straggler(rank=3, slowdown=1.4, load=1.0)
+        leader = types.SimpleNamespace(trouble=trouble)
+        program = agent.process.program
+        monkeypatch.setattr(
+            program, 'rank_group', types.SimpleNamespace(leader=leader)
+        )
+        monkeypatch.setattr(
+            program,
+            'planner',
+            types.SimpleNamespace(findings=lambda: (slow,)),
+        )
+        names = [alarm.name for alarm in program.alarms()]
+        assert names == ['straggler_rank', *['map_change_stalled'] * shown]
+        monkeypatch.undo()
