Number orders on when a lapsed lease is taken again

Cause: found by putting the real lease in the place of the test's own. A lease that lapsed in an outage of the store, with nobody else to take it, is taken again under the same fence.

--- /dev/null
+++ b/marigoldramp/map_changes.py
@@ -0,0 +1,133 @@
+"""One change of a group's map: prepare, hold, arm, release.
+
+*Prepare*: every rank loads weights.  *Hold*: one rank is told not to enter
+step s.  *Arm*: every rank is told to use the new map from step s + 1.
+*Release* the held rank.  As ranks run in lock-step, none can enter step s + 1
+while one is held before step s, so none uses the new map before all have
+armed it.  In the common case the release comes before step s and the group
+never waits; in the worst case it waits, and still no step mixes maps.
+"""
+
+from typing import Awaitable
+from typing import Callable
+from typing import Sequence
+
+import anyio
+
+from . import expert_maps
+from . import map_conversation
+from . import map_orders
+from . import map_settling
+from . import steps
+
+Trouble = map_conversation.Trouble
+
+#: The rank that is held during a change; any one does.
+HELD_RANK = 0
+
+
+class Changer:
+    """Makes changes in the name of one leader.
+
+    :param may_go_on: says whether the leader's lease still lasts.
+    """
+
+    __slots__ = ('_instance', '_pace', '_clock', '_sleep', '_may_go_on')
+
+    def __init__(
+        self,
+        *,
+        instance: str,
+        pace: map_settling.Pace,
+        clock: Callable[[], float],
+        may_go_on: Callable[[], bool],
+        sleep: Callable[[float], Awaitable[None]] = anyio.sleep,
+    ) -> None:
+        self._instance = instance
+        self._pace = pace
+        self._clock = clock
+        self._may_go_on = may_go_on
+        self._sleep = sleep
+
+    async def change(
+        self,
+        talk: map_conversation.Conversation,
+        layers: tuple[expert_maps.Layer, ...],
+        load_limit: float,
+    ) -> bool:
+        """Take a change up to the release; return whether all have armed it.
+
+        On any trouble it stops where it is, and settling undoes or finishes
+        what stands.
+
+        :param load_limit: seconds after which loads are given up.
+        """
+        version = talk.name_map()
+        new = expert_maps.ExpertMap(version=version, layers=layers)
+        if not await self._prepare(talk, new, load_limit):
+            return False
+        states = await talk.inspect()
+        if isinstance(states, Trouble) or not self._may_go_on():
+            return False
+        held = await self._hold(talk, states)
+        if held is None:
+            return False
+        await steps.reach(steps.Step.MAP_ARM_SENT, self._instance)
+        trouble = await talk.send_all(
+            map_orders.Arm(version=version, from_step=held + 1)
+        )
+        if trouble is not None:
+            return False
+        await steps.reach(steps.Step.MAP_ARMED, self._instance)
+        await map_settling.release(talk, (HELD_RANK,), self._instance)
+        return True
+
+    async def _prepare(
+        self,
+        talk: map_conversation.Conversation,
+        new: expert_maps.ExpertMap,
+        limit: float,
+    ) -> bool:
+        """Have every rank load a map's weights; give up at the limit."""
+        until = self._clock() + limit
+        await steps.reach(steps.Step.MAP_PREPARE_SENT, self._instance)
+        trouble = await talk.send_all(map_orders.Prepare(expert_map=new))
+        if trouble is not None:
+            return False
+        while self._clock() < until:
+            states = await talk.inspect()
+            if isinstance(states, Trouble):
+                return False
+            if all(new.version in state.loaded for state in states):
+                await steps.reach(steps.Step.MAP_PREPARED, self._instance)
+                return True
+            if any(state.schedule is None for state in states):
+                return False
+            await self._sleep(self._pace.retry)
+        return False
+
+    async def _hold(
+        self,
+        talk: map_conversation.Conversation,
+        states: Sequence[map_orders.RankState],
+    ) -> int | None:
+        """Hold one rank; return the step before which it holds."""
+        entered = max((state.entered for state in states), default=0)
+        rank = HELD_RANK
+        agent = talk.find_agent(rank)
+        if agent is None:
+            return None
+        await steps.reach(steps.Step.MAP_HOLD_SENT, self._instance)
+        answer = await talk.send(
+            agent,
+            map_orders.Hold(
+                rank=rank, before_step=entered + self._pace.lead_steps
+            ),
+        )
+        if isinstance(answer, Trouble):
+            return None
+        for state in answer.states:
+            if state.rank == rank and state.hold_before is not None:
+                await steps.reach(steps.Step.MAP_HELD, self._instance)
+                return state.hold_before
+        return None
--- a/marigoldramp/map_conversation.py
+++ b/marigoldramp/map_conversation.py
@@ -1,5 +1,6 @@
 """One leader's talk with the agents of its group, under one fence."""
 
+import dataclasses
 import enum
 from typing import Callable
 from typing import Mapping
@@ -8,6 +9,7 @@
 
 import anyio
 
+from . import expert_maps
 from . import map_orders
 
 
@@ -28,6 +30,20 @@
     REFUSED = 'an agent refused an order'
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Numbers:
+    """Numbers that a leading process gives its orders and maps.
+
+    They go on from one conversation to the next.  A lease that has lapsed,
+    with nobody else to take it, is taken again under the same fence; were
+    orders numbered from 1 again, agents would refuse them as overtaken, and
+    a new map could be named like an old one.
+    """
+
+    orders: int = 0
+    maps: int = 0
+
+
 class Conversation:
     """Numbers a leader's orders and remembers what agents answered.
 
@@ -40,7 +56,7 @@
         '_fence',
         '_agents',
         '_transport',
-        '_sequence',
+        '_numbers',
         '_incarnations',
         'replies',
     )
@@ -53,13 +69,14 @@
         fence: int,
         agents: Callable[[], Sequence[str]],
         transport: Transport,
+        numbers: Numbers | None = None,
     ) -> None:
         self._group = group
         self._leader = leader
         self._fence = fence
         self._agents = agents
         self._transport = transport
-        self._sequence = 0
+        self._numbers = numbers or Numbers()
         self._incarnations: dict[str, int] = {}
         #: The latest answer of each agent, for operators.
         self.replies: dict[str, map_orders.Reply | map_orders.Lost] = {}
@@ -69,6 +86,17 @@
         """Return the fence under which this leader gives orders."""
         return self._fence
 
+    def agents(self) -> tuple[str, ...]:
+        """Return the names of the agents that carry the group."""
+        return tuple(self._agents())
+
+    def name_map(self) -> expert_maps.Version:
+        """Return a version that no other map of the group has."""
+        self._numbers.maps += 1
+        return expert_maps.Version(
+            fence=self._fence, number=self._numbers.maps
+        )
+
     def find_agent(self, rank: int) -> str | None:
         """Return the agent that carried a rank when it last answered."""
         for agent, reply in self.replies.items():
@@ -138,13 +166,13 @@
         self, agent: str, body: map_orders.Body
     ) -> map_orders.Reply | Trouble:
         """Give one agent an order; return its reply if it obeyed."""
-        self._sequence += 1
+        self._numbers.orders += 1
         order = map_orders.Order(
             group=self._group,
             leader=self._leader,
             fence=self._fence,
             incarnation=self._incarnations.get(agent, 0),
-            sequence=self._sequence,
+            sequence=self._numbers.orders,
             body=body,
         )
         answer = await self._transport.order(rank_agent=agent, order=order)
--- a/marigoldramp/map_fences.py
+++ b/marigoldramp/map_fences.py
@@ -5,14 +5,35 @@
 from typing import Sequence
 
 import anyio
+import msgspec
 
+from . import leases
 from . import map_conversation
 from . import map_orders
+from . import store as store_module
 
 #: Reads the fence from the lease object; ``None`` while the store is away.
 ReadFence = Callable[[], Awaitable[int | None]]
 
 
+async def read(
+    *, platform: store_module.PlatformStore, key: store_module.Key
+) -> int | None:
+    """Return the fence in a lease's object, ``None`` if unreadable."""
+    found = await platform.read(key=key)
+    match found:
+        case store_module.Stored(value=value):
+            try:
+                record = msgspec.json.decode(value, type=leases.Record)
+            except msgspec.MsgspecError:
+                return None
+            return record.fence
+        case store_module.Absent():
+            return 0
+        case store_module.Unavailable():
+            return None
+
+
 async def learn(
     *,
     group: str,
--- a/marigoldramp/rank_groups.py
+++ b/marigoldramp/rank_groups.py
@@ -284,19 +284,7 @@
         )
 
     async def _read_fence(self) -> int | None:
-        """Return the fence in the lease object, ``None`` if unreadable."""
-        read = await self._platform.read(key=self._key)
-        match read:
-            case store_module.Stored(value=value):
-                try:
-                    record = msgspec.json.decode(value, type=leases.Record)
-                except msgspec.MsgspecError:
-                    return None
-                return record.fence
-            case store_module.Absent():
-                return 0
-            case store_module.Unavailable():
-                return None
+        return await map_fences.read(platform=self._platform, key=self._key)
 
 
 def _choose_pace(group: bundle.Group) -> map_leader.Pace:
--- a/marigoldramp_standins/group.py
+++ b/marigoldramp_standins/group.py
@@ -146,6 +146,14 @@
         """End a rank's engine for good."""
         self.ranks[number].alive = False
 
+    def record_versions(self) -> set[expert_maps.Version]:
+        """Return every map that was used in some step."""
+        return {
+            version
+            for versions in self.record.values()
+            for version in versions.values()
+        }
+
     def versions(self) -> set[expert_maps.Version | None]:
         """Return the maps in force over all ranks."""
         return {
--- a/marigoldramp_standins/group_network.py
+++ b/marigoldramp_standins/group_network.py
@@ -12,18 +12,23 @@
 from typing import Callable
 
 from marigoldramp import expert_maps
+from marigoldramp import leases
 from marigoldramp import map_conversation
 from marigoldramp import map_fences
 from marigoldramp import map_leader
 from marigoldramp import map_orders
 from marigoldramp import map_ranks
 from marigoldramp import steps
+from marigoldramp import store
 
 from . import group as groups
+from . import memory
+from . import objects
 
 GROUP = 'drafts'
 #: Turns of the event loop after which every task waits for something.
 TURNS = 40
+LEASE = store.Key(kind=leases.KIND, name='group-drafts')
 LEASE_SECONDS = 3.0
 STEP_SECONDS = 0.25
 
@@ -66,67 +71,6 @@
     fault: Fault | None = None
 
 
-@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
-class Held:
-    """The lease is held under a fence."""
-
-    fence: int
-
-
-@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
-class NotHeld:
-    """Another holds the lease, or the store is away."""
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class LeaseTable:
-    """The lease object in the store."""
-
-    fence: int = 0
-    holder: str = ''
-    until: float = 0.0
-    away: bool = False
-
-
-class Lease:
-    """A holder's view of the lease."""
-
-    def __init__(self, *, network: 'Network', holder: str) -> None:
-        self._network = network
-        self._holder = holder
-        self._until = 0.0
-
-    async def acquire(self) -> Held | NotHeld:
-        """Take the lease if it is free or has lapsed."""
-        table = self._network.lease
-        now = self._network.now
-        if table.away or (table.holder and now < table.until):
-            return NotHeld()
-        table.fence += 1
-        table.holder = self._holder
-        table.until = self._until = now + LEASE_SECONDS
-        return Held(fence=table.fence)
-
-    async def renew(self) -> Held | NotHeld:
-        """Prolong the lease if it is still this holder's."""
-        table = self._network.lease
-        if table.away or table.holder != self._holder:
-            return NotHeld()
-        table.until = self._until = self._network.now + LEASE_SECONDS
-        return Held(fence=table.fence)
-
-    async def release(self) -> None:
-        """Give the lease up."""
-        table = self._network.lease
-        if table.holder == self._holder and not table.away:
-            table.until = self._network.now
-        self._until = self._network.now
-
-    def held(self) -> bool:
-        """Say whether the lease has not lapsed by this holder's clock."""
-        return self._network.now < self._until
-
-
 class Turning:
     """A planner that wants the ranks' experts turned round by one."""
 
@@ -176,7 +120,7 @@
     ) -> None:
         self.loop = asyncio.new_event_loop()
         self.group = group
-        self.lease = LeaseTable()
+        self.table = objects.Table()
         self.now = 100.0
         self.planning = True
         self.changes = 0
@@ -187,6 +131,7 @@
         self.traps: dict[steps.Step, Fault] = {}
         self.trapped: list[steps.Step] = []
         self._order_faults: dict[str, Fault] = {}
+        self._watchers: list[tuple[steps.Step, Callable[[str], object]]] = []
         self.agents: dict[str, map_ranks.Ranks | None] = {}
         self.leaders: dict[str, asyncio.Task[None] | None] = {}
         self.running: dict[str, map_leader.Leader] = {}
@@ -252,7 +197,9 @@
         )
 
     async def _read_fence(self) -> int | None:
-        return None if self.lease.away else self.lease.fence
+        return await map_fences.read(
+            platform=memory.MemoryStore(table=self.table), key=LEASE
+        )
 
     def stop_agent(self, agent: str) -> None:
         """End an agent; orders to it are lost until it is started."""
@@ -274,7 +221,13 @@
             shape=self.shape,
             agents=lambda: tuple(self._shares),
             transport=_Transport(network=self, owner=name),
-            lease=Lease(network=self, holder=name),
+            lease=leases.Lease(
+                store=memory.MemoryStore(table=self.table),
+                name=LEASE.name,
+                holder=name,
+                seconds=LEASE_SECONDS,
+                clock=lambda: self.now,
+            ),
             renew_seconds=LEASE_SECONDS / 3,
             planner=Turning(network=self),
             clock=lambda: self.now,
@@ -296,6 +249,11 @@
 
     async def _observe(self, step: steps.Step, where: str) -> None:
         """Let the fault that a test has set for this step happen."""
+        for watched, tell in self._watchers:
+            if watched is step:
+                self._watchers.remove((watched, tell))
+                tell(where)
+                break
         fault = self.traps.pop(step, None)
         if fault is None:
             return
@@ -309,6 +267,15 @@
             case _:
                 self._order_faults[where] = fault
 
+    def watch(self, step: steps.Step, tell: Callable[[str], object]) -> None:
+        """Call ``tell`` once, when a leader reaches a step."""
+        self._watchers.append((step, tell))
+
+    def release_late(self) -> None:
+        """Let the orders that were to come late come now."""
+        for envelope in self.envelopes:
+            envelope.fault = None
+
     def pause_leader(self, name: str) -> None:
         """Freeze a leader until it is woken."""
         self.paused.add(name)
@@ -334,6 +301,26 @@
             task.cancel()
             self.pump()
 
+    def store_out(self) -> None:
+        """Let the store refuse every call."""
+        self.table.faults.outage = True
+
+    def store_back(self) -> None:
+        """End the outage, and reads that show an old state."""
+        self.table.faults = objects.Faults()
+
+    def store_loses_reply(self) -> None:
+        """Let the next write take effect without a reply."""
+        self.table.faults.lose_replies = 1
+
+    def store_loses_request(self) -> None:
+        """Let the next write get lost."""
+        self.table.faults.lose_requests = 1
+
+    def store_stale(self) -> None:
+        """Let reads go on showing the lease as it is now."""
+        self.table.freeze(kind=LEASE.kind)
+
     def _make_sleep(self, owner: str) -> Callable[[float], Awaitable[None]]:
         async def sleep(seconds: float) -> None:
             future: asyncio.Future[None] = self.loop.create_future()
@@ -482,12 +469,11 @@
 
     def heal(self) -> None:
         """End every fault that is in force."""
-        self.lease.away = False
+        self.table.faults = objects.Faults()
         self.paused.clear()
         self.cut.clear()
         self.traps.clear()
-        for envelope in self.envelopes:
-            envelope.fault = None
+        self.release_late()
         self.group.endless_loads.clear()
         for agent, ranks in self.agents.items():
             if ranks is None:
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -18,11 +18,18 @@
 AGENT = strategies.sampled_from([f'agent-{n}' for n in range(AGENTS)])
 LEADER = strategies.sampled_from(LEADERS)
 STEP = strategies.sampled_from(
-    [step for step in steps.Step if step.startswith('map.')]
+    [step for step in steps.Step if step.startswith(('map.', 'lease.'))]
 )
 FAULTS = list(group_network.Fault)
 LEADER_WAYS = ['kill_leader', 'start_leader', 'pause_leader', 'wake_leader']
 AGENT_WAYS = ['cut_agent', 'join_agent', 'stop_agent', 'start_agent']
+STORE_WAYS = [
+    'store_out',
+    'store_back',
+    'store_stale',
+    'store_loses_reply',
+    'store_loses_request',
+]
 SECONDS = strategies.sampled_from([0.25, 0.5, 1.0, 4.0])
 
 
@@ -111,9 +118,9 @@
     def restart_engine(self, rank):
         self.network.group.restart(rank)
 
-    @stateful.rule(away=strategies.booleans())
-    def turn_store(self, away):
-        self.network.lease.away = away
+    @stateful.rule(way=strategies.sampled_from(STORE_WAYS))
+    def trouble_store(self, way):
+        getattr(self.network, way)()
 
     @stateful.rule(rank=RANK, endless=strategies.booleans())
     def turn_loads(self, rank, endless):
