--- a/tests/process_site.py
+++ b/tests/process_site.py
@@ -19,12 +19,10 @@
 import fake_bundles
 import httpcore
 import msgspec
+import site_caller
 import yaml
 
-from marigoldramp import bindings
 from marigoldramp import bundle
-from marigoldramp import messages
-from marigoldramp import problems
 from marigoldramp import status as status_module
 from marigoldramp import store
 from marigoldramp_standins import instance_list
@@ -34,10 +32,10 @@
 from marigoldramp_standins import web
 
 HOST = '127.0.0.1'
-FLEET_KEY = '0123456789abcdef0123456789abcdef'
-CALLER_KEY = 'caller-key'
-SERVICE = 'work'
-FIRST, REST = b'first half, ', b'second half'
+FLEET_KEY = site_caller.FLEET_KEY
+CALLER_KEY = site_caller.CALLER_KEY
+SERVICE = site_caller.SERVICE
+FIRST, REST = site_caller.FIRST, site_caller.REST
 WHOLE = FIRST + REST
 #: Pause between two looks at something that has no event to wait for.
 LOOK_AGAIN = 0.02
@@ -116,22 +114,6 @@
         await exchange.send(rest, more=False)
 
 
-@dataclasses.dataclass(kw_only=True)
-class Answer:
-    """What a caller got: a whole answer, or a refusal."""
-
-    status: int
-    body: bytes
-
-    @property
-    def refusal(self):
-        return problems.decode(self.body)
-
-    @property
-    def reason(self):
-        return self.refusal.reason.value
-
-
 @dataclasses.dataclass(kw_only=True)
 class Node:
     """An entry or agent; ``process`` is its present process."""
@@ -153,7 +135,7 @@
         return self.process.log.read_text()
 
 
-class Site:
+class Site(site_caller.Caller):
     """Processes of one test; :func:`run` makes one and ends it."""
 
     membership = {'heartbeat': 0.2, 'suspect_after': 0.7}
@@ -344,66 +326,6 @@
             return None
         return msgspec.json.decode(answer.body, type=status_module.Status)
 
-    async def addresses(self, node):
-        """Return the base addresses that an entry tells its callers."""
-        told = await self.ask_addresses(node)
-        return [one['address'] for one in told['entries']]
-
-    async def ask_addresses(self, node):
-        answer = await self.call(node, 'GET', '/marigoldramp/addresses')
-        return msgspec.json.decode(answer.body)
-
-    async def keys_by_agent(self, node):
-        """Return unused bound keys of the service, by agent."""
-        binder = bindings.Binder(fleet_key=FLEET_KEY.encode())
-        found = collections.defaultdict(list)
-        for key in (await self.ask_addresses(node))['bindings'][SERVICE]:
-            opened = binder.open(key=key, customer='c', service=SERVICE)
-            assert isinstance(opened, messages.Binding)
-            found[opened.agent].append(key)
-        return found
-
-    async def call(self, node, method, path, *, key='', seconds=10.0):
-        """Make one call through an entry, as any HTTP client would."""
-        headers = [
-            (b'authorization', f'Bearer {CALLER_KEY}'.encode()),
-            (b'marigoldramp-deadline', str(seconds).encode()),
-        ]
-        if key:
-            headers.append((b'idempotency-key', key.encode()))
-        answer = await self.ask(node, method, path, headers=headers)
-        assert answer is not None, 'the connection was lost'
-        return answer
-
-    async def ask(self, node, method, path, headers=()):
-        """Return the answer of a node, ``None`` if it gives none."""
-        try:
-            found = await self.pool.request(
-                method,
-                node.address + path,
-                headers=list(headers),
-                extensions={'timeout': {'connect': 1.0, 'read': 15.0}},
-            )
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ):
-            return None
-        return Answer(status=found.status, body=found.content)
-
-    @contextlib.asynccontextmanager
-    async def open_stream(self, node, name):
-        """Begin a stream through an entry; give it after its first half."""
-        headers = [(b'authorization', f'Bearer {CALLER_KEY}'.encode())]
-        async with self.pool.stream(
-            'GET', f'{node.address}/streams/{name}', headers=headers
-        ) as response:
-            chunks = response.aiter_stream()
-            first = await anext(chunks)
-            assert first == FIRST
-            yield Stream(chunks, first)
-
     def find_runner(self, name):
         """Return the agent whose endpoint has run a call."""
         runners = [
@@ -427,19 +349,6 @@
                 node.endpoint.opened.set()
 
 
-class Stream:
-    """A streamed answer of which a part has come."""
-
-    def __init__(self, chunks, body):
-        self.chunks = chunks
-        self.body = body
-
-    async def read(self):
-        async for chunk in self.chunks:
-            self.body += chunk
-        return self.body
-
-
 async def until(condition):
     """Return when an awaitable condition holds; fail after ``PATIENCE``."""
     with anyio.fail_after(PATIENCE):
