Measure hedging, and where a dead endpoint's calls go

Cause: whether a second attempt pays, and whether a lost endpoint's load has to be spread by design, were to be decided by figures.

--- a/marigoldramp_measure/fakes.py
+++ b/marigoldramp_measure/fakes.py
@@ -109,7 +109,7 @@
         )
         self.busy = 0.0
         self.wasted = 0.0
-        self.received = 0
+        self.received: list[float] = []
         self._cache: collections.OrderedDict[bytes, None] = (
             collections.OrderedDict()
         )
@@ -126,7 +126,7 @@
     ) -> Answer | outcomes.NotRun:
         """Take one attempt, as an agent would."""
         await anyio.sleep(NETWORK_SECONDS)
-        self.received += 1
+        self.received.append(virtual.clock())
         if self.faults.dead or self.faults.mute:
             await anyio.sleep_forever()
         slot = await self.queue.enter(
@@ -347,6 +347,7 @@
         bound: int = 64,
         retry_share: float = 0.1,
         make_queue: Callable[..., admission.Queue] = admission.Queue,
+        make_entry: type[Entry] = Entry,
     ) -> None:
         self.endpoints: dict[str, Endpoint] = {}
         for service, count, slots in (
@@ -364,7 +365,7 @@
                     make_queue=make_queue,
                 )
         self.entries = [
-            Entry(
+            make_entry(
                 data_centre=f'dc{one % 3}',
                 random=random_module.Random(seed * 1000 + one),
                 endpoints=self.endpoints,
