Tell agents a call's size, and charge calls that state none

Cause: agents queued every call at cost 1 and learnt service times from calls that were cut short too, so that all calls of a priority were taken to be of one length, and a wave of cancellations made them look short. At the entry a customer whose calls state no number of tokens was never held to its tokens a second, as nothing was charged and nothing checked.

A call's head now carries the stated tokens, the queue learns only from answers that came to their end, and a call that states none is charged 256 tokens in advance, settled at its end. The new tests failed before (0 tokens charged, cost 1, no word on the end) and pass.

--- a/marigoldramp/calls.py
+++ b/marigoldramp/calls.py
@@ -30,6 +30,8 @@
 RETRY_WHEN_FULL = 1.0
 #: New keys that one request may use up when agents turn it away.
 MOST_OWN_KEYS = 3
+#: Generated tokens charged in advance for a call that states no number.
+UNSTATED_TOKENS = 256
 
 
 class Calls:
@@ -103,7 +105,7 @@
         delivery = self._prepare(intake, facts, bound, send)
         grant = self._limits.admit(
             customer=intake.customer,
-            tokens=facts.tokens,
+            tokens=_expect_tokens(intake, facts),
             share=self._share(intake.customer),
         )
         try:
@@ -408,3 +410,14 @@
     """Cancel the work for a caller that no longer waits for it."""
     await asgi.wait_disconnect(receive)
     scope.cancel()
+
+
+def _expect_tokens(intake: intakes.Intake, facts: routing.CallFacts) -> int:
+    """Return the tokens to charge for a call in advance.
+
+    A customer whose calls state no number would else never reach its limit
+    of tokens, seen as generated tokens far above it.
+    """
+    if intake.matched.facts is None:
+        return 0
+    return facts.tokens or UNSTATED_TOKENS
--- a/marigoldramp/deliveries.py
+++ b/marigoldramp/deliveries.py
@@ -405,6 +405,7 @@
             resume_from=self.answer.relayed,
             weight=admitted.customer.weight,
             bundle=admitted.bundle_number,
+            tokens=admitted.facts.tokens,
         )
         return attempts.Outgoing(
             head=head,
--- a/marigoldramp/executor.py
+++ b/marigoldramp/executor.py
@@ -306,7 +306,11 @@
         try:
             await self._exchange(call, execution)
         finally:
-            self._queue.leave(slot, self._clock() - begun)
+            self._queue.leave(
+                slot,
+                self._clock() - begun,
+                completed=execution.state is executions.State.ENDED,
+            )
 
     async def _exchange(
         self, call: Call, execution: executions.Execution
@@ -384,7 +388,7 @@
         weight=call.head.weight,
         priority=bundle.Priority(call.head.priority),
         deadline=call.deadline,
-        cost=1.0,
+        cost=float(max(1, call.head.tokens)),
     )
 
 
--- a/marigoldramp/messages.py
+++ b/marigoldramp/messages.py
@@ -183,6 +183,7 @@
     :ivar settle: do not run; report what became of ``key`` and bar it.
     :ivar resume_from: bytes of the answer that the entry already has.
     :ivar bundle: number of the bundle by which the entry decided.
+    :ivar tokens: most tokens that the caller asks for, 0 where unknown.
     """
 
     call: str
@@ -201,6 +202,7 @@
     resume_from: int = 0
     weight: float = 1.0
     bundle: int = 0
+    tokens: int = 0
 
 
 class OutcomeKind(enum.StrEnum):
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -399,3 +399,31 @@
             await done.wait()
 
     virtual.drive(main)
+
+
+@pytest.mark.parametrize(
+    ('lessons', 'cost', 'seconds'),
+    [
+        ([(100.0, 4.0, True), (1000.0, 40.0, True)], 100.0, 4.0),
+        ([(100.0, 4.0, True), (1000.0, 40.0, True)], 1000.0, 40.0),
+        ([(100.0, 4.0, True), (100.0, 0.1, False)], 100.0, 4.0),
+    ],
+    ids=['short', 'long', 'cut-short-says-nothing'],
+)
+def test_service_time_by_size(lessons, cost, seconds):
+    """The wait that is forecast for a call is that of calls like it."""
+
+    async def main():
+        queue = make_queue(bound=1)
+        for size, taken, completed in lessons:
+            slot = await queue.enter(waiting=make_waiting(cost=size))
+            queue.leave(slot, taken, completed=completed)
+        late = await queue.enter(
+            waiting=make_waiting(cost=cost, deadline=seconds - 0.01)
+        )
+        assert late.reason is outcomes.Reason.CANNOT_END_IN_TIME
+        return await queue.enter(
+            waiting=make_waiting(cost=cost, deadline=seconds + 0.01)
+        )
+
+    assert isinstance(virtual.drive(main), admission.Slot)
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -7,9 +7,13 @@
 import matrix_cells
 import matrix_clock
 import matrix_fakes
+import msgspec
 import pytest
 
+from marigoldramp import admission
+from marigoldramp import calls as calls_module
 from marigoldramp import executions
+from marigoldramp import limits
 from marigoldramp import messages
 from marigoldramp import outcomes
 from marigoldramp import predecessors
@@ -197,3 +201,46 @@
         assert isinstance(heard, matrix_caller.Whole)
         assert matrix_caller.count_runs(site, ask) == 1
         assert site.table.counts.total() == 0
+
+
+@pytest.mark.parametrize(
+    ('stated', 'charged', 'cost'),
+    [(40, 40, 40.0), (0, calls_module.UNSTATED_TOKENS, 1.0)],
+    ids=['stated', 'unstated'],
+)
+async def test_tokens_are_charged_and_told_to_the_agent(
+    monkeypatch, stated, charged, cost
+):
+    """A customer that states no number of tokens had no limit of them."""
+    charges, costs, whole = [], [], []
+    admit, enter = limits.Limits.admit, admission.Queue.enter
+    leave = admission.Queue.leave
+
+    def note_charge(self, **rest):
+        charges.append(rest['tokens'])
+        return admit(self, **rest)
+
+    async def note_cost(self, *, waiting):
+        costs.append(waiting.cost)
+        return await enter(self, waiting=waiting)
+
+    def note_end(self, slot, seconds, *, completed):
+        whole.append(completed)
+        leave(self, slot, seconds, completed=completed)
+
+    monkeypatch.setattr(limits.Limits, 'admit', note_charge)
+    monkeypatch.setattr(admission.Queue, 'enter', note_cost)
+    monkeypatch.setattr(admission.Queue, 'leave', note_end)
+    layout = site_layout.Layout(
+        service=site_layout.CHAT, clock=matrix_clock.now
+    )
+    async with site_module.open_site(layout) as site:
+        ask = matrix_cells.make_ask(site, 'stream', 'call')
+        body = msgspec.json.decode(ask.body)
+        body.pop('max_tokens', None)
+        if stated:
+            body['max_tokens'] = stated
+        ask = dataclasses.replace(ask, body=msgspec.json.encode(body))
+        heard = await matrix_caller.send(ask, site.doors[0].port)
+        assert isinstance(heard, matrix_caller.Whole)
+    assert (charges, costs, whole) == ([charged], [cost], [True])
