Give each site of the fault matrix a key and names of its own

Cause of rows that said "ran 2 times" now and then: cells run side by side in one process, all used the same fleet key, agent names and reference, and a port that a killed agent freed could be another cell's next one. That cell's agent then took the stray attempt and its ledger counted it. A site has a fleet key of its own and its requests name it, so a stray attempt is refused, and would be counted apart.

Ruled out: a fault of the records; the stray answers said "run: 1" of another ledger. A port taken by a stranger no longer fails a cell.

--- a/marigoldramp_standins/site.py
+++ b/marigoldramp_standins/site.py
@@ -173,6 +173,7 @@
             incarnation=self._started,
             clock=self.layout.clock,
         )
+        process.fleet_key = self.layout.fleet_key
         await self.group.start(process.run)
         return process
 
@@ -189,7 +190,10 @@
                 await link.run(task_status=task_status)
             bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            bound.bind((web.HOST, link.port))
+            # Should another socket have been quicker, what is sent there is
+            # refused all the same, as it is sealed with this site's key.
+            with contextlib.suppress(OSError):
+                bound.bind((web.HOST, link.port))
             self._refusing.append(bound)
             stopped.set()
 
--- a/marigoldramp_standins/site_layout.py
+++ b/marigoldramp_standins/site_layout.py
@@ -17,6 +17,7 @@
 from marigoldramp import metrics
 from marigoldramp import settings as settings_module
 
+from . import site_processes
 from . import web
 
 KEY = 'key of the tester'
@@ -36,6 +37,9 @@
     :ivar agent: changes of an agent's settings.
     :ivar handle: serves the endpoints' requests instead of a stand-in.
     :ivar clock: clock of every process, the event loop's own.
+    :ivar fleet_key: secret of the site's processes.  Sites that run side by
+        side need one each: a port that one frees can be another's next, and
+        its processes would take what was meant for the first.
     """
 
     service: str = LEDGER
@@ -45,6 +49,7 @@
     agent: dict[str, Any] = dataclasses.field(default_factory=dict)
     handle: web.Handle | None = None
     clock: Callable[[], float] = time.monotonic
+    fleet_key: bytes = site_processes.FLEET_KEY
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
--- a/tests/matrix_caller.py
+++ b/tests/matrix_caller.py
@@ -12,7 +12,6 @@
 from marigoldramp_standins import answers
 from marigoldramp_standins import service
 from marigoldramp_standins import site_layout
-from marigoldramp_standins import site_processes
 from marigoldramp_standins import web
 
 WORDS = 6
@@ -111,7 +110,7 @@
 
 def bind(site, number=0, customer='tester'):
     """Return a new key that only the present agent may run."""
-    return bindings.Binder(fleet_key=site_processes.FLEET_KEY).make(
+    return bindings.Binder(fleet_key=site.layout.fleet_key).make(
         service=site_layout.LEDGER,
         customer=customer,
         agent=f'agent-{number}',
--- a/tests/matrix_cells.py
+++ b/tests/matrix_cells.py
@@ -1,6 +1,7 @@
 """One cell of the matrix: a call, its faults, and what must hold."""
 
 import dataclasses
+import itertools
 
 import anyio
 import matrix_caller
@@ -16,6 +17,7 @@
 #: Rounds of the event loop in which released bytes reach their ends.
 ROUNDS = 40
 PATIENCE = 60.0
+_numbers = itertools.count()
 LATER_SECONDS = 5.0
 QUICK = {'silence': 0.1}
 SHORT = {'resume_seconds': 0.3, 'overtime': 2.0}
@@ -59,11 +61,17 @@
         entry={**QUICK, **entry},
         agent=SHORT,
         clock=matrix_clock.now,
+        fleet_key=b'key of site %d of this run' % next(_numbers),
     )
 
 
 def make_ask(site, kind, name, agent=0):
-    """Return a request; a bound key is one of that agent."""
+    """Return a request; a bound key is one of that agent.
+
+    The request names its site.  A site that runs beside it can be given a
+    port that it frees; a stray run there would else count as a second one.
+    """
+    name = f'{name} at {site.doors[0].port}'
     match kind:
         case 'stream':
             return matrix_caller.Ask(
--- a/tests/matrix_faults.py
+++ b/tests/matrix_faults.py
@@ -4,7 +4,6 @@
 from typing import Callable
 
 import anyio
-import matrix_fakes
 
 from marigoldramp import heads
 from marigoldramp import steps
@@ -124,8 +123,9 @@
 
 def came_twice(site):
     """Whether bytes of one call came to the agent more than once."""
+    opener = heads.Heads(fleet_key=site.layout.fleet_key)
     calls = [
-        matrix_fakes.HEADS.decode_call(value.decode()).call
+        opener.decode_call(value.decode()).call
         for taken in site.agents[0].taken
         for key, value in taken.headers
         if key == heads.CALL_HEADER
