Fix the receive buffer in the tests of TCP streams

Cause of a run in which 65 MB were written to a peer that does not read, without a timeout: the kernel lets a receive buffer grow to 32 MB here, and the test relied on its filling up. The buffer is fixed at 64 KB, so that the write has to wait however the machine is set. The assertion is the same.

--- a/tests/test_tcp_streams.py
+++ b/tests/test_tcp_streams.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import os
+import socket
 
 import anyio
 import httpcore
@@ -27,6 +28,10 @@
 
     async with anyio.create_task_group() as group:
         listener = await anyio.create_tcp_listener(local_host=HOST)
+        # Buffers that grow can swallow all that a test writes.
+        for one in listener.listeners:
+            raw = one.extra(anyio.abc.SocketAttribute.raw_socket)
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
         group.start_soon(listener.serve, keep)
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
         stream = await tcp_streams.connect(host=HOST, port=port)
