Weigh the slack of all agents' calls before a map change

Cause: three faults in when a change may begin. Only the calls beside the leader were asked for their slack, though all ranks wait together; each reply now carries its agent's, and the leader takes the least. And slack was asked only before weights were loaded; the hold now waits for it too, 10 s at most: with that switched off test_loaded_change_waits_for_promised_deadlines fails, with it on it passes.

While there is no slack the planner asks again at each look, not once an interval. The loads of a plan are bounded by the slack as by the rate. Reports of an agent's ranks are merged into one: at 64 ranks of 61 layers 64 reports of some 8 KB an interval of 30 s would be 18 KB/s at the leader (worked out, not measured); 8 are 2.3 KB/s.

--- a/marigoldramp/agent.py
+++ b/marigoldramp/agent.py
@@ -203,6 +203,7 @@
             client=self.runtime.client,
             listed=lambda: self.runtime.listed,
             clock=self.runtime.clock,
+            slack=self.executor.slack,
         )
         self.runtime.config.subscribe(self._note_bundle)
         group.start_soon(self._lead, self.rank_group)
@@ -218,7 +219,6 @@
                     self.planner = planner.Planner(
                         group=described,
                         collect=rank_group.collect,
-                        slack=self.executor.slack,
                         clock=self.runtime.clock,
                     )
                     await rank_group.lead(group=described, plans=self.planner)
--- a/marigoldramp/executions.py
+++ b/marigoldramp/executions.py
@@ -31,6 +31,7 @@
     :ivar refusal: how the call ended without a whole answer.
     :ivar scope: cancelling it ends the call's work at the endpoint.
     :ivar deadline: end of the call by the agent's clock.
+    :ivar begun: when the endpoint was given the call, by the same clock.
     :ivar window: bytes that are kept behind the fastest reader.
     :ivar given_up: the caller has gone; the work ends with the last reader.
     """
@@ -43,6 +44,7 @@
         'refusal',
         'scope',
         'deadline',
+        'begun',
         'window',
         'readers',
         'given_up',
@@ -62,6 +64,7 @@
         self.refusal: outcomes.Refusal | None = None
         self.scope = anyio.CancelScope()
         self.deadline = math.inf
+        self.begun = math.inf
         self.window = window
         self.readers = 0
         self.given_up = False
--- a/marigoldramp/executor.py
+++ b/marigoldramp/executor.py
@@ -5,7 +5,6 @@
 """
 
 import dataclasses
-import math
 from typing import Callable
 
 import anyio
@@ -23,6 +22,7 @@
 from . import predecessors
 from . import records
 from . import settings
+from . import slack as slack_module
 from . import steps
 
 #: Headers of a caller that the endpoint does not get.
@@ -114,18 +114,13 @@
         return self._attach_recorded(call)
 
     def slack(self) -> float:
-        """Return the seconds by which every running call can be delayed.
-
-        What a call still needs is not known; the smoothed service time of
-        the endpoint stands for it, which is too much for most.
-        """
-        needed = self._queue.load().service_ms / MILLISECONDS
-        ends = [
-            execution.deadline
-            for execution in self._calls.values()
-            if execution.state is executions.State.RUNNING
-        ]
-        return min(ends, default=math.inf) - self._clock() - needed
+        """Return the seconds by which every running call can be delayed."""
+        service_ms = self._queue.load().service_ms
+        return slack_module.find(
+            running=self._calls.values(),
+            service_seconds=service_ms / MILLISECONDS,
+            now=self._clock(),
+        )
 
     def knows(self, call: Call) -> executions.Execution | None:
         """Return the execution to which a call would attach, if any."""
@@ -326,6 +321,7 @@
             await steps.reach(steps.Step.AGENT_RECORDED, call.head.call)
             if self._clock() >= call.deadline:
                 return False
+            execution.begun = self._clock()
             execution.hand_over()
             await steps.reach(steps.Step.AGENT_HANDED_OVER, call.head.call)
             return True
--- a/marigoldramp/map_changes.py
+++ b/marigoldramp/map_changes.py
@@ -8,6 +8,7 @@
 never waits; in the worst case it waits, and still no step mixes maps.
 """
 
+import dataclasses
 from typing import Awaitable
 from typing import Callable
 from typing import Sequence
@@ -25,6 +26,25 @@
 #: The rank that is held during a change; any one does.
 HELD_RANK = 0
 
+#: Seconds for which a loaded change waits until calls in flight can wait.
+#: Loaded weights take memory, so they are dropped after that.
+SLACK_PATIENCE = 10.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Plan:
+    """A change that the planner wants.
+
+    :ivar layers: the new map.
+    :ivar load_limit: seconds after which unfinished loads are given up.
+    :ivar stall_seconds: how long the group may have to wait; the change is
+        not armed while a call in flight cannot wait so long.
+    """
+
+    layers: tuple[expert_maps.Layer, ...]
+    load_limit: float
+    stall_seconds: float = 0.0
+
 
 class Changer:
     """Makes changes in the name of one leader.
@@ -52,21 +72,18 @@
     async def change(
         self,
         talk: map_conversation.Conversation,
-        layers: tuple[expert_maps.Layer, ...],
-        load_limit: float,
+        plan: Plan,
     ) -> bool:
         """Take a change up to the release; return whether all have armed it.
 
         On any trouble it stops where it is, and settling undoes or finishes
         what stands.
-
-        :param load_limit: seconds after which loads are given up.
         """
         version = talk.name_map()
-        new = expert_maps.ExpertMap(version=version, layers=layers)
-        if not await self._prepare(talk, new, load_limit):
+        new = expert_maps.ExpertMap(version=version, layers=plan.layers)
+        if not await self._prepare(talk, new, plan.load_limit):
             return False
-        states = await talk.inspect()
+        states = await self._await_slack(talk, plan.stall_seconds)
         if isinstance(states, Trouble) or not self._may_go_on():
             return False
         held = await self._hold(talk, states)
@@ -106,6 +123,22 @@
             await self._sleep(self._pace.retry)
         return False
 
+    async def _await_slack(
+        self, talk: map_conversation.Conversation, stall: float
+    ) -> tuple[map_orders.RankState, ...] | Trouble:
+        """Return the states of all ranks once every call can wait.
+
+        Loading took seconds, and calls have begun since the plan was made.
+        """
+        until = self._clock() + SLACK_PATIENCE
+        while True:
+            states = await talk.inspect()
+            if isinstance(states, Trouble) or talk.slack() >= stall:
+                return states
+            if self._clock() >= until or not self._may_go_on():
+                return Trouble.REFUSED
+            await self._sleep(self._pace.retry)
+
     async def _hold(
         self,
         talk: map_conversation.Conversation,
--- a/marigoldramp/map_conversation.py
+++ b/marigoldramp/map_conversation.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 from typing import Callable
 from typing import Mapping
 from typing import Protocol
@@ -97,6 +98,21 @@
             fence=self._fence, number=self._numbers.maps
         )
 
+    def slack(self) -> float:
+        """Return the seconds by which every call of the group can wait.
+
+        All ranks advance together, so a change delays the calls beside
+        every agent, not only those beside the leader.
+        """
+        return min(
+            (
+                reply.slack
+                for reply in self.replies.values()
+                if isinstance(reply, map_orders.Reply)
+            ),
+            default=math.inf,
+        )
+
     def find_agent(self, rank: int) -> str | None:
         """Return the agent that carried a rank when it last answered."""
         for agent, reply in self.replies.items():
--- a/marigoldramp/map_leader.py
+++ b/marigoldramp/map_leader.py
@@ -5,7 +5,6 @@
 back on settling.
 """
 
-import dataclasses
 from typing import Awaitable
 from typing import Callable
 from typing import Protocol
@@ -21,18 +20,7 @@
 
 Trouble = map_conversation.Trouble
 Pace = map_settling.Pace
-
-
-@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
-class Plan:
-    """A change that the planner wants.
-
-    :ivar layers: the new map.
-    :ivar load_limit: seconds after which unfinished loads are given up.
-    """
-
-    layers: tuple[expert_maps.Layer, ...]
-    load_limit: float
+Plan = map_changes.Plan
 
 
 class Planner(Protocol):
@@ -219,7 +207,7 @@
         plan = await self._planner.plan(expert_map=current, conversation=talk)
         if plan is None:
             return False
-        done = await self._changer.change(talk, plan.layers, plan.load_limit)
+        done = await self._changer.change(talk, plan)
         self._planner.ended(plan=plan, done=done)
         return True
 
--- a/marigoldramp/map_orders.py
+++ b/marigoldramp/map_orders.py
@@ -9,6 +9,7 @@
 """
 
 import enum
+import math
 
 import msgspec
 
@@ -167,7 +168,9 @@
     :ivar fence: the highest fence that the agent knows, 0 for none yet.
     :ivar states: all ranks of the agent whose engine answered.
     :ivar expert_map: the answer to ``Fetch``.
-    :ivar reports: the answer to ``Count``, one a rank.
+    :ivar slack: seconds by which every call that runs beside the agent can
+        be delayed without missing its promised deadline.
+    :ivar reports: the answer to ``Count``, of all ranks together.
     """
 
     refusal: Refusal
@@ -176,6 +179,7 @@
     states: tuple[RankState, ...] = ()
     expert_map: expert_maps.ExpertMap | None = None
     reports: tuple[popularity.Report, ...] = ()
+    slack: float = math.inf
 
     @property
     def accepted(self) -> bool:
--- a/marigoldramp/map_ranks.py
+++ b/marigoldramp/map_ranks.py
@@ -8,6 +8,7 @@
 
 import abc
 import dataclasses
+import math
 from typing import Awaitable
 from typing import Callable
 from typing import Mapping
@@ -90,12 +91,18 @@
 LearnFence = Callable[[], Awaitable[int | None]]
 
 
+def _no_calls() -> float:
+    return math.inf
+
+
 class Ranks:
     """The ranks beside one agent, as their group's leader sees them.
 
     :param engines: engine of each rank, by rank.
     :param incarnation: number of this start of the agent process.
     :param learn_fence: finds the fence in force after a start.
+    :param slack: returns the seconds by which every call that runs here can
+        be delayed without missing its promised deadline.
     """
 
     __slots__ = (
@@ -103,6 +110,7 @@
         '_engines',
         '_incarnation',
         '_learn_fence',
+        '_slack',
         '_fence',
         '_sequence',
         '_lock',
@@ -115,11 +123,13 @@
         engines: Mapping[int, RankEngine],
         incarnation: int,
         learn_fence: LearnFence,
+        slack: Callable[[], float] = _no_calls,
     ) -> None:
         self._group = group
         self._engines = dict(sorted(engines.items()))
         self._incarnation = incarnation
         self._learn_fence = learn_fence
+        self._slack = slack
         self._fence: int | None = None
         self._sequence = 0
         self._lock = anyio.Lock()
@@ -273,4 +283,5 @@
             incarnation=self._incarnation,
             states=states,
             expert_map=expert_map,
+            slack=self._slack(),
         )
--- a/marigoldramp/placement.py
+++ b/marigoldramp/placement.py
@@ -7,6 +7,7 @@
 
 import abc
 import dataclasses
+import math
 from typing import Callable
 from typing import Sequence
 
@@ -93,6 +94,10 @@
         return self.stall_seconds + self.load_slowdown * load_seconds
 
 
+#: What is assumed until a deployment has measured it.
+DISRUPTION = Disruption()
+
+
 def count_loads(
     *,
     old: Sequence[expert_maps.Layer],
@@ -129,18 +134,32 @@
     return sum(skews) / len(skews)
 
 
-def most_loads(*, group: bundle.Group) -> int:
+def load_seconds(*, group: bundle.Group, loads: int) -> float:
+    """Return how long the weight store takes for some experts."""
+    return loads * group.expert_bytes / group.weight_bytes_per_second
+
+
+def most_loads(
+    *,
+    group: bundle.Group,
+    disruption: Disruption = DISRUPTION,
+    slack: float = math.inf,
+) -> int:
     """Return how many experts may be loaded in one interval.
 
     The weight store's rate is a hard limit: loads that take longer than the
-    interval would pile up behind each other.
+    interval would pile up behind each other.  So is the slack: 0 means that
+    no change may begin now.
+
+    :param slack: seconds that the tightest call in flight can be delayed
+        without missing its promised deadline.
     """
-    by_rate = (
-        group.weight_bytes_per_second
-        * group.interval_seconds
-        / group.expert_bytes
-    )
-    return min(group.moves_per_interval, int(by_rate))
+    one = load_seconds(group=group, loads=1)
+    most = min(group.moves_per_interval, int(group.interval_seconds / one))
+    spare = (slack - disruption.stall_seconds) / disruption.load_slowdown
+    if spare >= most * one:
+        return most
+    return max(0, int(spare / one))
 
 
 def check(
@@ -162,10 +181,9 @@
             reason=f'{proposal.loads} loads are over the limit of {allowed}',
             skew=proposal.skew_before,
         )
-    seconds = (
-        proposal.loads * group.expert_bytes / group.weight_bytes_per_second
+    delay = disruption.predict(
+        load_seconds=load_seconds(group=group, loads=proposal.loads)
     )
-    delay = disruption.predict(load_seconds=seconds)
     spare = slack()
     if delay > spare:
         return Stay(
--- a/marigoldramp/planner.py
+++ b/marigoldramp/planner.py
@@ -5,6 +5,8 @@
 from typing import Awaitable
 from typing import Callable
 
+import anyio
+
 from . import bundle
 from . import expert_maps
 from . import map_conversation
@@ -19,6 +21,15 @@
 LEAST_LOAD_SECONDS = 5.0
 
 
+#: How fast old reports are forgotten.  An interval counts so many tokens
+#: that little is left to average; an estimate that lags costs skew.
+HALF_LIVES_AN_INTERVAL = 2.0
+
+
+#: Why nothing moves while a call in flight is close to its deadline.
+NO_SLACK = 'any delay would break a promised deadline of a call in flight'
+
+
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class AgentReports:
     """What the ranks beside one agent have counted."""
@@ -34,8 +45,6 @@
     """Asks the group's policy once an interval.
 
     :param collect: asks the group's agents for their counts.
-    :param slack: returns the seconds by which the tightest call in flight
-        can be delayed without missing its promised deadline.
     :ivar outlook: what the policy last decided, for operators.
     """
 
@@ -43,9 +52,9 @@
         '_group',
         '_policy',
         '_collect',
-        '_slack',
         '_clock',
         '_next',
+        '_due',
         '_estimator',
         '_detector',
         'outlook',
@@ -56,18 +65,20 @@
         *,
         group: bundle.Group,
         collect: Collect,
-        slack: Callable[[], float],
         clock: Callable[[], float],
     ) -> None:
         plugin: Any = placement.RebalancingPolicy.find(group.rebalancing)
         self._policy: placement.RebalancingPolicy = plugin(group=group)
         self._group = group
         self._collect = collect
-        self._slack = slack
         self._clock = clock
         self._next = clock() + group.interval_seconds
+        self._due = False
         self._estimator = popularity.Estimator(
-            layers=group.layers, experts=group.experts, agents=group.ranks
+            layers=group.layers,
+            experts=group.experts,
+            agents=group.ranks,
+            half_life=group.interval_seconds / HALF_LIVES_AN_INTERVAL,
         )
         self._detector = stragglers.Detector()
         self.outlook: placement.Proposal | placement.Stay | None = None
@@ -83,39 +94,62 @@
         conversation: map_conversation.Conversation,
     ) -> map_leader.Plan | None:
         """Return the change to make now, if any."""
-        if self._clock() < self._next:
+        if self._clock() >= self._next:
+            self._next = self._clock() + self._group.interval_seconds
+            await self._take(await self._collect())
+            self._due = True
+        if not self._due:
+            return None
+        wanted = await self._decide(expert_map, conversation.slack)
+        self.outlook = wanted
+        if isinstance(wanted, placement.Stay):
             return None
-        self._next = self._clock() + self._group.interval_seconds
-        self._take(await self._collect())
+        self._due = False
+        return map_leader.Plan(
+            layers=wanted.layers,
+            load_limit=self._limit(wanted),
+            stall_seconds=placement.DISRUPTION.stall_seconds,
+        )
+
+    async def _decide(
+        self,
+        expert_map: expert_maps.ExpertMap,
+        slack: Callable[[], float],
+    ) -> placement.Proposal | placement.Stay:
+        """Ask the policy for a change that may begin now.
+
+        While calls in flight have no time to spare it is asked again at
+        each look at the group, not only once an interval: with a call
+        always close to its deadline, no change would ever begin.
+        """
+        most = placement.most_loads(group=self._group, slack=slack())
+        if not most:
+            return placement.Stay(reason=NO_SLACK)
         situation = placement.Situation(
             layers=expert_map.layers,
             popularity=tuple(
                 self._estimator.estimate(layer)
                 for layer in range(self._group.layers)
             ),
-            most_loads=placement.most_loads(group=self._group),
+            most_loads=most,
         )
         wanted = await self._policy.begin_interval(situation=situation)
-        if isinstance(wanted, placement.Proposal):
-            wanted = placement.check(
-                proposal=wanted,
-                situation=situation,
-                group=self._group,
-                disruption=placement.Disruption(),
-                slack=self._slack,
-            )
-        self.outlook = wanted
         if isinstance(wanted, placement.Stay):
-            return None
-        return map_leader.Plan(
-            layers=wanted.layers, load_limit=self._limit(wanted)
+            self._due = False
+            return wanted
+        return placement.check(
+            proposal=wanted,
+            situation=situation,
+            group=self._group,
+            disruption=placement.DISRUPTION,
+            slack=slack,
         )
 
     def ended(self, *, plan: map_leader.Plan, done: bool) -> None:
         """Learn whether a change took place."""
         self._policy.end_change(done=done)
 
-    def _take(self, collected: tuple[AgentReports, ...]) -> None:
+    async def _take(self, collected: tuple[AgentReports, ...]) -> None:
         timings: list[popularity.RankTiming] = []
         for one in collected:
             for report in one.reports:
@@ -124,13 +158,12 @@
                 self._estimator.take(
                     agent=f'{one.agent}/{ranks}', report=report
                 )
+                await anyio.sleep(0)
         self._detector.take(timings)
 
     def _limit(self, proposal: placement.Proposal) -> float:
         """Return the seconds after which unfinished loads are given up."""
-        seconds = (
-            proposal.loads
-            * self._group.expert_bytes
-            / self._group.weight_bytes_per_second
+        seconds = placement.load_seconds(
+            group=self._group, loads=proposal.loads
         )
         return LEAST_LOAD_SECONDS + LOAD_PATIENCE * seconds
--- a/marigoldramp/popularity.py
+++ b/marigoldramp/popularity.py
@@ -47,7 +47,7 @@
 
     :ivar series: number of the agent process's start.
     :ivar sequence: grows by one with each report of the series.
-    :ivar seconds: time that the report covers.
+    :ivar seconds: time that the report covers, added up over its ranks.
     """
 
     series: int
@@ -67,6 +67,32 @@
     )
 
 
+def merge(*, reports: Sequence[Report], series: int, sequence: int) -> Report:
+    """Return one report of all ranks beside an agent.
+
+    At 64 ranks of 61 layers, a report for each rank would be half a
+    megabyte an interval at the leader; one for each agent is 70 KB.
+    """
+    layers: list[LayerCounts] = []
+    for rows in zip(*(report.layers for report in reports)):
+        counts = [0.0] * max(len(row.scaled) for row in rows)
+        for row in rows:
+            scaled = sum(row.scaled)
+            factor = row.total / scaled if scaled else 0.0
+            for expert, count in enumerate(row.scaled):
+                counts[expert] += count * factor
+        layers.append(scale(counts))
+    return Report(
+        series=series,
+        sequence=sequence,
+        seconds=sum(report.seconds for report in reports),
+        layers=tuple(layers),
+        timings=tuple(
+            timing for report in reports for timing in report.timings
+        ),
+    )
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Layer:
     fast: list[float]
@@ -78,6 +104,8 @@
 
     :param half_life: seconds of reports after which the slow estimate has
         forgotten half; the fast one takes a quarter of that.
+    :param agents: how many reports cover the same time; where reports add
+        up seconds over ranks, the number of ranks.
     :param sudden: distance between both estimates, as the share of tokens
         that would have to change experts, above which the fast one is used.
     """
--- a/marigoldramp/rank_groups.py
+++ b/marigoldramp/rank_groups.py
@@ -5,6 +5,7 @@
 cost calls of the platform's store and bring nothing.
 """
 
+import math
 from typing import Callable
 from typing import Mapping
 from typing import Sequence
@@ -21,6 +22,7 @@
 from . import map_ranks
 from . import peers
 from . import planner
+from . import popularity
 from . import rendezvous
 from . import store as store_module
 
@@ -124,6 +126,7 @@
     :param name: the group's name.
     :param listed: returns the instance list as it was last read.
     :param engines: engine of each rank beside this agent.
+    :param slack: see :class:`.map_ranks.Ranks`.
     """
 
     def __init__(
@@ -138,6 +141,7 @@
         listed: Callable[[], Sequence[store_module.Instance]],
         clock: Callable[[], float],
         pace: map_leader.Pace | None = None,
+        slack: Callable[[], float] = lambda: math.inf,
     ) -> None:
         self._name = name
         self._instance = instance
@@ -147,6 +151,7 @@
         self._listed = listed
         self._clock = clock
         self._pace = pace
+        self._reported = 0
         self._key = store_module.Key(kind=leases.KIND, name=f'group-{name}')
         self._transport = PeerTransport(client=client, find=self._find)
         self.leader: map_leader.Leader | None = None
@@ -155,6 +160,7 @@
             engines=engines,
             incarnation=incarnation,
             learn_fence=self._learn_fence,
+            slack=slack,
         )
 
     async def lead(
@@ -218,12 +224,19 @@
 
     async def _count(self) -> map_orders.Reply:
         """Return what the ranks beside this agent have counted."""
-        reports = [await one.fetch_report() for one in self._engines.values()]
+        fetched = [await one.fetch_report() for one in self._engines.values()]
+        reports = [one for one in fetched if one is not None]
+        self._reported += 1
+        merged = popularity.merge(
+            reports=reports,
+            series=self._incarnation,
+            sequence=self._reported,
+        )
         return map_orders.Reply(
             refusal=map_orders.Refusal.NONE,
             fence=self.ranks.fence or 0,
             incarnation=self._incarnation,
-            reports=tuple(one for one in reports if one is not None),
+            reports=(merged,) if reports else (),
         )
 
     async def collect(self) -> tuple[planner.AgentReports, ...]:
--- a/marigoldramp_measure/rebalancing_drive.py
+++ b/marigoldramp_measure/rebalancing_drive.py
@@ -149,7 +149,7 @@
         self.policy = find_policy(trial.policy)(group=self.group)
         self.estimator = self.make_estimator()
         self.detector = stragglers.Detector()
-        self.disruption = placement.Disruption()
+        self.disruption = placement.DISRUPTION
         self.layers = tuple(
             recompute.place(popularity=row, ranks=size.ranks, slots=size.slots)
             for row in self.trace[0].tolist()
@@ -268,10 +268,8 @@
         self.layers = proposal.layers
         self.loads += proposal.loads
         self.changes += 1
-        seconds = (
-            proposal.loads
-            * self.group.expert_bytes
-            / self.group.weight_bytes_per_second
+        seconds = placement.load_seconds(
+            group=self.group, loads=proposal.loads
         )
         self.stalled += self.disruption.predict(load_seconds=seconds)
 
--- a/marigoldramp_standins/group_network.py
+++ b/marigoldramp_standins/group_network.py
@@ -8,6 +8,7 @@
 import asyncio
 import dataclasses
 import enum
+import math
 from typing import Awaitable
 from typing import Callable
 
@@ -87,7 +88,9 @@
         if not self._network.planning:
             return None
         layers = tuple(layer[1:] + layer[:1] for layer in expert_map.layers)
-        return map_leader.Plan(layers=layers, load_limit=5.0)
+        return map_leader.Plan(
+            layers=layers, load_limit=5.0, stall_seconds=0.05
+        )
 
     def ended(self, *, plan: map_leader.Plan, done: bool) -> None:
         """Count the changes that took place."""
@@ -126,6 +129,8 @@
         self.table = objects.Table()
         self.now = 100.0
         self.planning = True
+        #: Seconds by which calls in flight can wait.
+        self.slack = math.inf
         self.steps_a_round = steps_a_round
         self.changes = 0
         self.sleepers: list[Sleeper] = []
@@ -200,6 +205,7 @@
             },
             incarnation=self._incarnation,
             learn_fence=learn,
+            slack=lambda: self.slack,
         )
 
     async def _read_fence(self) -> int | None:
--- a/marigoldrampplug/incremental.py
+++ b/marigoldrampplug/incremental.py
@@ -51,7 +51,7 @@
         disruption: placement.Disruption | None = None,
     ) -> None:
         super().__init__(group=group)
-        self._disruption = disruption or placement.Disruption()
+        self._disruption = disruption or placement.DISRUPTION
         self._goal = 1.0 + (group.skew_threshold - 1.0) * (1.0 - HYSTERESIS)
 
     async def begin_interval(
@@ -133,11 +133,7 @@
         """Return the seconds that a stage saves, less what loading costs."""
         lasting = LASTING_INTERVALS * self.group.interval_seconds
         saved = stage.saved / self.group.layers * lasting
-        seconds = (
-            stage.loads
-            * self.group.expert_bytes
-            / self.group.weight_bytes_per_second
-        )
+        seconds = placement.load_seconds(group=self.group, loads=stage.loads)
         cost = self._disruption.load_slowdown * seconds
         return saved - WEIGHTS[self.group.mode] * cost
 
--- a/tests/test_map_leader.py
+++ b/tests/test_map_leader.py
@@ -238,6 +238,23 @@
     finish(network)
 
 
+def test_loaded_change_waits_for_promised_deadlines(network):
+    """A map change makes a call in flight miss its deadline.
+
+    Sequence: a call with no time to spare begins while weights are loaded.
+    Cause: the time to spare was asked before the loading only.
+    """
+    network.watch(
+        steps.Step.MAP_PREPARED, lambda _: setattr(network, 'slack', 0.01)
+    )
+    network.run_fairly(rounds=30)
+    assert network.slack == 0.01
+    assert network.changes == 0
+    assert all(rank.hold_before is None for rank in network.group.ranks)
+    network.slack = 1.0
+    finish(network)
+
+
 def test_dead_rank_is_shown(network):
     """The group stands still and nobody says why.
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -165,8 +165,16 @@
 
 
 @pytest.mark.parametrize(
-    ('rate', 'moves', 'most'), [(5e8, 6, 6), (5e6, 6, 3), (5e8, 1000, 300)]
+    ('rate', 'moves', 'slack', 'most'),
+    [
+        (5e8, 6, 10.0, 6),
+        (5e6, 6, 10.0, 3),
+        (5e8, 1000, 10.0, 300),
+        (5e8, 6, 0.0599, 3),
+        (5e8, 6, 0.051, 0),
+        (5e8, 6, -1.0, 0),
+    ],
 )
-def test_weight_store_rate_is_a_hard_limit(rate, moves, most):
+def test_most_loads(rate, moves, slack, most):
     group = make_group(weight_bytes_per_second=rate, moves_per_interval=moves)
-    assert placement.most_loads(group=group) == most
+    assert placement.most_loads(group=group, slack=slack) == most
--- /dev/null
+++ b/tests/test_planner.py
@@ -0,0 +1,110 @@
+"""Tests of the planner that a group's leader asks."""
+
+import pytest
+
+from marigoldramp import bundle
+from marigoldramp import expert_maps
+from marigoldramp import map_conversation
+from marigoldramp import map_orders
+from marigoldramp import placement
+from marigoldramp import planner
+from marigoldramp import popularity
+
+pytestmark = pytest.mark.anyio
+
+GROUP = bundle.Group(
+    name='g',
+    service='s',
+    ranks=4,
+    experts=12,
+    layers=2,
+    slots=4,
+    interval_seconds=30.0,
+)
+FIRST = expert_maps.spread(
+    shape=expert_maps.Shape(ranks=4, experts=12, layers=2, slots=4),
+    version=expert_maps.Version(fence=1, number=1),
+)
+HOT = [1.0] * 11 + [8.0]
+
+
+class Clock:
+    now = 0.0
+
+    def __call__(self):
+        return self.now
+
+
+def make_planner(clock, slow_rank=None):
+    sequence = 0
+
+    async def collect():
+        nonlocal sequence
+        sequence += 1
+        report = popularity.Report(
+            series=1,
+            sequence=sequence,
+            seconds=30.0 * GROUP.ranks,
+            layers=(popularity.scale(HOT),) * 2,
+            timings=tuple(
+                popularity.RankTiming(
+                    rank=rank,
+                    steps=100,
+                    busy_seconds=2.0 if rank == slow_rank else 1.0,
+                    tokens=100.0,
+                )
+                for rank in range(4)
+            ),
+        )
+        return (planner.AgentReports(agent='agent', reports=(report,)),)
+
+    return planner.Planner(group=GROUP, collect=collect, clock=clock)
+
+
+async def ask(plans, slack=10.0):
+    talk = map_conversation.Conversation(
+        group='g', leader='l', fence=1, agents=tuple, transport=None
+    )
+    talk.replies['agent'] = map_orders.Reply(
+        refusal=map_orders.Refusal.NONE,
+        fence=1,
+        incarnation=1,
+        slack=slack,
+    )
+    return await plans.plan(expert_map=FIRST, conversation=talk)
+
+
+async def test_plans_once_an_interval():
+    clock = Clock()
+    plans = make_planner(clock)
+    assert await ask(plans) is None
+    clock.now = 30.0
+    plan = await ask(plans)
+    assert plan is not None
+    assert plan.layers != FIRST.layers
+    assert await ask(plans) is None
+
+
+async def test_change_waits_for_promised_deadlines():
+    """A map change makes a call in flight miss its deadline.
+
+    Sequence: the tightest call has 10 ms to spare when the interval begins,
+    and 10 s at a later look in the same interval.
+    Cause: the change was weighed by its skew only.
+    """
+    clock = Clock()
+    plans = make_planner(clock)
+    clock.now = 30.0
+    assert await ask(plans, slack=0.01) is None
+    assert plans.outlook == placement.Stay(reason=planner.NO_SLACK)
+    clock.now = 35.0
+    assert await ask(plans) is not None
+
+
+async def test_straggler_is_a_finding():
+    clock = Clock()
+    plans = make_planner(clock, slow_rank=2)
+    for interval in range(1, 4):
+        clock.now = 30.0 * interval
+        await ask(plans)
+    assert [one.rank for one in plans.findings()] == [2]
--- a/tests/test_popularity.py
+++ b/tests/test_popularity.py
@@ -118,3 +118,23 @@
         assert one.slowdown == pytest.approx(1.3, abs=0.02)
     detector.take(make_timings(loads))
     assert detector.findings() == ()
+
+
+def test_merged_report_adds_up_ranks():
+    reports = [
+        popularity.Report(
+            series=1,
+            sequence=5,
+            seconds=30.0,
+            layers=(popularity.scale(counts),),
+            timings=tuple(make_timings([total])),
+        )
+        for counts, total in (([80, 20, 0, 0], 1), ([0, 0, 0, 300], 2))
+    ]
+    merged = popularity.merge(reports=reports, series=9, sequence=1)
+    assert merged.seconds == 60.0
+    assert len(merged.timings) == 2
+    (layer,) = merged.layers
+    assert layer.total == pytest.approx(400)
+    shares = [count / sum(layer.scaled) for count in layer.scaled]
+    assert shares == pytest.approx([0.2, 0.05, 0.0, 0.75], abs=0.005)
