Read a long instance list more seldom

docs/CAPACITY.md works out that a reading each second is 242 KB/s at every one of 1,280 instances, 35 times the allowance, and 1,280 of the store's 2,000 reads a second. A process now spends 3 KB/s on readings: each 1.7 s at today's 27 rows, each 81 s at 1,280 (16 reads a second of the fleet). So that a planned stop is still seen at once, whoever reads that a peer leaves tells it, also a peer with which it has no link; that peer tells its own. A process that started less than 10 s ago believes only those who name its incarnation, as the list may speak of its predecessor.

Ruled out: the watchers alone read the list and tell (each of the twelve would still pass the allowance); changes on heartbeats (bytes on every link for what few need).

The list counts as away after three intervals, and the alarm waits for that.

--- a/marigoldramp/alarms.py
+++ b/marigoldramp/alarms.py
@@ -169,7 +169,7 @@
                 make(Name.NO_BUNDLE, 'no bundle is in force; nothing runs')
             )
         away = self._clock() - self._read_at
-        if away >= STORE_AWAY_AFTER:
+        if away >= STORE_AWAY_AFTER and self._members.lacks_list:
             detail = f'the platform has not answered for {away:.0f} s'
             alarms.append(make(Name.STORE_AWAY, detail))
         return [*alarms, *self._show_peers(), *self._watch.recent()]
--- a/marigoldramp/membership.py
+++ b/marigoldramp/membership.py
@@ -27,6 +27,7 @@
 from . import peer_intake
 from . import peer_link
 from . import peer_links
+from . import peer_listing
 from . import peer_messages
 from . import peer_pace
 from . import peer_sender
@@ -84,12 +85,14 @@
         )
         self._events = peer_events.Events()
         self._pace = peer_pace.Pace(settings=settings)
+        self._listing = peer_listing.Listing(clock=clock, random=self._random)
         self._sender = peer_sender.Sender(
             identity=identity,
             codec=self._codec,
             transport=self._transport,
             table=self._table,
             pace=self._pace,
+            listing=self._listing,
             clock=clock,
             wall=wall,
         )
@@ -99,6 +102,7 @@
             sender=self._sender,
             codec=self._codec,
             pace=self._pace,
+            listing=self._listing,
             wake=self._wake,
             clock=clock,
         )
@@ -142,7 +146,12 @@
     @property
     def is_seeded(self) -> bool:
         """Whether the instance list has been read since the start."""
-        return self._sender.listed_at is not None
+        return self._listing.is_read
+
+    @property
+    def lacks_list(self) -> bool:
+        """Whether readings of the instance list have stayed out too long."""
+        return self._listing.is_away()
 
     async def start(self, task_group: anyio.abc.TaskGroup) -> int:
         """Listen for heartbeats, start to send them, return the port."""
@@ -263,6 +272,13 @@
         """Take a reading of the instance list."""
         self._intake.take_rows(instances)
 
+    def choose_list_pause(self, least: float) -> float:
+        """Return the seconds until the instance list is to be read again.
+
+        :param least: seconds between two readings of a short list.
+        """
+        return self._listing.choose_pause(least)
+
     def suspect(self, instance: str) -> None:
         """Verify a peer now: somebody saw an error on a connection to it."""
         record = self._table.find(instance)
--- a/marigoldramp/peer_intake.py
+++ b/marigoldramp/peer_intake.py
@@ -13,6 +13,7 @@
 from . import heartbeats
 from . import messages
 from . import peer_events
+from . import peer_listing
 from . import peer_messages
 from . import peer_pace
 from . import peer_sender
@@ -34,7 +35,9 @@
         '_events',
         '_pace',
         '_flag',
+        '_listing',
         '_sender',
+        '_started_at',
         '_table',
         '_told_leaving',
         '_wake',
@@ -48,6 +51,7 @@
         sender: peer_sender.Sender,
         codec: heartbeats.Codec,
         pace: peer_pace.Pace,
+        listing: peer_listing.Listing,
         wake: Callable[[str], bool],
         clock: Callable[[], float],
     ) -> None:
@@ -58,6 +62,8 @@
         self._pace = pace
         self._wake = wake
         self._clock = clock
+        self._listing = listing
+        self._started_at = clock()
         self._flag = peer_table.Flag()
         self._told_leaving = False
 
@@ -75,10 +81,12 @@
         record.sequence = heartbeat.sequence
         own = self._sender.identity.incarnation
         if heartbeat.receiver_incarnation == own:
-            # Else it speaks of our predecessor, who may have been leaving.
+            # Else it may speak of our predecessor, who may have left.
             record.note_echo(heartbeat.echo)
             if heartbeat.receiver_leaving:
                 self._tell_told_leaving()
+        elif heartbeat.receiver_leaving and self._is_meant(heartbeat):
+            self._tell_told_leaving()
         if heartbeat.asks or record.attended:
             self._revive(record)
         for known in heartbeat.known:
@@ -106,11 +114,11 @@
     def take_rows(self, rows: Iterable[store.Instance]) -> None:
         """Take a reading of the instance list."""
         now = self._clock()
-        self._sender.listed_at = now
         names = set()
         for row in rows:
             names.add(row.name)
             self._take_row(row, now)
+        self._listing.note(len(names))
         for record in list(self._table):
             record.unlisted = record.instance not in names
             self.forget_if_gone(record)
@@ -120,6 +128,15 @@
         if record.is_gone() and not record.attended:
             self._table.remove(record.instance)
 
+    def _is_meant(self, heartbeat: messages.Heartbeat) -> bool:
+        """Return whether what a peer has read in the list is about us.
+
+        A peer that does not hear us cannot name our incarnation.  As long
+        as the list may lag it may speak of our predecessor.
+        """
+        age = self._clock() - self._started_at
+        return not heartbeat.receiver_incarnation and age > peer_table.LIST_LAG
+
     def _complete(
         self, heartbeat: messages.Heartbeat
     ) -> messages.Heartbeat | None:
@@ -214,6 +231,10 @@
             record.move(row)
         record.flag.read(leaving=row.leaving, now=now)
         self._tell_if_leaving(record)
+        if not record.attended and not record.said_leaving:
+            if record.flag.holds(now):
+                # Its own reading may be long ago, and so may its peers'.
+                self._sender.send(record)
 
     def _take_known(self, known: messages.KnownInstance) -> None:
         if known.instance == self._sender.identity.instance:
--- a/marigoldramp/peer_sender.py
+++ b/marigoldramp/peer_sender.py
@@ -7,11 +7,10 @@
 
 from . import heartbeats
 from . import messages
+from . import peer_listing
 from . import peer_pace
 from . import peer_table
 
-#: Seconds without a reading after which the instance list counts as away.
-LIST_AWAY = 5.0
 #: Peers told in one heartbeat to a peer whose instance list is away; some
 #: 70 bytes each.
 MOST_KNOWN = 6
@@ -43,13 +42,13 @@
     """Sends heartbeats to peers and to addresses.
 
     :ivar leaving: this process has begun a planned stop.
-    :ivar listed_at: monotonic time of the last reading of the list.
     :ivar sequence: the last one used.
     """
 
     __slots__ = (
         '_clock',
         '_codec',
+        '_listing',
         '_pace',
         '_table',
         '_transport',
@@ -57,7 +56,6 @@
         'bundle_source',
         'identity',
         'leaving',
-        'listed_at',
         'load_source',
         'sequence',
     )
@@ -70,6 +68,7 @@
         transport: heartbeats.Transport,
         table: peer_table.Table,
         pace: peer_pace.Pace,
+        listing: peer_listing.Listing,
         clock: Callable[[], float],
         wall: Callable[[], float],
     ) -> None:
@@ -77,12 +76,12 @@
         self.load_source: Callable[[], messages.Load] | None = None
         self.bundle_source: Callable[[], int] = int
         self.leaving = False
-        self.listed_at: float | None = None
         self.sequence = 0
         self._codec = codec
         self._transport = transport
         self._table = table
         self._pace = pace
+        self._listing = listing
         self._clock = clock
         self._wall = wall
 
@@ -139,7 +138,7 @@
             receiver_incarnation=receiver_incarnation,
             asks=asks,
             interval_ms=round(self._pace.interval * peer_table.MILLISECONDS),
-            wants_known=self._lacks_list(),
+            wants_known=self._listing.is_away(),
             known=known,
         )
 
@@ -161,11 +160,6 @@
         waited = WHOLE_AGAIN_INTERVALS * self._pace.interval_of(record)
         return not record.unechoed or unechoed < waited
 
-    def _lacks_list(self) -> bool:
-        if self.listed_at is None:
-            return True
-        return self._clock() - self.listed_at > LIST_AWAY
-
     def _choose_known(
         self, receiver: peer_table.Record
     ) -> tuple[messages.KnownInstance, ...]:
--- a/marigoldramp/runtime.py
+++ b/marigoldramp/runtime.py
@@ -237,15 +237,26 @@
         )
 
     async def _poll_instances(self) -> None:
-        """Read the instance list again and again; it may be away."""
+        """Read the instance list again and again; it may be away.
+
+        The longer it is, the more seldom: at fleet size a reading has a
+        quarter of a megabyte.
+        """
+        least = self.settings.platform.poll_instances
+        due = self.clock()
         while True:
-            listed = await self.platform.list_instances()
-            if isinstance(listed, store.Instances):
-                self.listed = listed.instances
-                self.members.seed(listed.instances)
-                self._alarms.note_list_read()
+            if self.clock() >= due:
+                await self._read_instances()
+                due = self.clock() + self.members.choose_list_pause(least)
             self.watch.log_changes(self.list_alarms())
-            await anyio.sleep(self.settings.platform.poll_instances)
+            await anyio.sleep(least)
+
+    async def _read_instances(self) -> None:
+        listed = await self.platform.list_instances()
+        if isinstance(listed, store.Instances):
+            self.listed = listed.instances
+            self.members.seed(listed.instances)
+            self._alarms.note_list_read()
 
     def _note_heartbeat(self, heartbeat: messages.Heartbeat) -> None:
         self.offsets.observe(
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -239,6 +239,48 @@
         assert again.events[0] == ('told',)
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize(('age', 'told'), [(12, [('told',)]), (2, [])])
+async def test_leaving_read_by_a_stranger(age, told):
+    """Only an agent that has no link to it reads that an agent leaves.
+
+    In a large fleet each process reads the list seldom, but somebody reads
+    it at any moment.  An agent that has just started is not told: the list
+    may still speak of its predecessor.
+    """
+    async with open_pair() as (site, entry, agent):
+        other = site.start('agent-2', role=AGENT, service='s')
+        await anyio.sleep(0)
+        other.membership.seed([agent.row()])
+        site.kill(agent)
+        again = site.start(
+            'agent-1', role=AGENT, service='s', incarnation=2, port=agent.port
+        )
+        await anyio.sleep(age)
+        other.membership.seed([agent.row(leaving=True)])
+        await anyio.sleep(1)
+        assert again.events == told
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ('rows', 'least'), [(10, 1.0), (27, 1.35), (1280, 64)]
+)
+async def test_long_lists_are_read_seldom(rows, least):
+    """A reading of 1,280 rows has 242 KB, and each process makes them."""
+    async with open_site() as site:
+        node = site.start('entry', changes={'table': 2000})
+        await anyio.sleep(0)
+        node.membership.seed(
+            node.row(name=f'n{number}', datagram_port=1000 + number)
+            for number in range(rows)
+        )
+        pauses = [node.membership.choose_list_pause(1.0) for _ in range(50)]
+        assert least <= min(pauses) <= max(pauses) <= 1.55 * least
+        await anyio.sleep(2 * least)
+        assert not node.membership._listing.is_away()
+
+
 @pytest.mark.anyio
 async def test_restarted_peer_is_a_new_incarnation():
     async with open_pair() as (site, entry, agent):
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -28,6 +28,8 @@
 class Members:
     """What the alarms ask of a membership."""
 
+    lacks_list = True
+
     def __init__(self):
         self.refusals = {}
         self.states = {}
