Make a second attempt where the bundle asks for one

A call's delivery is forked; the first answer that begins claims the caller and cancels the other, whose agent is told to end. Ruled out: two asks in one delivery, as what may have run is kept there and one refusal would clear it for both.

--- a/marigoldramp/calls.py
+++ b/marigoldramp/calls.py
@@ -13,6 +13,7 @@
 from . import configuration
 from . import deliveries
 from . import endpoint_kinds
+from . import hedging
 from . import intakes
 from . import keys
 from . import limits
@@ -159,7 +160,10 @@
             return await self._run_bound(delivery, bound)
         if delivery.admitted.wishes.resume:
             return await self._resume(delivery)
-        return await delivery.run()
+        return await hedging.deliver(
+            delivery=delivery,
+            after=delivery.admitted.service.hedge_after_seconds,
+        )
 
     async def _turn_away(
         self,
--- a/marigoldramp/deliveries.py
+++ b/marigoldramp/deliveries.py
@@ -106,6 +106,7 @@
 class Delivery:
     """One call on its way.
 
+    :ivar send: sends to the caller.
     :ivar answer: what the caller has been sent.
     :ivar maybe: some attempt may have run.
     :ivar at_work: the agent that has been asked and has not answered.
@@ -114,6 +115,7 @@
     __slots__ = (
         '_tools',
         '_budget',
+        'send',
         'admitted',
         'answer',
         'maybe',
@@ -132,6 +134,7 @@
     ) -> None:
         self._tools = tools
         self._budget = budget
+        self.send = send
         self.admitted = admitted
         self.answer = caller_answers.CallerAnswer(
             call=admitted.call,
@@ -144,12 +147,32 @@
         self.attempt = 0
         self.at_work: routing.Candidate | None = None
 
+    def fork(self, *, send: asgi.Send) -> 'Delivery':
+        """Return a delivery of the same call that answers by ``send``."""
+        return Delivery(
+            tools=self._tools,
+            admitted=self.admitted,
+            send=send,
+            budget=self._budget,
+        )
+
+    def may_retry(self) -> bool:
+        """Take one more attempt out of the budget; false when spent."""
+        return self._budget.take()
+
     # Choosing where to ask
 
-    async def run(self) -> outcomes.Refusal | None:
-        """Deliver an idempotent call; ``None`` when the answer is whole."""
-        self._budget.first()
-        excluded: set[str] = set()
+    async def run(
+        self, *, exclude: frozenset[str] = frozenset(), first: bool = True
+    ) -> outcomes.Refusal | None:
+        """Deliver an idempotent call; ``None`` when the answer is whole.
+
+        :param exclude: agents that are not to be asked.
+        :param first: no other delivery of the call has come before.
+        """
+        if first:
+            self._budget.first()
+        excluded = set(exclude)
         refusal: outcomes.Refusal | None = None
         while True:
             chosen = self._tools.router.choose(
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -406,7 +406,7 @@
     [
         ([(100.0, 4.0, True), (1000.0, 40.0, True)], 100.0, 4.0),
         ([(100.0, 4.0, True), (1000.0, 40.0, True)], 1000.0, 40.0),
-        ([(100.0, 4.0, True), (100.0, 0.1, False)], 100.0, 4.0),
+        ([(100.0, 4.0, True), *[(100.0, 0.1, False)] * 9], 100.0, 4.0),
     ],
     ids=['short', 'long', 'cut-short-says-nothing'],
 )
