--- a/marigoldramp/candidates.py
+++ b/marigoldramp/candidates.py
@@ -101,9 +101,7 @@
         self._due: list[_Due] = []
         self._progress = now
         self._failures = 0
-        self._excess = {
-            priority: estimates.Smoothed() for priority in bundle.Priority
-        }
+        self._excess = tuple(estimates.Smoothed() for _ in bundle.Priority)
         self.reported_at = now
         self.report(heartbeat=heartbeat, now=now)
 
@@ -155,7 +153,7 @@
             return expected
         excess = seconds - expected.total()
         if answered or excess > 0.0:
-            self._excess[_priority(expected.priority)].observe(excess, now=now)
+            self._excess[expected.priority].observe(excess, now=now)
         return expected
 
     def reported_wait(self, *, priority: int) -> float:
@@ -170,9 +168,11 @@
         else:
             excess = load.running + load.queued + 1 - slots
             wait = max(0, excess) * service / slots
+        if not self._since:
+            return wait
         since = [s for s in self._since.values() if s.priority <= priority]
         free = max(0, slots - load.running - load.queued + self._gone)
-        if len(since) < free or not since:
+        if not since or len(since) < free:
             return wait
         if not wait:
             wait = service / slots
@@ -198,7 +198,7 @@
         What chance alone would explain is left out, as it would only send
         calls to and fro between endpoints that are alike.
         """
-        known = self._excess[_priority(priority)]
+        known = self._excess[priority]
         if not known.count:
             return 0.0
         count = min(EFFECTIVE_COUNT, known.count)
@@ -232,7 +232,3 @@
         if not usual:
             return 0.0
         return max(0.0, now - self.reported_at - usual)
-
-
-def _priority(value: int) -> bundle.Priority:
-    return bundle.Priority(min(value, bundle.Priority.BACKGROUND))
--- a/marigoldramp/routing.py
+++ b/marigoldramp/routing.py
@@ -6,7 +6,6 @@
 deadline, and where there is none the call is refused at once.
 """
 
-import abc
 import dataclasses
 import random as random_module
 from typing import Callable
@@ -17,9 +16,13 @@
 from . import estimates
 from . import messages
 from . import outcomes
-from . import plugins
+from . import routing_policies
 
+CallFacts = routing_policies.CallFacts
 Candidate = candidates.Candidate
+Option = routing_policies.Option
+RoutingPolicy = routing_policies.RoutingPolicy
+reported_load = routing_policies.reported_load
 
 #: Rank by which an endpoint in another data centre is behind, in seconds;
 #: about a round trip.
@@ -37,76 +40,6 @@
 NO_ENDPOINT_RETRY_AFTER = 1.0
 
 
-@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
-class CallFacts:
-    """What the router needs to know about a call.
-
-    :ivar remaining: seconds until the answer is worthless.
-    :ivar prefix: digests of the prompt's blocks, each over all before it.
-    :ivar tokens: expected generated tokens, 0 where unknown.
-    """
-
-    call: str
-    service: str
-    customer: str
-    priority: int
-    remaining: float
-    prefix: tuple[bytes, ...] = ()
-    tokens: int = 0
-    prompt_bytes: int = 0
-
-
-@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
-class Option:
-    """A candidate with the estimates on which a policy decides.
-
-    :ivar wait: estimated seconds until the call starts there.
-    :ivar end: seconds until it may have ended there, with some luck; what
-        is later than its deadline is refused.
-    :ivar rank: the lower the better, in seconds: the wait, how far its
-        slots are taken, and what makes the endpoint doubtful.
-    """
-
-    candidate: Candidate
-    wait: float
-    end: float
-    rank: float
-
-
-def reported_load(option: Option) -> float:
-    """Return the load that an endpoint reports, in calls per slot."""
-    load = option.candidate.load
-    if load is None:
-        return 0.0
-    return (load.running + load.queued) / max(1, load.slots)
-
-
-class RoutingPolicy(plugins.Plugin, kind=True):
-    """Kind of plug-in that picks one endpoint out of those in question.
-
-    One object serves one service at one entry.
-    """
-
-    #: Offer only endpoints on which the call can end before its deadline.
-    deadline_first = True
-
-    @abc.abstractmethod
-    def choose(
-        self,
-        *,
-        options: Sequence[Option],
-        facts: CallFacts,
-        random: random_module.Random,
-    ) -> Option:
-        """Pick one of the options, of which there is at least one."""
-
-    def note_cache_events(self, events: messages.CacheEvents) -> None:
-        """Take in what an engine tells of its prefix cache."""
-
-    def forget(self, instance: str) -> None:
-        """Forget an endpoint that is dead or gone."""
-
-
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class _Length:
     """Expected seconds of service of a call, and their mean deviation."""
@@ -211,27 +144,29 @@
     ) -> Candidate | outcomes.NotRun:
         """Pick the endpoint for a call, or refuse it."""
         known = self._services.get(service.name)
-        options = []
-        if known is not None:
-            options = [
-                self._estimate(candidate=candidate, facts=facts, known=known)
-                for candidate in known.table.values()
-                if not candidate.leaving and candidate.instance not in exclude
-            ]
-        if known is None or not options:
-            return outcomes.NotRun(
-                reason=outcomes.Reason.NO_ENDPOINT,
-                detail=f'no endpoint of {service.name} is available',
-                retry_after=NO_ENDPOINT_RETRY_AFTER,
+        if known is None:
+            return _refuse_all(service.name)
+        length = known.expect(facts)
+        now = self._clock()
+        options = [
+            self._estimate(
+                candidate=candidate,
+                priority=facts.priority,
+                length=length,
+                mean=known.mean.value,
+                now=now,
             )
+            for candidate in known.table.values()
+            if not candidate.leaving and candidate.instance not in exclude
+        ]
+        if not options:
+            return _refuse_all(service.name)
         policy = known.find_policy(service.routing)
         in_time = options
         if policy.deadline_first:
             in_time = [one for one in options if one.end <= facts.remaining]
         if not in_time:
-            return _refuse(
-                options=options, facts=facts, length=known.expect(facts)
-            )
+            return _refuse(options=options, facts=facts, length=length)
         return policy.choose(
             options=in_time, facts=facts, random=self._random
         ).candidate
@@ -288,17 +223,25 @@
         return () if known is None else tuple(known.table.values())
 
     def _estimate(
-        self, *, candidate: Candidate, facts: CallFacts, known: _Known
+        self,
+        *,
+        candidate: Candidate,
+        priority: int,
+        length: _Length,
+        mean: float,
+        now: float,
     ) -> Option:
-        now = self._clock()
-        length = known.expect(facts)
-        wait = candidate.reported_wait(priority=facts.priority)
+        """Return what a candidate promises.
+
+        :param mean: seconds of service over all endpoints.
+        """
+        wait = candidate.reported_wait(priority=priority)
         wait += candidate.excess(
-            priority=facts.priority, deviation=length.deviation, now=now
+            priority=priority, deviation=length.deviation, now=now
         )
         wait = max(0.0, wait)
         rank = wait + candidate.doubt(now=now)
-        rank += candidate.crowding(service=known.mean.value)
+        rank += candidate.crowding(service=mean)
         if candidate.data_centre != self._data_centre:
             rank += REMOTE_SECONDS
         return Option(
@@ -309,6 +252,14 @@
         )
 
 
+def _refuse_all(service: str) -> outcomes.NotRun:
+    return outcomes.NotRun(
+        reason=outcomes.Reason.NO_ENDPOINT,
+        detail=f'no endpoint of {service} is available',
+        retry_after=NO_ENDPOINT_RETRY_AFTER,
+    )
+
+
 def _refuse(
     *, options: Sequence[Option], facts: CallFacts, length: _Length
 ) -> outcomes.NotRun:
