Split the queue into slots, lines and their order

Cause: admission and fair order had passed 300 lines and each did three things. Slots count what runs and keep the urgent reserve, lines are the fairness between customers, the order is that between priorities, and what a queue needs of any order stands by itself, as the baselines use it too.

--- a/marigoldramp/admission.py
+++ b/marigoldramp/admission.py
@@ -7,7 +7,6 @@
 never start.
 """
 
-import dataclasses
 import enum
 from typing import Callable
 
@@ -18,8 +17,11 @@
 from . import fair_order
 from . import messages
 from . import outcomes
+from . import queue_order
+from . import slots as slots_module
 
-Waiting = fair_order.Waiting
+Slot = slots_module.Slot
+Waiting = queue_order.Waiting
 
 MILLISECONDS = 1000.0
 #: Mean deviations added to the expected service time when it is decided
@@ -27,20 +29,6 @@
 #: spends a tenth and more of its time on calls that then miss it.
 DEVIATIONS = 1.0
 LEAST_RETRY_AFTER = 0.05
-URGENT = bundle.Priority.URGENT
-
-
-@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
-class Slot:
-    """The right to run one call; given back by :meth:`Queue.leave`.
-
-    :ivar number: distinguishes the slots given by one queue.
-    :ivar waited: seconds that the call waited for it.
-    """
-
-    number: int
-    waiting: Waiting
-    waited: float
 
 
 class _State(enum.Enum):
@@ -49,7 +37,7 @@
     REFUSED = enum.auto()
 
 
-class _Place(fair_order.Place):
+class _Place(queue_order.Place):
     """One call's place in the queue and what became of it."""
 
     __slots__ = ('event', 'state', 'result')
@@ -78,17 +66,13 @@
         bound: int,
         clock: Callable[[], float],
         margin: float,
-        order: fair_order.Order[_Place] | None = None,
+        order: queue_order.Order[_Place] | None = None,
     ) -> None:
-        self._slots = slots
+        self._slots = slots_module.Slots(count=slots, clock=clock)
         self._bound = bound
         self._clock = clock
         self._margin = margin
         self._order = fair_order.FairOrder() if order is None else order
-        self._running: dict[int, Slot] = {}
-        self._others = 0
-        self._urgent = estimates.Rate()
-        self._number = 0
         self._received = 0
         self._times = estimates.ServiceTimes(clock=clock)
         self._service = estimates.Smoothed()
@@ -103,8 +87,7 @@
         place = _Place(
             waiting=waiting, seconds=self._expect(waiting), arrived=now
         )
-        if waiting.priority == URGENT:
-            self._urgent.add(place.seconds, now=now)
+        self._slots.expect(waiting=waiting, seconds=place.seconds)
         refusal = self._refuse_on_arrival(place=place, now=now)
         if refusal is not None:
             return refusal
@@ -130,7 +113,7 @@
         :param completed: false for a call that was cut short, whose time
             says nothing about how long such calls take.
         """
-        self._free(slot)
+        self._slots.give_back(slot)
         if completed:
             self._service.observe(seconds, now=self._clock())
             self._times.observe(
@@ -149,9 +132,9 @@
         """Return the load report for heartbeats."""
         waits = (self._forecast_for(priority) for priority in bundle.Priority)
         return messages.Load(
-            running=len(self._running),
+            running=len(self._slots),
             queued=len(self._order),
-            slots=self._slots,
+            slots=self._slots.count,
             service_ms=round(self._service.value * MILLISECONDS),
             wait_ms=round(self._wait.value * MILLISECONDS),
             received=self._received,
@@ -160,7 +143,7 @@
 
     async def idle(self) -> None:
         """Wait until no call waits or runs."""
-        while self._running or self._order:
+        while self._slots or self._order:
             await self._idle.wait()
 
     def _expect(self, waiting: Waiting) -> float:
@@ -198,38 +181,30 @@
             return self._displace(place)
         return None
 
-    def _has_free(self, *, priority: int) -> bool:
-        """Return whether a slot is free for a call of that priority."""
-        if len(self._running) >= self._slots:
-            return False
-        return priority == URGENT or not self._is_reserved()
-
     def _is_full(self, *, priority: int) -> bool:
         if len(self._order) < self._bound:
             return False
-        return not self._has_free(priority=priority)
+        return not self._slots.has_free(priority=priority)
 
     def _forecast(self, place: _Place) -> float:
         """Return the expected seconds until the call would start."""
         priority = place.waiting.priority
-        if self._has_free(priority=priority):
+        if self._slots.has_free(priority=priority):
             return 0.0
         ahead = self._order.ahead(waiting=place.waiting, seconds=place.seconds)
         return self._drain(ahead, priority=priority)
 
     def _forecast_for(self, priority: int) -> float:
         """Return the forecast for a new call of any customer."""
-        if self._has_free(priority=priority):
+        if self._slots.has_free(priority=priority):
             return 0.0
         work = self._order.work(priority=priority)
         return self._drain(work, priority=priority)
 
     def _drain(self, work: float, *, priority: int) -> float:
         """Return how long work takes that precedes a call, and one more."""
-        slots = self._slots
-        if priority != URGENT:
-            slots -= self._kept()
-        return (work + self._service.value) / max(1, slots)
+        slots = self._slots.open_to(priority)
+        return (work + self._service.value) / slots
 
     def _displace(self, place: _Place) -> outcomes.NotRun | None:
         """Make room in a full queue, or refuse the new call."""
@@ -244,7 +219,7 @@
 
     def _full(self) -> outcomes.NotRun:
         """Refuse, to come back when about half the queue has moved on."""
-        drain = len(self._order) * self._service.value / self._slots
+        drain = len(self._order) * self._service.value / self._slots.count
         return outcomes.NotRun(
             reason=outcomes.Reason.QUEUE_FULL,
             detail='as many calls wait here as may',
@@ -254,44 +229,21 @@
     def _grant(self) -> None:
         """Give free slots to queued calls that can still end in time."""
         now = self._clock()
-        while len(self._running) < self._slots:
-            place = self._order.pop(urgent_only=self._is_reserved())
+        while len(self._slots) < self._slots.count:
+            place = self._order.pop(urgent_only=self._slots.is_reserved())
             if place is None:
                 return
             if now > self._latest_start(place):
                 self._refuse(place, _expired())
                 continue
-            self._number += 1
-            slot = Slot(
-                number=self._number,
-                waiting=place.waiting,
-                waited=now - place.arrived,
-            )
-            self._running[slot.number] = slot
-            self._others += place.waiting.priority != URGENT
-            self._wait.observe(slot.waited, now=now)
+            waited = now - place.arrived
+            self._wait.observe(waited, now=now)
             place.state = _State.GRANTED
-            place.result = slot
+            place.result = self._slots.take(
+                waiting=place.waiting, waited=waited
+            )
             place.event.set()
 
-    def _is_reserved(self) -> bool:
-        """Return whether the slots left are kept for urgent calls.
-
-        Without a reserve every slot comes to be held by a draft for many
-        seconds, seen as urgent calls that miss their deadline while the
-        queue holds nothing but them.
-        """
-        return self._others >= self._slots - self._kept()
-
-    def _kept(self) -> int:
-        """Return the slots that the urgent calls of late would fill."""
-        demand = self._urgent.rate(now=self._clock())
-        return min(self._slots // 2, round(demand))
-
-    def _free(self, slot: Slot) -> None:
-        del self._running[slot.number]
-        self._others -= slot.waiting.priority != URGENT
-
     def _refuse(self, place: _Place, refusal: outcomes.NotRun) -> None:
         """Tell a call that is out of the order already."""
         place.state = _State.REFUSED
@@ -310,12 +262,12 @@
             case _State.QUEUED, _:
                 self._order.remove(place)
             case _State.GRANTED, Slot() as slot:
-                self._free(slot)
+                self._slots.give_back(slot)
                 self._grant()
         self._note_idle()
 
     def _note_idle(self) -> None:
-        if not self._running and not self._order:
+        if not self._slots and not self._order:
             self._idle.set()
             self._idle = anyio.Event()
 
--- a/marigoldramp_measure/admission.py
+++ b/marigoldramp_measure/admission.py
@@ -12,6 +12,7 @@
 from marigoldramp import admission
 from marigoldramp import bundle
 from marigoldramp import fair_order
+from marigoldramp import queue_order
 
 from . import fakes
 from . import tables
@@ -24,34 +25,34 @@
 FLOODER = 'customer-0'
 
 
-class _ListOrder(fair_order.Order[fair_order.Place]):
+class _ListOrder(queue_order.Order[queue_order.Place]):
     """A baseline order: the least key goes first."""
 
     def __init__(self) -> None:
-        self._places: list[fair_order.Place] = []
+        self._places: list[queue_order.Place] = []
 
     def __len__(self) -> int:
         return len(self._places)
 
-    def key(self, place: fair_order.Place) -> float:
+    def key(self, place: queue_order.Place) -> float:
         """Return the sort key of a call."""
         return place.arrived
 
-    def push(self, place: fair_order.Place) -> None:
+    def push(self, place: queue_order.Place) -> None:
         self._places.append(place)
         self._places.sort(key=self.key)
 
-    def remove(self, place: fair_order.Place) -> None:
+    def remove(self, place: queue_order.Place) -> None:
         self._places.remove(place)
 
-    def pop(self, *, urgent_only: bool) -> fair_order.Place | None:
+    def pop(self, *, urgent_only: bool) -> queue_order.Place | None:
         for position, place in enumerate(self._places):
             if place.waiting.priority == 0 or not urgent_only:
                 return self._places.pop(position)
         return None
 
-    def ahead(self, *, waiting: fair_order.Waiting, seconds: float) -> float:
-        new = fair_order.Place(
+    def ahead(self, *, waiting: queue_order.Waiting, seconds: float) -> float:
+        new = queue_order.Place(
             waiting=waiting, seconds=seconds, arrived=virtual.clock()
         )
         key = self.key(new)
@@ -63,8 +64,8 @@
         )
 
     def find_displaced(
-        self, *, waiting: fair_order.Waiting, seconds: float
-    ) -> fair_order.Place | None:
+        self, *, waiting: queue_order.Waiting, seconds: float
+    ) -> queue_order.Place | None:
         last = self._places[-1]
         if last.waiting.priority > waiting.priority:
             return last
@@ -78,25 +79,25 @@
 class Strict(_ListOrder):
     """Priority alone decides."""
 
-    def key(self, place: fair_order.Place) -> float:
+    def key(self, place: queue_order.Place) -> float:
         return place.waiting.priority * 1e6 + place.arrived
 
 
 class Aging(_ListOrder):
     """A lower priority is as if it had arrived 5 s later."""
 
-    def key(self, place: fair_order.Place) -> float:
+    def key(self, place: queue_order.Place) -> float:
         return place.waiting.priority * 5.0 + place.arrived
 
 
 class Deadline(_ListOrder):
     """Earliest deadline first."""
 
-    def key(self, place: fair_order.Place) -> float:
+    def key(self, place: queue_order.Place) -> float:
         return place.waiting.deadline
 
 
-ORDERS: dict[str, Callable[[], fair_order.Order[Any]]] = {
+ORDERS: dict[str, Callable[[], queue_order.Order[Any]]] = {
     'fifo': Fifo,
     'strict': Strict,
     'aging': Aging,
--- a/marigoldramp_measure/flood.py
+++ b/marigoldramp_measure/flood.py
@@ -9,6 +9,7 @@
 from marigoldramp import admission
 from marigoldramp import bundle
 from marigoldramp import fair_order
+from marigoldramp import queue_order
 
 from . import admission as orders
 from . import fakes
@@ -23,7 +24,7 @@
 SECONDS = 40.0
 WARM = 10.0
 
-ORDERS: dict[str, Callable[[], fair_order.Order[Any]]] = {
+ORDERS: dict[str, Callable[[], queue_order.Order[Any]]] = {
     'strict': orders.Strict,
     'fair': fair_order.FairOrder,
 }
--- a/marigoldramp_measure/overload.py
+++ b/marigoldramp_measure/overload.py
@@ -9,8 +9,8 @@
 
 from marigoldramp import admission
 from marigoldramp import bundle
-from marigoldramp import fair_order
 from marigoldramp import outcomes
+from marigoldramp import queue_order
 
 from . import fakes
 from . import plots
@@ -33,7 +33,7 @@
     """A baseline: first come, first served, and no deadline is looked at."""
 
     async def enter(
-        self, *, waiting: fair_order.Waiting
+        self, *, waiting: queue_order.Waiting
     ) -> admission.Slot | outcomes.NotRun:
         """Wait for a slot as if there were no deadline."""
         endless = dataclasses.replace(
