Keep unfit agents out of routing when their heartbeats come

Cause: a heartbeat brought an agent back into routing that is cut off in one direction, that connections cannot reach, or that only the instance list shows as leaving.

--- a/marigoldramp/configuration.py
+++ b/marigoldramp/configuration.py
@@ -73,7 +73,7 @@
         self._shown_at = -math.inf
         self._changed = anyio.Event()
         self._callbacks: list[Callback] = []
-        members.on_heartbeat(self._see)
+        members.on_every_heartbeat(self._see)
 
     @property
     def number(self) -> int:
--- a/marigoldramp/entry.py
+++ b/marigoldramp/entry.py
@@ -140,6 +140,7 @@
         members.on_cache_events(self.router.note_cache_events)
         members.on_dead(self._note_gone)
         members.on_leaving(self._note_gone)
+        members.on_unlinked(self._note_gone)
         members.on_silent(self._note_silent)
 
     async def handle(
--- a/marigoldramp/membership.py
+++ b/marigoldramp/membership.py
@@ -30,6 +30,7 @@
 from . import peer_listing
 from . import peer_messages
 from . import peer_pace
+from . import peer_seeds
 from . import peer_sender
 from . import peer_table
 from . import rendezvous
@@ -44,8 +45,6 @@
 #: Seconds between two announcements of a planned stop, and their number.
 ANNOUNCE_EVERY = 0.05
 ANNOUNCE_TIMES = 20
-#: Seconds between greetings of the seeds while other peers are known.
-SEED_EVERY = 10.0
 
 
 class Membership:
@@ -164,7 +163,12 @@
             self.identity, datagram_port=port
         )
         task_group.start_soon(self._links.run, self._settings.heartbeat)
-        task_group.start_soon(self._greet_seeds)
+        task_group.start_soon(
+            peer_seeds.greet,
+            self._settings,
+            self._sender,
+            self._table,
+        )
         return port
 
     def close(self) -> None:
@@ -172,13 +176,32 @@
         self._transport.close()
 
     def on_heartbeat(self, callback: peer_events.OnHeartbeat) -> None:
-        """Call with each believed heartbeat."""
+        """Call with each believed heartbeat of a peer with a link to us.
+
+        ``leaving`` is set where the peer must not be given work, whatever
+        it says of itself: the list shows it as leaving, it is cut off in one
+        direction, or fresh connections to it fail.
+        """
         self._events.heartbeat.append(callback)
 
+    def on_every_heartbeat(self, callback: peer_events.OnHeartbeat) -> None:
+        """Call also with those of instances that only show their bundle.
+
+        Nothing would notice the death of such an instance.
+        """
+        self._events.every_heartbeat.append(callback)
+
     def on_dead(self, callback: peer_events.OnPeer) -> None:
         """Call with a peer that is dead, or whose last incarnation is."""
         self._events.dead.append(callback)
 
+    def on_unlinked(self, callback: peer_events.OnPeer) -> None:
+        """Call with a peer that lives but has no link to us any more.
+
+        Its death would not be noticed, nor a change of its load.
+        """
+        self._events.unlinked.append(callback)
+
     def on_silent(self, callback: peer_events.OnPeer) -> None:
         """Call with a peer whose open connections may be silent.
 
@@ -217,9 +240,7 @@
         return tuple(
             record.show(now)
             for record in self._table
-            if record.role is role
-            and record.state in peer_table.USABLE
-            and not record.leaves(now)
+            if record.role is role and record.may_work(now)
         )
 
     def known(self, role: messages.Role) -> tuple[Peer, ...]:
@@ -372,25 +393,3 @@
             clock=self._clock,
             random=self._random,
         )
-
-    async def _greet_seeds(self) -> None:
-        """Make ourselves known at the addresses of the settings.
-
-        Often while nobody is known; then seldom, so that two halves of a
-        site that started apart from each other meet again.
-        """
-        seeds = [_parse_seed(seed) for seed in self._settings.seeds]
-        while seeds:
-            for host, port in seeds:
-                self._sender.greet(host, port)
-            alone = not any(
-                record.state in peer_table.USABLE for record in self._table
-            )
-            await anyio.sleep(
-                self._settings.heartbeat if alone else SEED_EVERY
-            )
-
-
-def _parse_seed(seed: str) -> tuple[str, int]:
-    host, _, port = seed.rpartition(':')
-    return host.strip('[]'), int(port)
--- a/marigoldramp/peer_events.py
+++ b/marigoldramp/peer_events.py
@@ -16,21 +16,35 @@
     """Callbacks by event; each is called in the order of registration."""
 
     heartbeat: list[OnHeartbeat] = dataclasses.field(default_factory=list)
+    every_heartbeat: list[OnHeartbeat] = dataclasses.field(
+        default_factory=list
+    )
     dead: list[OnPeer] = dataclasses.field(default_factory=list)
+    unlinked: list[OnPeer] = dataclasses.field(default_factory=list)
     silent: list[OnPeer] = dataclasses.field(default_factory=list)
     leaving: list[OnPeer] = dataclasses.field(default_factory=list)
     told_leaving: list[OnTold] = dataclasses.field(default_factory=list)
 
     def tell_heartbeat(self, heartbeat: messages.Heartbeat) -> None:
-        """A believed heartbeat came."""
+        """A believed heartbeat came on a link."""
         for callback in self.heartbeat:
             callback(heartbeat)
 
+    def tell_every_heartbeat(self, heartbeat: messages.Heartbeat) -> None:
+        """A believed heartbeat came, on a link or not."""
+        for callback in self.every_heartbeat:
+            callback(heartbeat)
+
     def tell_dead(self, peer: peer_table.Peer) -> None:
         """A peer, or its last incarnation, is dead."""
         for callback in self.dead:
             callback(peer)
 
+    def tell_unlinked(self, peer: peer_table.Peer) -> None:
+        """A peer that lives is no longer heartbeated."""
+        for callback in self.unlinked:
+            callback(peer)
+
     def tell_silent(self, peer: peer_table.Peer) -> None:
         """Connections opened to a peer may be silent though it lives."""
         for callback in self.silent:
--- a/marigoldramp/peer_intake.py
+++ b/marigoldramp/peer_intake.py
@@ -198,7 +198,11 @@
     def _tell(
         self, record: peer_table.Record, heartbeat: messages.Heartbeat
     ) -> None:
-        self._events.tell_heartbeat(heartbeat)
+        self._events.tell_every_heartbeat(heartbeat)
+        if heartbeat.asks or record.attended:
+            if not record.may_work(self._clock()):
+                heartbeat = msgspec.structs.replace(heartbeat, leaving=True)
+            self._events.tell_heartbeat(heartbeat)
         self._tell_if_leaving(record)
 
     def _tell_if_leaving(self, record: peer_table.Record) -> None:
--- a/marigoldramp/peer_link.py
+++ b/marigoldramp/peer_link.py
@@ -83,6 +83,7 @@
         record.doubted = False
         if record.state is not State.DEAD:
             record.state = State.LISTED
+            self._events.tell_unlinked(record.show(self._clock()))
 
     async def _pause(self) -> None:
         interval = self._pace.interval_of(self._record)
--- a/marigoldramp/peer_table.py
+++ b/marigoldramp/peer_table.py
@@ -157,6 +157,10 @@
         """Return whether it leaves, by its own word or by the list's."""
         return self.said_leaving or self.flag.holds(now)
 
+    def may_work(self, now: float) -> bool:
+        """Return whether it may be given work."""
+        return self.state in USABLE and not self.leaves(now)
+
     def restart(self, incarnation: int) -> None:
         """Forget what was true of its last incarnation only."""
         self.incarnation = incarnation
--- a/marigoldramp/takeups.py
+++ b/marigoldramp/takeups.py
@@ -80,7 +80,7 @@
             maxlen=MOST_LEFT
         )
         self._began = anyio.Event()
-        members.on_heartbeat(self._see)
+        members.on_every_heartbeat(self._see)
 
     def begin(self, manifest: manifests.Manifest) -> None:
         """Begin to collect for a bundle that has come into force here."""
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -353,11 +353,8 @@
 
     When the faults end the newest bundle is in force everywhere.
     """
-    loop = virtual_time.VirtualLoop()
-    try:
-        loop.run_until_complete(run_actions(actions))
-    finally:
-        loop.close()
+    backend, options = virtual_time.make_backend()
+    anyio.run(run_actions, actions, backend=backend, backend_options=options)
 
 
 async def run_actions(actions):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -84,6 +84,102 @@
         assert entry.events == [('dead', 'agent-1')]
 
 
+@pytest.mark.anyio
+async def test_peer_whose_connections_fail_is_given_nothing():
+    """Heartbeats come, but fresh connections are refused.
+
+    Whoever routes by heartbeats alone would take it back at the next one.
+    """
+    async with open_pair() as (site, entry, agent):
+        site.network.refusing.add(agent.port)
+        entry.membership.suspect('agent-1')
+        await anyio.sleep(1)
+        assert entry.state_of(agent) == 'unreachable'
+        heard = listen(entry)
+        await anyio.sleep(2)
+        assert heard and all(heartbeat.leaving for heartbeat in heard)
+        site.network.mend()
+        await anyio.sleep(2)
+        assert not heard[-1].leaving
+
+
+@pytest.mark.anyio
+async def test_end_of_a_link_is_told():
+    """An entry no longer chooses an agent, as another one suits it better.
+
+    Nothing would tell it of the old one's death, and its load report would
+    stand still.
+    """
+    async with open_site() as site:
+        entry = site.start('entry-1', changes={'peers': 1})
+        users = [site.start(f'entry-{number}') for number in (2, 3)]
+        agents = [
+            site.start(f'agent-{number}', role=AGENT, service='s')
+            for number in range(6)
+        ]
+        await anyio.sleep(0)
+        site.seed(*users, rows=[agent.row() for agent in agents])
+        await anyio.sleep(2)
+        ended = []
+        entry.membership.on_unlinked(lambda peer: ended.append(peer.instance))
+        for number in range(6):
+            rows = [agent.row() for agent in agents[: number + 1]]
+            entry.membership.seed(rows)
+            await anyio.sleep(5)
+        assert entry.usable(AGENT) <= chosen_by(entry)
+        assert ended and chosen_by(entry).isdisjoint(ended)
+
+
+def listen(node):
+    """Return the heartbeats that a node passes on from now on."""
+    heard = []
+    node.membership.on_heartbeat(heard.append)
+    return heard
+
+
+@contextlib.asynccontextmanager
+async def open_choosy_entry():
+    """Yield a site, an entry with one peer of a kind, and six agents.
+
+    Two other entries use the agents, so that these do not introduce
+    themselves.
+    """
+    async with open_site() as site:
+        entry = site.start('entry-1', changes={'peers': 1})
+        users = [site.start(f'entry-{number}') for number in (2, 3)]
+        agents = [
+            site.start(f'agent-{number}', role=AGENT, service='s')
+            for number in range(6)
+        ]
+        await anyio.sleep(0)
+        site.seed(*users, rows=[agent.row() for agent in agents])
+        await anyio.sleep(2)
+        yield site, entry, agents
+
+
+@pytest.mark.anyio
+async def test_heartbeats_without_a_link_are_not_passed_on():
+    """An agent shows a new bundle to an entry that has not chosen it.
+
+    Nothing would notice that agent's death, so no call may go to it.
+    """
+    async with open_choosy_entry() as (site, entry, agents):
+        rows = [agent.row() for agent in agents]
+        entry.membership.seed(rows)
+        site.seed(*agents, rows=[*rows, entry.row()])
+        await anyio.sleep(2)
+        heard, shown = listen(entry), []
+        entry.membership.on_every_heartbeat(shown.append)
+        for agent in agents:
+            agent.membership.send_now(watchers=3)
+        await anyio.sleep(1)
+        names = {heartbeat.instance for heartbeat in heard}
+        assert names == chosen_by(entry)
+        assert {each.instance for each in shown} >= {
+            agent.name for agent in agents
+        }
+
+
 @pytest.mark.anyio
 async def test_thawed_peer_lives_again():
     async with open_pair() as (site, entry, agent):
@@ -108,6 +204,10 @@
         site.network.cut(*ends, both=False)
         await anyio.sleep(4)
         assert entry.state_of(agent) == 'dead'
+        heard = listen(entry)
+        await anyio.sleep(4)
+        assert bool(heard) == outward
+        assert all(heartbeat.leaving for heartbeat in heard)
         await anyio.sleep(20)
         assert entry.events == [('dead', 'agent-1')]
         site.network.mend()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -9,6 +9,7 @@
 from marigoldramp import peer_messages
 from marigoldramp import peer_seals
 from marigoldramp import peers
+from marigoldramp import replays
 from marigoldramp import seals
 
 KEY = b'0123456789abcdef'
@@ -300,6 +301,23 @@
     assert getattr(checked, 'refusal', None) is refusal
 
 
+def test_full_window_refuses_rather_than_forgets():
+    """More orders come than the window holds.
+
+    Forgetting the oldest would let whoever recorded it give it again.
+    """
+    now = [0.0]
+    window = replays.ReplayWindow(seconds=60, most=2, clock=lambda: now[0])
+    assert [window.take(nonce) for nonce in (b'a', b'b', b'c', b'a')] == [
+        True,
+        True,
+        False,
+        False,
+    ]
+    now[0] = 60.0
+    assert window.take(b'c')
+
+
 @pytest.mark.parametrize(
     ('receiver', 'nonce', 'digest', 'refusal'),
     [
