--- a/marigoldramp/layer_moves.py
+++ b/marigoldramp/layer_moves.py
@@ -92,12 +92,14 @@
         falls also when one of several equally loaded ranks is relieved, at
         which the largest load itself does not change yet.
         """
-        order = sorted(range(len(self.loads)), key=self.loads.__getitem__)
-        hot = order[-1]
         mean = sum(self.loads) / len(self.loads)
+        hot = max(range(len(self.loads)), key=self.loads.__getitem__)
+        # A rank above the mean that takes more only trades one excess for
+        # another; leaving these out halves the work.
+        others = [rank for rank, load in enumerate(self.loads) if load < mean]
         best: Move | None = None
         best_gain = 0.0
-        for move in self.candidates(hot, order[:-1]):
+        for move in self.candidates(hot, others):
             gain = self._judge(move, hot, mean) / move.loads
             if gain > best_gain:
                 best = move
--- a/marigoldramp_measure/rebalancing_drive.py
+++ b/marigoldramp_measure/rebalancing_drive.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import gc
 import time
 
 import anyio
@@ -46,12 +47,15 @@
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Trial:
-    """One policy with its settings."""
+    """One policy with its settings.
+
+    :ivar most_moves: experts loaded an interval, 0 for six a layer.
+    """
 
     policy: str
     mode: bundle.MapMode = bundle.MapMode.SKEW
     threshold: float = 1.2
-    moves_per_layer: int = 6
+    most_moves: int = 0
 
     def group(self, size: Size) -> bundle.Group:
         """Return the group's part of a bundle for this trial."""
@@ -65,7 +69,7 @@
             rebalancing=self.policy,
             mode=self.mode,
             skew_threshold=self.threshold,
-            moves_per_interval=self.moves_per_layer * size.layers,
+            moves_per_interval=self.most_moves or 6 * size.layers,
         )
 
 
@@ -73,6 +77,7 @@
 class Row:
     """What one trial gave.
 
+    :ivar most_loads: experts that may be loaded in one interval.
     :ivar p99_skew: over all layers and intervals.
     :ivar loads: experts loaded, all layers and intervals.
     :ivar loads_per_layer: the same for one layer.
@@ -88,6 +93,7 @@
     policy: str
     mode: str
     threshold: float
+    most_loads: int
     mean_skew: float
     p99_skew: float
     loads: int
@@ -181,6 +187,9 @@
     async def _run(self, ticker: Ticker) -> None:
         # The first call imports anyio's backend, which is no planning.
         await anyio.sleep(0)
+        # Nor does a program have this experiment's heap, all of which a
+        # full collection would go through (some 50 ms).
+        gc.freeze()
         for interval in range(self.size.intervals):
             loads = self._rank_loads(interval)
             self.skews.append([expert_maps.skew(one) for one in loads])
@@ -281,6 +290,7 @@
             policy=self.trial.policy,
             mode=str(self.trial.mode),
             threshold=self.trial.threshold,
+            most_loads=self.group.moves_per_interval,
             mean_skew=float(skews.mean()),
             p99_skew=float(numpy.percentile(skews, 99)),
             loads=self.loads,
--- a/marigoldramp_standins/site_processes.py
+++ b/marigoldramp_standins/site_processes.py
@@ -100,6 +100,9 @@
     def on_leaving(self, callback: Any) -> None:
         """Call back for a leaving instance; no site has one."""
 
+    def on_unlinked(self, callback: Any) -> None:
+        """Call back for an instance out of sight; no site has one."""
+
     def on_silent(self, callback: Any) -> None:
         """Call back for a silent instance; no site has one."""
 
--- a/marigoldrampplug/incremental.py
+++ b/marigoldrampplug/incremental.py
@@ -23,6 +23,8 @@
 LASTING_INTERVALS = 10
 #: How many saved seconds of step time justify a second of disruption.
 WEIGHTS = {bundle.MapMode.SKEW: 30.0, bundle.MapMode.DISRUPTION: 150.0}
+#: How many times the budget is sought, to choose the best from.
+CHOICE = 3
 #: Moves in a row that may fail to pay before a layer's search ends.
 PATIENCE = 3
 
@@ -58,18 +60,18 @@
         self, *, situation: placement.Situation
     ) -> placement.Proposal | placement.Stay:
         """Propose the moves that are worth their cost."""
-        stages: list[_Stage] = []
-        skews = []
+        searches = []
         for number, layer in enumerate(situation.layers):
-            search = layer_moves.LayerSearch(
-                layer=layer,
-                popularity=situation.popularity[number],
-                slots=self.group.slots,
+            searches.append(
+                layer_moves.LayerSearch(
+                    layer=layer,
+                    popularity=situation.popularity[number],
+                    slots=self.group.slots,
+                )
             )
-            skews.append(search.skew)
-            if search.skew > self.group.skew_threshold:
-                stages.extend(await self._search(number, search))
             await anyio.sleep(0)
+        skews = [search.skew for search in searches]
+        stages = await self._search_all(searches, situation.most_loads)
         mean = sum(skews) / len(skews)
         chosen = self._choose(stages, situation.most_loads)
         value = sum(self._value(stage) for stage in chosen)
@@ -86,6 +88,36 @@
             skew_after=mean - saved,
         )
 
+    async def _search_all(
+        self, searches: list[layer_moves.LayerSearch], budget: int
+    ) -> list[_Stage]:
+        """Search the worst layers until there is plenty to choose from."""
+        order = sorted(
+            range(len(searches)),
+            key=lambda number: searches[number].skew,
+            reverse=True,
+        )
+        stages: list[_Stage] = []
+        found = 0
+        for number in order:
+            if found >= CHOICE * budget:
+                break
+            if not self._may_pay(searches[number].skew):
+                continue
+            more = await self._search(number, searches[number])
+            found += max((stage.loads for stage in more), default=0)
+            stages.extend(more)
+        return stages
+
+    def _may_pay(self, skew: float) -> bool:
+        """Say whether a layer of this skew is worth a search.
+
+        No search saves more than what lies above the goal, with one load.
+        """
+        if skew <= self.group.skew_threshold:
+            return False
+        return self._weigh(skew - self._goal, 1) > 0
+
     async def _search(
         self, number: int, search: layer_moves.LayerSearch
     ) -> list[_Stage]:
@@ -130,10 +162,13 @@
         return list(chosen.values())
 
     def _value(self, stage: _Stage) -> float:
-        """Return the seconds that a stage saves, less what loading costs."""
+        return self._weigh(stage.saved, stage.loads)
+
+    def _weigh(self, skew: float, loads: int) -> float:
+        """Return the seconds that saved skew brings, less what loads cost."""
         lasting = LASTING_INTERVALS * self.group.interval_seconds
-        saved = stage.saved / self.group.layers * lasting
-        seconds = placement.load_seconds(group=self.group, loads=stage.loads)
+        saved = skew / self.group.layers * lasting
+        seconds = placement.load_seconds(group=self.group, loads=loads)
         cost = self._disruption.load_slowdown * seconds
         return saved - WEIGHTS[self.group.mode] * cost
 
