--- a/marigoldramp/gateway/admission.py
+++ b/marigoldramp/gateway/admission.py
@@ -3,13 +3,13 @@
 import random as random_module
 from typing import Callable
 
+from .. import outcomes
 from . import calls
 from . import codecs
 from . import configurations
 from . import deployment
 from . import inbound
 from . import routes
-from .. import outcomes
 
 #: Part of the time after which a removed key must not work that is kept as a
 #: margin, for clocks that run at different rates.
--- a/marigoldramp/gateway/configurations.py
+++ b/marigoldramp/gateway/configurations.py
@@ -14,10 +14,10 @@
 
 from absl import logging
 
-from . import deployment
-from . import routes
 from .. import logs
 from .. import store
+from . import deployment
+from . import routes
 
 
 class ConfigurationSource(abc.ABC):
--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -13,10 +13,10 @@
 from absl import logging
 import anyio
 
-from . import deployment
-from . import endpoints
 from .. import logs
 from .. import store
+from . import deployment
+from . import endpoints
 
 #: Seconds that one watch lasts at most.
 WATCH_SECONDS = 10.0
@@ -210,9 +210,7 @@
             self._note_vanished(identity)
         self.revision = max(self.revision, changes.revision)
         if changes.records or changes.removed:
-            self.change_revision = max(
-                self.change_revision, changes.revision
-            )
+            self.change_revision = max(self.change_revision, changes.revision)
             self._on_change()
         self._behind_since = float('inf')
 
@@ -288,9 +286,7 @@
         self._vanished.pop(identity, None)
         self._leaving.discard(identity)
         if self._table.remove(identity) is not None:
-            logging.info(
-                'endpoint gone', extra=logs.fields(endpoint=identity)
-            )
+            logging.info('endpoint gone', extra=logs.fields(endpoint=identity))
             self._on_gone(identity)
 
     async def _look_after(self) -> None:
--- a/marigoldramp/gateway/dispatch.py
+++ b/marigoldramp/gateway/dispatch.py
@@ -13,10 +13,10 @@
 from absl import logging
 import anyio
 
-from . import deployment
-from . import endpoints
 from .. import logs
 from .. import outcomes
+from . import deployment
+from . import endpoints
 
 #: Requests that an endpoint without published slots is given at once.
 USUAL_SLOTS = 4
@@ -149,9 +149,7 @@
         if waiter.endpoint is None:
             self._abandon(queue, entry)
             return self._refuse(demand, 'no endpoint had room in time')
-        return Place(
-            endpoint=waiter.endpoint, waited=self._clock() - arrived
-        )
+        return Place(endpoint=waiter.endpoint, waited=self._clock() - arrived)
 
     def _abandon(
         self,
--- a/marigoldramp/gateway/endpoints.py
+++ b/marigoldramp/gateway/endpoints.py
@@ -7,7 +7,7 @@
 
 import random as random_module
 from typing import Callable
-from typing import Iterable
+from typing import Iterator
 
 from . import deployment
 from . import outbound
@@ -94,9 +94,6 @@
         self.resting_until = max(self.resting_until, now + FULL_SECONDS)
 
 
-OnChange = Callable[[], None]
-
-
 class EndpointTable:
     """All endpoints, by service.
 
@@ -113,7 +110,7 @@
         self._data_centre = data_centre
         self._random = random
 
-    def __iter__(self) -> Iterable[Endpoint]:  # type: ignore[override]
+    def __iter__(self) -> Iterator[Endpoint]:
         return iter(list(self._by_identity.values()))
 
     def __len__(self) -> int:
--- a/marigoldramp/gateway/forwarding.py
+++ b/marigoldramp/gateway/forwarding.py
@@ -5,6 +5,10 @@
 from absl import logging
 import anyio
 
+from .. import logs
+from .. import metrics as metrics_module
+from .. import outcomes
+from .. import problems
 from . import admission as admission_module
 from . import attempts
 from . import calls
@@ -13,10 +17,6 @@
 from . import endpoints
 from . import inbound
 from . import retry_budget
-from .. import logs
-from .. import metrics as metrics_module
-from .. import outcomes
-from .. import problems
 
 #: Places at which a request may be tried without anything being sent.
 MOST_UNREACHED = 4
@@ -196,9 +196,7 @@
             return False
         return self._budget.take(call.service)
 
-    async def _pass_on(
-        self, call: calls.Call, answer: attempts.Answer
-    ) -> str:
+    async def _pass_on(self, call: calls.Call, answer: attempts.Answer) -> str:
         if call.exchange.begun:
             # A stream that was to be resumed and is answered by no stream.
             return 'cut'
--- a/marigoldramp/gateway/gossip.py
+++ b/marigoldramp/gateway/gossip.py
@@ -7,10 +7,10 @@
 import anyio.abc
 import msgspec
 
+from .. import logs
 from . import outbound
 from . import peer_reports
 from . import peers
-from .. import logs
 
 #: Seconds between two reports to a peer, with few peers.
 PERIOD = 0.1
--- a/marigoldramp/gateway/inbound.py
+++ b/marigoldramp/gateway/inbound.py
@@ -16,11 +16,11 @@
 import h11
 import httpcore
 
+from .. import logs
+from .. import tcp_streams
 from . import ages
 from . import codecs
 from . import deployment
-from .. import logs
-from .. import tcp_streams
 
 READ_BYTES = 65536
 #: Seconds for which an early answer's connection is still read.  Closing
--- a/marigoldramp/gateway/outbound.py
+++ b/marigoldramp/gateway/outbound.py
@@ -13,9 +13,9 @@
 import h11
 import httpcore
 
+from .. import tcp_streams
 from . import ages
 from . import codecs
-from .. import tcp_streams
 
 READ_BYTES = 65536
 #: Longest head of an answer, in bytes.
@@ -193,9 +193,7 @@
         self._idle: dict[str, collections.deque[Connection]] = {}
         self.opened = 0
 
-    def take_idle(
-        self, *, identity: str, longest: float
-    ) -> Connection | None:
+    def take_idle(self, *, identity: str, longest: float) -> Connection | None:
         """Return the most recently used idle connection, if one is sound.
 
         :param longest: seconds that it may have been idle.
--- a/marigoldramp/gateway/peer_roster.py
+++ b/marigoldramp/gateway/peer_roster.py
@@ -8,10 +8,10 @@
 import anyio
 import msgspec
 
-from . import outbound
-from . import peers
 from .. import logs
 from .. import store as store_module
+from . import outbound
+from . import peers
 
 KIND = 'marigoldramp-entries'
 #: Seconds between two tries while the store does not answer.
--- a/marigoldramp/gateway/peers.py
+++ b/marigoldramp/gateway/peers.py
@@ -7,9 +7,9 @@
 
 from absl import logging
 
+from .. import logs
 from . import outbound
 from . import peer_reports
-from .. import logs
 
 #: Seconds without a report after which a peer's word counts no more.
 SILENT_AFTER = 1.2
@@ -124,9 +124,7 @@
         if not peer.live:
             logging.info(
                 'peer heard',
-                extra=logs.fields(
-                    peer=peer.instance, version=report.version
-                ),
+                extra=logs.fields(peer=peer.instance, version=report.version),
             )
         peer.live = True
         self._count(peer, 1)
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -10,6 +10,10 @@
 import anyio
 import anyio.abc
 
+from .. import logs
+from .. import metrics as metrics_module
+from .. import store as store_module
+from .. import tcp_streams
 from . import admission
 from . import ages
 from . import attempts
@@ -31,10 +35,6 @@
 from . import refresh
 from . import retry_budget
 from . import settings as settings_module
-from .. import logs
-from .. import metrics as metrics_module
-from .. import store as store_module
-from .. import tcp_streams
 
 #: Seconds for which new connections are still taken after the request for a
 #: stop: callers keep an address answer for a while.
@@ -474,4 +474,3 @@
     """Run a process until it is stopped."""
     program = Program(settings=settings, adapter=adapter, metrics=metrics)
     await program.run()
-
--- a/marigoldramp/gateway/refresh.py
+++ b/marigoldramp/gateway/refresh.py
@@ -13,9 +13,9 @@
 from absl import logging
 import anyio
 
-from . import configurations
 from .. import logs
 from .. import store
+from . import configurations
 
 #: Age of a confirmation at which an entry reads the store itself, in
 #: seconds, and the random part by which entries do not all read at once.
--- a/marigoldramp/platform/__main__.py
+++ b/marigoldramp/platform/__main__.py
@@ -5,15 +5,15 @@
 
 import anyio
 
+from .. import logs
+from .. import metrics
 from . import configuration
 from . import endpoints
+from ..gateway import program
 from . import headers
 from . import objects
 from . import pages
 from . import settings_file
-from .. import logs
-from .. import metrics
-from ..gateway import program
 
 BAD_SETTINGS = 2
 
--- a/marigoldramp/platform/configuration.py
+++ b/marigoldramp/platform/configuration.py
@@ -2,10 +2,10 @@
 
 import msgspec
 
-from . import objects
 from .. import store
 from ..gateway import configurations
 from ..gateway import deployment
+from . import objects
 
 KEY = store.Key(kind='config', name='main')
 MILLISECONDS = 1000.0
@@ -193,8 +193,7 @@
         version=found.version,
         routes=tuple(_build_route(route) for route in found.routes),
         services={
-            service.name: _build_service(service)
-            for service in found.services
+            service.name: _build_service(service) for service in found.services
         },
         limits=deployment.Limits(
             head_bytes=found.limits.head_bytes,
--- a/marigoldramp/platform/endpoints.py
+++ b/marigoldramp/platform/endpoints.py
@@ -3,12 +3,12 @@
 from absl import logging
 import msgspec
 
-from . import objects
-from . import settings_file
 from .. import logs
 from .. import store
 from ..gateway import deployment
 from ..gateway import discovery
+from . import objects
+from . import settings_file
 
 KIND = 'servers'
 _DRAINING = 'draining'
--- a/marigoldramp/platform/objects.py
+++ b/marigoldramp/platform/objects.py
@@ -234,9 +234,7 @@
     )
 
 
-def _decode(
-    reply: Reply | Failure, shape: type[T]
-) -> T | store.Unavailable:
+def _decode(reply: Reply | Failure, shape: type[T]) -> T | store.Unavailable:
     if isinstance(reply, Failure):
         return store.Unavailable(detail=reply.detail)
     if reply.status != http.HTTPStatus.OK:
--- a/marigoldramp/platform/settings_file.py
+++ b/marigoldramp/platform/settings_file.py
@@ -31,9 +31,7 @@
     addresses: str = ''
 
 
-class _Limits(
-    msgspec.Struct, kw_only=True, rename={'descriptors': 'MaxFds'}
-):
+class _Limits(msgspec.Struct, kw_only=True, rename={'descriptors': 'MaxFds'}):
     descriptors: int = 1024
 
 
