Lead groups of ranks from an entry, by the kernel's leader

Cause: with the first map the most loaded rank has 3.3 times the mean, and a pass takes over 100 ms of the 120 that a pause may last. The kernel's leader, settler and move search are used as they are; a transport translates its orders and sends each one again under a new token until it is obeyed.

--- /dev/null
+++ b/marigoldramp/gateway/expert_planner.py
@@ -0,0 +1,219 @@
+"""Decides when the expert map of a group is changed, and to what.
+
+Counts are read from a few ranks in turn, as each read is paid for and makes
+the group pause.  Requests are spread over ranks evenly, so a few ranks show
+the popularity of experts for all.
+"""
+
+import dataclasses
+from typing import Callable
+
+from absl import logging
+import anyio
+
+from .. import expert_maps
+from .. import layer_moves
+from .. import logs
+from .. import map_changes
+from .. import map_conversation
+from .. import placement
+from .. import popularity
+from . import endpoints
+from . import ranks
+
+#: Seconds between two reads of counts.
+SAMPLE_SECONDS = 1.0
+#: Ranks whose counts are read each time.
+SAMPLED_RANKS = 4
+#: Seconds after which an old count weighs half in the slow estimate.
+HALF_LIFE = 2.0
+#: Least fall of the mean skew for which a map is changed.
+LEAST_GAIN = 0.12
+#: Least fall of the mean skew for each expert that is copied.
+LEAST_GAIN_A_COPY = 0.0015
+#: Moves that are tried in one layer.
+MOST_MOVES = 24
+#: Seconds after which a preparation is given up.
+PREPARE_SECONDS = 4.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class _Seen:
+    """Counts of a rank at its last read."""
+
+    epoch: int
+    at: float
+    counts: tuple[int, ...]
+
+
+class ExpertPlanner:
+    """Plans for one group, see :class:`.map_leader.Planner`.
+
+    :param find: returns the endpoint of a name.
+    :param spare: new experts that a rank can copy in each layer.
+    """
+
+    __slots__ = (
+        '_api',
+        '_shape',
+        '_spare',
+        '_find',
+        '_clock',
+        '_estimator',
+        '_seen',
+        '_sequence',
+        '_sampled_at',
+    )
+
+    def __init__(
+        self,
+        *,
+        api: ranks.RankApi,
+        shape: expert_maps.Shape,
+        spare: int,
+        find: Callable[[str], endpoints.Endpoint | None],
+        clock: Callable[[], float],
+    ) -> None:
+        self._api = api
+        self._shape = shape
+        self._spare = spare
+        self._find = find
+        self._clock = clock
+        self._estimator = popularity.Estimator(
+            layers=shape.layers,
+            experts=shape.experts,
+            agents=SAMPLED_RANKS,
+            half_life=HALF_LIFE,
+        )
+        self._seen: dict[str, _Seen] = {}
+        self._sequence = 0
+        self._sampled_at = float('-inf')
+
+    async def plan(
+        self,
+        *,
+        expert_map: expert_maps.ExpertMap,
+        conversation: map_conversation.Conversation,
+    ) -> map_changes.Plan | None:
+        """Return the change to make now, if any."""
+        now = self._clock()
+        if now - self._sampled_at < SAMPLE_SECONDS:
+            return None
+        self._sampled_at = now
+        if not await self._sample(conversation.agents()):
+            return None
+        return await self._search(expert_map)
+
+    def ended(self, *, plan: map_changes.Plan, done: bool) -> None:
+        """Learn whether a change took place."""
+        logging.info('map change ended', extra=logs.fields(done=done))
+
+    async def _sample(self, names: tuple[str, ...]) -> bool:
+        """Read counts; return whether there is something new."""
+        chosen = sorted(names)[:SAMPLED_RANKS]
+        news = 0
+        async with anyio.create_task_group() as tasks:
+
+            async def read(name: str) -> None:
+                nonlocal news
+                news += await self._read(name)
+
+            for name in chosen:
+                tasks.start_soon(read, name)
+        return news > 0
+
+    async def _read(self, name: str) -> bool:
+        endpoint = self._find(name)
+        if endpoint is None:
+            return False
+        found = await self._api.counts(address=endpoint.address, identity=name)
+        if isinstance(found, ranks.NoReply):
+            return False
+        now = self._clock()
+        last = self._seen.get(name)
+        self._seen[name] = _Seen(
+            epoch=found.epoch, at=now, counts=found.counts
+        )
+        if len(found.counts) != self._shape.layers * self._shape.experts:
+            return False
+        if last is None or last.epoch != found.epoch:
+            return False
+        fresh = [
+            max(0, new - old) for new, old in zip(found.counts, last.counts)
+        ]
+        self._sequence += 1
+        return self._estimator.take(
+            agent=name,
+            report=popularity.Report(
+                series=found.epoch,
+                sequence=self._sequence,
+                seconds=now - last.at,
+                layers=_scale_layers(fresh, self._shape.experts),
+            ),
+        )
+
+    async def _search(
+        self, expert_map: expert_maps.ExpertMap
+    ) -> map_changes.Plan | None:
+        """Look for moves that are worth their copies."""
+        before = after = 0.0
+        layers = []
+        for number, layer in enumerate(expert_map.layers):
+            search = layer_moves.LayerSearch(
+                layer=layer,
+                popularity=self._estimator.estimate(number),
+                slots=self._shape.slots,
+                most_new=self._spare,
+            )
+            before += search.skew
+            best, skew = _improve(search)
+            layers.append(best)
+            after += skew
+            await anyio.sleep(0)
+        new = tuple(layers)
+        before /= self._shape.layers
+        after /= self._shape.layers
+        copies = placement.count_loads(old=expert_map.layers, new=new)
+        changes = before - after >= LEAST_GAIN
+        logging.info(
+            'map considered',
+            extra=logs.fields(
+                version=str(expert_map.version),
+                skew=round(before, 3),
+                skew_after=round(after, 3),
+                copies=copies,
+                changes=changes,
+            ),
+        )
+        if not changes:
+            return None
+        return map_changes.Plan(layers=new, load_limit=PREPARE_SECONDS)
+
+
+def _scale_layers(
+    counts: list[int], experts: int
+) -> tuple[popularity.LayerCounts, ...]:
+    return tuple(
+        popularity.scale(counts[start : start + experts])
+        for start in range(0, len(counts), experts)
+    )
+
+
+def _improve(
+    search: layer_moves.LayerSearch,
+) -> tuple[expert_maps.Layer, float]:
+    """Make moves while they pay; return the best layer and its skew."""
+    best = search.layer()
+    best_skew = search.skew
+    spent = 0
+    for _ in range(MOST_MOVES):
+        move = search.find()
+        if move is None:
+            break
+        search.apply(move)
+        spent += move.loads
+        if best_skew - search.skew >= LEAST_GAIN_A_COPY * spent:
+            best = search.layer()
+            best_skew = search.skew
+            spent = 0
+    return best, best_skew
--- /dev/null
+++ b/marigoldramp/gateway/group_leading.py
@@ -0,0 +1,316 @@
+"""Has one entry lead each group of ranks.
+
+Leading is under a lease in the store, whose number makes ranks refuse an
+older leader.  Contending for a lease costs calls of the store, so only one
+entry contends: the first in an order on which all agree, among those that
+are heard and fit, and only while nobody says that it leads.  Where entries
+disagree about who that is, the lease decides.
+"""
+
+import dataclasses
+from typing import Callable
+from typing import Iterable
+
+from absl import logging
+import anyio
+import anyio.abc
+
+from .. import expert_maps
+from .. import leases
+from .. import logs
+from .. import map_conversation
+from .. import map_leader
+from .. import map_settling
+from .. import rendezvous
+from .. import store as store_module
+from . import deployment
+from . import endpoints
+from . import expert_planner
+from . import rank_transport
+from . import ranks
+
+#: Seconds between two looks at who should lead.
+LOOK_EVERY = 0.5
+#: Seconds for which a renewal of a lease lasts, and between two renewals.
+LEASE_SECONDS = 3.0
+RENEW_SECONDS = 1.0
+#: Seconds without the ranks after which a leader lets another one try, and
+#: for which it does not try again itself.
+UNREACHED_SECONDS = 3.0
+UNFIT_SECONDS = 10.0
+#: Times of a leader, see :class:`.map_settling.Pace`.
+PACE = map_settling.Pace(
+    poll=1.0,
+    retry=0.15,
+    contend=0.5,
+    lead_steps=8,
+)
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Group:
+    """A group of ranks, as reports show it.
+
+    :ivar members: names of the endpoints that carry its ranks.
+    """
+
+    name: str
+    service: str
+    size: int
+    members: tuple[str, ...]
+
+
+class _Office:
+    """The leadership of one group, held or contended for by us."""
+
+    __slots__ = ('group', 'leader', 'lease', 'scope', 'unreached_since')
+
+    def __init__(
+        self,
+        *,
+        group: Group,
+        leader: map_leader.Leader,
+        lease: leases.Lease,
+    ) -> None:
+        self.group = group
+        self.leader = leader
+        self.lease = lease
+        self.scope = anyio.CancelScope()
+        self.unreached_since = float('inf')
+
+
+class GroupLeading:
+    """The part that one entry takes in leading groups.
+
+    :param services: returns the services now configured.
+    :param rivals: returns the entries that are heard and fit to lead.
+    :param led_elsewhere: returns the groups that peers say they lead.
+    :ivar fit: we may lead; told to peers.
+    """
+
+    __slots__ = (
+        '_instance',
+        '_table',
+        '_services',
+        '_rivals',
+        '_led_elsewhere',
+        '_api',
+        '_store',
+        '_clock',
+        '_offices',
+        '_members',
+        '_groups',
+        '_unfit_until',
+        '_looked_at',
+        '_stopping',
+    )
+
+    def __init__(
+        self,
+        *,
+        instance: str,
+        table: endpoints.EndpointTable,
+        services: Callable[[], Iterable[deployment.Service]],
+        rivals: Callable[[], Iterable[str]],
+        led_elsewhere: Callable[[], frozenset[str]],
+        api: ranks.RankApi,
+        store: store_module.PlatformStore,
+        clock: Callable[[], float],
+    ) -> None:
+        self._instance = instance
+        self._table = table
+        self._services = services
+        self._rivals = rivals
+        self._led_elsewhere = led_elsewhere
+        self._api = api
+        self._store = store
+        self._clock = clock
+        self._offices: dict[str, _Office] = {}
+        self._members: dict[str, frozenset[str]] = {}
+        self._groups: dict[str, Group] = {}
+        self._unfit_until = float('-inf')
+        self._looked_at = float('-inf')
+        self._stopping = False
+
+    @property
+    def fit(self) -> bool:
+        """Whether we may lead."""
+        return not self._stopping and self._clock() >= self._unfit_until
+
+    def led(self) -> tuple[str, ...]:
+        """Return the groups that we lead."""
+        return tuple(
+            name
+            for name, office in self._offices.items()
+            if office.lease.held()
+        )
+
+    async def run(self) -> None:
+        """Lead what falls to us until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await anyio.sleep(LOOK_EVERY)
+                for service in self._services():
+                    engine = service.engine
+                    if engine is not None and engine.layers:
+                        await self._look(service.name, engine, tasks)
+
+    async def stop(self) -> None:
+        """Settle the groups that we lead and give the leases up."""
+        self._stopping = True
+        async with anyio.create_task_group() as tasks:
+            for office in list(self._offices.values()):
+                if office.lease.held():
+                    tasks.start_soon(office.leader.resign)
+                else:
+                    office.scope.cancel()
+
+    async def _look(
+        self,
+        service: str,
+        engine: deployment.Engine,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        """Begin or end to contend for the groups of a service."""
+        self._leave_offices()
+        if not self._is_first(service):
+            return
+        await self._find_groups(service)
+        elsewhere = self._led_elsewhere()
+        for group in self._groups.values():
+            if group.service != service or group.name in self._offices:
+                continue
+            if group.name not in elsewhere:
+                self._begin(group, engine, tasks)
+
+    def _is_first(self, service: str) -> bool:
+        """Whether it falls to us to contend."""
+        if not self.fit:
+            return False
+        names = {self._instance, *self._rivals()}
+        first = rendezvous.choose(key=service, names=names, count=1)
+        return first == (self._instance,)
+
+    def _leave_offices(self) -> None:
+        """Stop contending where another leads, or where we cannot lead."""
+        elsewhere = self._led_elsewhere()
+        now = self._clock()
+        for name, office in list(self._offices.items()):
+            held = office.lease.held()
+            if not held and (name in elsewhere or not self.fit):
+                office.scope.cancel()
+                continue
+            trouble = office.leader.trouble
+            if trouble is not map_conversation.Trouble.UNREACHED:
+                office.unreached_since = float('inf')
+                continue
+            office.unreached_since = min(office.unreached_since, now)
+            if now - office.unreached_since > UNREACHED_SECONDS:
+                logging.info(
+                    'ranks not reached', extra=logs.fields(group=name)
+                )
+                self._unfit_until = now + UNFIT_SECONDS
+                office.scope.cancel()
+
+    async def _find_groups(self, service: str) -> None:
+        """Ask endpoints for their groups when there are other ones."""
+        names = frozenset(
+            one.identity for one in self._table.of_service(service)
+        )
+        if names == self._members.get(service):
+            return
+        found: dict[str, list[str]] = {}
+        sizes: dict[str, int] = {}
+        missing = False
+
+        async def ask(endpoint: endpoints.Endpoint) -> None:
+            nonlocal missing
+            report = await self._api.report(
+                address=endpoint.address, identity=endpoint.identity
+            )
+            if isinstance(report, ranks.NoReply):
+                missing = True
+                return
+            found.setdefault(report.group, []).append(endpoint.identity)
+            sizes[report.group] = report.size
+
+        async with anyio.create_task_group() as tasks:
+            for endpoint in self._table.of_service(service):
+                tasks.start_soon(ask, endpoint)
+        if not missing:
+            self._members[service] = names
+        for name, members in found.items():
+            if name:
+                self._groups[name] = Group(
+                    name=name,
+                    service=service,
+                    size=sizes[name],
+                    members=tuple(sorted(members)),
+                )
+
+    def _begin(
+        self,
+        group: Group,
+        engine: deployment.Engine,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        shape = expert_maps.Shape(
+            ranks=group.size,
+            experts=engine.experts,
+            layers=engine.layers,
+            slots=engine.places,
+        )
+        lease = leases.Lease(
+            store=self._store,
+            name=f'group-{group.name}',
+            holder=self._instance,
+            seconds=LEASE_SECONDS,
+            clock=self._clock,
+        )
+        leader = map_leader.Leader(
+            group=group.name,
+            instance=self._instance,
+            shape=shape,
+            agents=lambda: self._agents(group.name),
+            transport=rank_transport.RankTransport(
+                api=self._api,
+                group=group.name,
+                shape=shape,
+                find=self._table.find,
+                clock=self._clock,
+            ),
+            lease=lease,
+            renew_seconds=RENEW_SECONDS,
+            planner=expert_planner.ExpertPlanner(
+                api=self._api,
+                shape=shape,
+                spare=engine.spare,
+                find=self._table.find,
+                clock=self._clock,
+            ),
+            clock=self._clock,
+            pace=PACE,
+        )
+        office = _Office(group=group, leader=leader, lease=lease)
+        self._offices[group.name] = office
+        logging.info('contending', extra=logs.fields(group=group.name))
+        tasks.start_soon(self._hold, office)
+
+    def _agents(self, name: str) -> tuple[str, ...]:
+        """Return the endpoints of a group that are still known."""
+        return tuple(
+            member
+            for member in self._groups[name].members
+            if self._table.find(member) is not None
+        )
+
+    async def _hold(self, office: _Office) -> None:
+        try:
+            with office.scope:
+                await office.leader.run()
+        finally:
+            self._offices.pop(office.group.name, None)
+            logging.info(
+                'no longer contending',
+                extra=logs.fields(group=office.group.name),
+            )
--- a/marigoldramp/gateway/outbound.py
+++ b/marigoldramp/gateway/outbound.py
@@ -251,3 +251,54 @@
                     connection.close()
             idle.clear()
             idle.extend(kept)
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Reply:
+    """A whole answer to a request of our own."""
+
+    status: int
+    body: bytes
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class NoReply:
+    """No whole answer came; the request may have been carried out."""
+
+    detail: str
+
+
+async def exchange(
+    *,
+    pool: Pool,
+    address: Address,
+    method: bytes,
+    target: bytes,
+    headers: codecs.Headers,
+    body: bytes,
+    seconds: float,
+) -> Reply | NoReply:
+    """Make one request by a new connection; wait for the whole answer."""
+    connection = await pool.open(address=address, seconds=seconds)
+    if isinstance(connection, Unreached):
+        return NoReply(detail=connection.detail)
+    host = f'{address.host}:{address.port}'.encode()
+    sent = [(b'host', host), *headers]
+    if body or method != b'GET':
+        sent.append((b'content-length', b'%d' % len(body)))
+    try:
+        with anyio.fail_after(seconds):
+            connection.send(
+                method=method, target=target, headers=sent, body=body
+            )
+            head = await connection.read_head()
+            whole = bytearray()
+            while piece := await connection.read_piece():
+                whole += piece
+            return Reply(status=head.status, body=bytes(whole))
+    except TimeoutError:
+        return NoReply(detail='no answer in time')
+    except LOST as error:
+        return NoReply(detail=f'{type(error).__name__}: {error}')
+    finally:
+        connection.close()
--- a/marigoldramp/gateway/peer_exchange.py
+++ b/marigoldramp/gateway/peer_exchange.py
@@ -4,7 +4,6 @@
 endpoints from a peer whose reports show that it knows more.
 """
 
-import anyio
 import msgspec
 
 from . import configurations
@@ -61,30 +60,18 @@
 
 async def fetch(*, address: outbound.Address, path: str) -> bytes | None:
     """Return a page of a peer, ``None`` if it could not be had."""
-    pool = outbound.Pool(most_idle=0)
-    connection = await pool.open(address=address, seconds=EXCHANGE_SECONDS)
-    if isinstance(connection, outbound.Unreached):
+    reply = await outbound.exchange(
+        pool=outbound.Pool(most_idle=0),
+        address=address,
+        method=b'GET',
+        target=path.encode(),
+        headers=[],
+        body=b'',
+        seconds=EXCHANGE_SECONDS,
+    )
+    if isinstance(reply, outbound.NoReply) or reply.status != 200:
         return None
-    try:
-        with anyio.move_on_after(EXCHANGE_SECONDS):
-            connection.send(
-                method=b'GET',
-                target=path.encode(),
-                headers=[(b'host', address.host.encode())],
-                body=b'',
-            )
-            head = await connection.read_head()
-            if head.status != 200:
-                return None
-            body = bytearray()
-            while piece := await connection.read_piece():
-                body += piece
-            return bytes(body)
-    except outbound.LOST:
-        return None
-    finally:
-        connection.close()
-    return None
+    return reply.body
 
 
 async def fetch_endpoints(
--- a/marigoldramp/gateway/peer_reports.py
+++ b/marigoldramp/gateway/peer_reports.py
@@ -38,6 +38,8 @@
     :ivar revision_age: seconds since it was in touch with the store about
         endpoints; negative if it never was.
     :ivar in_flight: requests of the sender by endpoint.
+    :ivar fit: the sender may lead groups of ranks.
+    :ivar leads: groups that it leads.
     """
 
     instance: str
@@ -56,6 +58,8 @@
     revision: int
     revision_age: float
     in_flight: dict[str, int]
+    fit: bool = False
+    leads: tuple[str, ...] = ()
     known: tuple[KnownPeer, ...] = ()
 
 
--- a/marigoldramp/gateway/peers.py
+++ b/marigoldramp/gateway/peers.py
@@ -178,6 +178,23 @@
             and peer.report.call_host
         ]
 
+    def fit_to_lead(self) -> list[str]:
+        """Return the live peers that may lead groups of ranks."""
+        return [
+            peer.instance
+            for peer in self.live()
+            if peer.report is not None and peer.report.fit
+        ]
+
+    def led_groups(self) -> frozenset[str]:
+        """Return the groups that live peers say they lead."""
+        return frozenset(
+            name
+            for peer in self.live()
+            if peer.report is not None
+            for name in peer.report.leads
+        )
+
     def _count(self, peer: Peer, sign: int) -> None:
         """Add or take away what a peer has in flight."""
         if peer.report is None or not peer.live and sign < 0:
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -25,6 +25,7 @@
 from . import endpoints
 from . import forwarding
 from . import gossip
+from . import group_leading
 from . import inbound
 from . import listeners
 from . import outbound
@@ -32,6 +33,7 @@
 from . import peer_reports
 from . import peer_roster
 from . import peers
+from . import ranks
 from . import refresh
 from . import retry_budget
 from . import settings as settings_module
@@ -65,6 +67,7 @@
         'configuration',
         'endpoints',
         'store',
+        'ranks',
         'make_pages',
         'read_settings',
     )
@@ -76,6 +79,7 @@
         configuration: configurations.ConfigurationSource,
         endpoint_source: discovery.EndpointSource,
         store: store_module.PlatformStore,
+        rank_api: ranks.RankApi,
         make_pages: Callable[['Program'], 'Pages'],
         read_settings: Callable[[], settings_module.Settings],
     ) -> None:
@@ -83,6 +87,7 @@
         self.configuration = configuration
         self.endpoints = endpoint_source
         self.store = store
+        self.ranks = rank_api
         self.make_pages = make_pages
         self.read_settings = read_settings
 
@@ -180,6 +185,16 @@
             clock=clock,
         )
         self.configurations.on_change(self.gossip.hasten)
+        self.leading = group_leading.GroupLeading(
+            instance=settings.instance,
+            table=self.table,
+            services=self._services,
+            rivals=self.peers.fit_to_lead,
+            led_elsewhere=self.peers.led_groups,
+            api=adapter.ranks,
+            store=adapter.store,
+            clock=clock,
+        )
 
     # What pages show
 
@@ -224,6 +239,7 @@
             tasks.start_soon(self._keep_settings)
             tasks.start_soon(self._ask_peers_for_endpoints)
             tasks.start_soon(self._register)
+            tasks.start_soon(self.leading.run)
             await self._stopped.wait()
             tasks.cancel_scope.cancel()
         logging.info(
@@ -299,6 +315,14 @@
         config = self.configurations.current
         return inbound.UNKNOWN_LIMITS if config is None else config.limits
 
+    def _services(self) -> tuple[deployment.Service, ...]:
+        """Return the services whose groups may be led."""
+        config = self.configurations.current
+        if config is None or not self.settings.bounds.fenced:
+            # Nothing would keep an order that comes late from a rank.
+            return ()
+        return tuple(config.services.values())
+
     def _slots(self, endpoint: endpoints.Endpoint) -> float:
         config = self.configurations.current
         engine = None
@@ -334,6 +358,8 @@
                 for endpoint in self.table
                 if endpoint.own
             },
+            fit=self.leading.fit and self.is_ready(),
+            leads=self.leading.led(),
             known=self.peers.name_some(peer_reports.MOST_KNOWN),
         )
 
@@ -446,6 +472,8 @@
             'stopping', extra=logs.fields(running=self.forwarder.running)
         )
         self.gossip.hasten()
+        with anyio.move_on_after(grace / 2):
+            await self.leading.stop()
         ends = begun + grace - SPARE
         accepts_until = min(begun + STILL_ACCEPTING, ends)
         while self._clock() < accepts_until:
--- /dev/null
+++ b/marigoldramp/gateway/rank_transport.py
@@ -0,0 +1,379 @@
+"""Carries the orders of a group's leader to ranks that take them directly.
+
+Here no agent stands beside a rank.  A rank may leave an order unanswered and
+carry it out seconds later.  What makes such an order harmless is the token:
+each order has a higher one than all before it, and a rank refuses a lower
+token than it has seen in an order that it *obeyed*.  An order without a reply
+is therefore sent again, under a new token, until one is obeyed; every earlier
+copy is dead from then on.
+
+Reports of ranks lag.  A state is taken only from a report that was asked for
+long enough after the last order, as a leader that decides on an older one
+could undo on some ranks what others have begun to use.
+"""
+
+import itertools
+from typing import Awaitable
+from typing import Callable
+
+from absl import logging
+import anyio
+
+from .. import expert_maps
+from .. import logs
+from .. import map_orders
+from . import endpoints
+from . import ranks
+
+#: Tokens of one fence; each order takes one.
+TOKENS_A_FENCE = 1 << 24
+#: Maps that one leader can name under one fence.
+MAPS_A_FENCE = 10_000
+#: Copies of an order that are sent before its reply counts as lost.
+TRIES = 6
+#: Seconds between two copies of an order.
+RETRY_SECONDS = 0.02
+#: Seconds after an order from which on a report shows its effect; ranks
+#: state the lag of their reports as 0.2 s.
+REPORT_LAG = 0.35
+
+Refusal = map_orders.Refusal
+Reply = map_orders.Reply
+RankState = map_orders.RankState
+Sleep = Callable[[float], Awaitable[None]]
+
+
+def number_version(version: expert_maps.Version) -> int:
+    """Return the number by which ranks know a map."""
+    return version.fence * MAPS_A_FENCE + version.number
+
+
+def read_version(number: int) -> expert_maps.Version:
+    """Return the version that a number stands for."""
+    return expert_maps.Version(
+        fence=number // MAPS_A_FENCE, number=number % MAPS_A_FENCE
+    )
+
+
+class _Link:
+    """What is known of one rank.
+
+    :ivar acted_at: when the last order went out.
+    :ivar dropped: the last prepared map that was given up.
+    :ivar may_be_armed: maps that an order without a reply may have armed.
+    """
+
+    __slots__ = ('report', 'acted_at', 'dropped', 'armed')
+
+    def __init__(self) -> None:
+        self.report: ranks.RankReport | None = None
+        self.acted_at = float('-inf')
+        self.dropped = 0
+        self.armed: int | None = None
+
+
+class RankTransport:
+    """A transport of orders, see :class:`.map_conversation.Transport`.
+
+    :param find: returns the endpoint of a name.
+    """
+
+    __slots__ = (
+        '_api',
+        '_group',
+        '_shape',
+        '_find',
+        '_clock',
+        '_sleep',
+        '_links',
+        '_tokens',
+        '_maps',
+    )
+
+    def __init__(
+        self,
+        *,
+        api: ranks.RankApi,
+        group: str,
+        shape: expert_maps.Shape,
+        find: Callable[[str], endpoints.Endpoint | None],
+        clock: Callable[[], float],
+        sleep: Sleep = anyio.sleep,
+    ) -> None:
+        self._api = api
+        self._group = group
+        self._shape = shape
+        self._find = find
+        self._clock = clock
+        self._sleep = sleep
+        self._links: dict[str, _Link] = {}
+        self._tokens = itertools.count(1)
+        self._maps: dict[expert_maps.Version, expert_maps.ExpertMap] = {}
+
+    async def order(
+        self, *, rank_agent: str, order: map_orders.Order
+    ) -> Reply | map_orders.Lost:
+        """Deliver an order and return what the rank made of it."""
+        link = self._links.setdefault(rank_agent, _Link())
+        match order.body:
+            case map_orders.Fetch(version=version):
+                return await self._fetch(order, version)
+            case map_orders.Confirm():
+                return await self._look(rank_agent, link, order)
+        if link.report is None or not order.incarnation:
+            found = await self._look(rank_agent, link, order)
+            if isinstance(found, map_orders.Lost) or not found.accepted:
+                return found
+        return await self._act(rank_agent, link, order)
+
+    async def _look(
+        self, name: str, link: _Link, order: map_orders.Order
+    ) -> Reply | map_orders.Lost:
+        """Return a rank's state from a report that is fresh enough."""
+        wait = link.acted_at + REPORT_LAG - self._clock()
+        if wait > 0.0:
+            await self._sleep(wait)
+        endpoint = self._find(name)
+        if endpoint is None:
+            return map_orders.Lost(detail='the endpoint is gone')
+        found = await self._api.report(address=endpoint.address, identity=name)
+        if isinstance(found, ranks.NoReply):
+            return map_orders.Lost(detail=found.detail)
+        if found.group != self._group:
+            return _refuse(order, Refusal.OTHER_GROUP)
+        if not found.whole:
+            return _refuse(order, Refusal.ENGINE_FAILED)
+        link.report = found
+        if order.incarnation and order.incarnation != found.epoch:
+            return _refuse(order, Refusal.INCARNATION)
+        return _answer(order, found.epoch, _read_state(link))
+
+    async def _act(
+        self, name: str, link: _Link, order: map_orders.Order
+    ) -> Reply | map_orders.Lost:
+        assert link.report is not None
+        body = self._translate(link, order)
+        result = await self._send(name, link, order, body)
+        match result:
+            case ranks.NoReply(detail=detail):
+                return map_orders.Lost(detail=detail)
+            case ranks.TokenOld():
+                return _refuse(order, Refusal.FENCE_OLD)
+            case ranks.Refused():
+                return _refuse(order, _explain(order.body))
+        self._note(link, order.body)
+        return _answer(
+            order, link.report.epoch, _overlay(_read_state(link), order.body)
+        )
+
+    async def _send(
+        self,
+        name: str,
+        link: _Link,
+        order: map_orders.Order,
+        body: ranks.OrderBody,
+    ) -> ranks.OrderReply:
+        """Send an order until it is answered, each time by a new token."""
+        assert link.report is not None
+        result: ranks.OrderReply = ranks.NoReply(detail='not sent')
+        for number in range(TRIES):
+            if number:
+                await self._sleep(RETRY_SECONDS)
+            endpoint = self._find(name)
+            if endpoint is None:
+                return ranks.NoReply(detail='the endpoint is gone')
+            token = order.fence * TOKENS_A_FENCE + next(self._tokens)
+            link.acted_at = self._clock()
+            result = await self._api.order(
+                address=endpoint.address,
+                identity=name,
+                order=ranks.Order(
+                    token=token, epoch=link.report.epoch, body=body
+                ),
+            )
+            link.acted_at = self._clock()
+            if not isinstance(result, ranks.Accepted):
+                logging.info(
+                    'order not obeyed',
+                    extra=logs.fields(
+                        endpoint=name,
+                        rank=link.report.rank,
+                        order=type(body).__name__,
+                        result=type(result).__name__,
+                        token=token,
+                        epoch=link.report.epoch,
+                        number=number,
+                    ),
+                )
+            if not isinstance(result, ranks.NoReply):
+                return result
+        return result
+
+    def _translate(
+        self, link: _Link, order: map_orders.Order
+    ) -> ranks.OrderBody:
+        """Return the order in the rank's terms."""
+        assert link.report is not None
+        match order.body:
+            case map_orders.Prepare(expert_map=new):
+                self._maps[new.version] = new
+                return ranks.Prepare(
+                    version=number_version(new.version), layers=new.layers
+                )
+            case map_orders.Hold(before_step=step):
+                return ranks.Hold(step=step)
+            case map_orders.Arm(version=version, from_step=step):
+                link.armed = number_version(version)
+                return ranks.Arm(version=link.armed, step=step)
+            case map_orders.Release():
+                return ranks.Release(step=link.report.held or 0)
+            case map_orders.Undo() if link.armed is not None:
+                return ranks.Disarm(version=link.armed)
+            case map_orders.Undo() if link.report.armed is not None:
+                return ranks.Disarm(version=link.report.armed.version)
+        # Has no effect but for the token, which a rank remembers.
+        return ranks.Disarm(version=order.fence * MAPS_A_FENCE)
+
+    def _note(self, link: _Link, body: map_orders.Body) -> None:
+        """Remember what an order that was obeyed has done."""
+        assert link.report is not None
+        match body:
+            case map_orders.Hold(before_step=step):
+                link.report = _replace_held(link.report, step)
+            case map_orders.Undo():
+                link.armed = None
+                if link.report.prepared is not None:
+                    link.dropped = max(link.dropped, link.report.prepared)
+
+    async def _fetch(
+        self, order: map_orders.Order, version: expert_maps.Version
+    ) -> Reply | map_orders.Lost:
+        """Return a map, put together from what all ranks hold."""
+        known = self._maps.get(version)
+        if known is None and version.fence == 0:
+            known = first_map(shape=self._shape)
+        if known is None:
+            known = await self._gather(version)
+        if known is None:
+            return map_orders.Lost(detail='no rank could tell the map')
+        self._maps = {version: known}
+        return Reply(
+            refusal=Refusal.NONE,
+            fence=order.fence,
+            incarnation=order.incarnation,
+            expert_map=known,
+        )
+
+    async def _gather(
+        self, version: expert_maps.Version
+    ) -> expert_maps.ExpertMap | None:
+        held: dict[int, tuple[tuple[int, ...], ...]] = {}
+        for name, link in self._links.items():
+            endpoint = self._find(name)
+            if endpoint is None or link.report is None:
+                continue
+            found = await self._api.experts(
+                address=endpoint.address, identity=name
+            )
+            if isinstance(found, ranks.NoReply):
+                return None
+            if read_version(found.version) != version:
+                return None
+            held[link.report.rank] = found.layers
+        if sorted(held) != list(range(self._shape.ranks)):
+            return None
+        layers = tuple(
+            tuple(
+                tuple(held[rank][layer]) for rank in range(self._shape.ranks)
+            )
+            for layer in range(self._shape.layers)
+        )
+        return expert_maps.ExpertMap(version=version, layers=layers)
+
+
+def first_map(*, shape: expert_maps.Shape) -> expert_maps.ExpertMap:
+    """Return the map with which a group forms: experts dealt out in turn."""
+    layer = tuple(
+        tuple(range(rank, shape.experts, shape.ranks))
+        for rank in range(shape.ranks)
+    )
+    return expert_maps.ExpertMap(
+        version=read_version(0), layers=(layer,) * shape.layers
+    )
+
+
+def _read_state(link: _Link) -> RankState:
+    report = link.report
+    assert report is not None
+    in_force = read_version(report.version)
+    following = None
+    from_step = 0
+    if report.armed is not None:
+        following = read_version(report.armed.version)
+        from_step = report.armed.step
+    loaded = [in_force]
+    if report.prepared is not None and report.prepared > link.dropped:
+        loaded.append(read_version(report.prepared))
+    return RankState(
+        rank=report.rank,
+        entered=report.step,
+        schedule=expert_maps.Schedule(
+            in_force=in_force, following=following, from_step=from_step
+        ),
+        loaded=tuple(loaded),
+        hold_before=report.held,
+    )
+
+
+def _overlay(state: RankState, body: map_orders.Body) -> RankState:
+    """Return a state with what an order has changed since its report."""
+    match body:
+        case map_orders.Hold(before_step=step):
+            return RankState(
+                rank=state.rank,
+                entered=state.entered,
+                schedule=state.schedule,
+                loaded=state.loaded,
+                hold_before=step,
+            )
+    return state
+
+
+def _replace_held(report: ranks.RankReport, step: int) -> ranks.RankReport:
+    return ranks.RankReport(
+        group=report.group,
+        epoch=report.epoch,
+        rank=report.rank,
+        size=report.size,
+        whole=report.whole,
+        step=report.step,
+        version=report.version,
+        prepared=report.prepared,
+        armed=report.armed,
+        held=step,
+    )
+
+
+def _answer(order: map_orders.Order, epoch: int, state: RankState) -> Reply:
+    return Reply(
+        refusal=Refusal.NONE,
+        fence=order.fence,
+        incarnation=epoch,
+        states=(state,),
+    )
+
+
+def _refuse(order: map_orders.Order, refusal: Refusal) -> Reply:
+    return Reply(
+        refusal=refusal, fence=order.fence, incarnation=order.incarnation
+    )
+
+
+def _explain(body: map_orders.Body) -> Refusal:
+    """Return why a rank refuses an order that does not fit its state."""
+    match body:
+        case map_orders.Hold() | map_orders.Arm():
+            return Refusal.STEP_ENTERED
+        case map_orders.Prepare():
+            return Refusal.CHANGE_ARMED
+    return Refusal.NOT_LOADED
--- a/marigoldramp/layer_moves.py
+++ b/marigoldramp/layer_moves.py
@@ -44,9 +44,14 @@
 
     :param popularity: load of each expert, in any unit.
     :param slots: experts that a rank can hold.
+    :param most_new: experts that a rank may hold at the end that it did not
+        hold at the start; ``None`` for any number.
     """
 
     __slots__ = (
+        '_most_new',
+        '_first',
+        '_new',
         '_slots',
         '_ranks',
         '_popularity',
@@ -61,8 +66,12 @@
         layer: expert_maps.Layer,
         popularity: Sequence[float],
         slots: int,
+        most_new: int | None = None,
     ) -> None:
         self._slots = slots
+        self._most_new = most_new
+        self._first = [frozenset(held) for held in layer]
+        self._new = [0] * len(layer)
         self._ranks = [list(held) for held in layer]
         self._popularity = popularity
         self._holders: list[set[int]] = [set() for _ in popularity]
@@ -100,6 +109,8 @@
         best: Move | None = None
         best_gain = 0.0
         for move in self.candidates(hot, others):
+            if self._most_new is not None and not self._may_copy(move):
+                continue
             gain = self._judge(move, hot, mean) / move.loads
             if gain > best_gain:
                 best = move
@@ -235,12 +246,28 @@
                 self._give(move.first, move.second_expert)
                 self._give(move.second, move.first_expert)
 
+    def _may_copy(self, move: Move) -> bool:
+        """Whether the ranks of a move may get that many new experts."""
+        match move:
+            case Replacement(rank=rank, new=new):
+                return self._has_room(rank, new)
+            case Swap():
+                return self._has_room(
+                    move.first, move.second_expert
+                ) and self._has_room(move.second, move.first_expert)
+
+    def _has_room(self, rank: int, expert: int) -> bool:
+        assert self._most_new is not None
+        return expert in self._first[rank] or self._new[rank] < self._most_new
+
     def _give(self, rank: int, expert: int) -> None:
+        self._new[rank] += expert not in self._first[rank]
         self._ranks[rank].append(expert)
         self._holders[expert].add(rank)
         self._count(expert)
 
     def _take_away(self, rank: int, expert: int) -> None:
+        self._new[rank] -= expert not in self._first[rank]
         self._ranks[rank].remove(expert)
         self._holders[expert].discard(rank)
         self._count(expert)
--- a/marigoldramp/platform/__main__.py
+++ b/marigoldramp/platform/__main__.py
@@ -13,6 +13,7 @@
 from . import headers
 from . import objects
 from . import pages
+from . import ranks
 from . import settings_file
 
 BAD_SETTINGS = 2
@@ -33,6 +34,7 @@
         configuration=configuration.Source(objects=store),
         endpoint_source=endpoints.Source(objects=store),
         store=store,
+        rank_api=ranks.Ranks(),
         make_pages=pages.make,
         read_settings=functools.partial(settings_file.read, path),
     )
