--- a/marigoldramp/gateway/expert_planner.py
+++ b/marigoldramp/gateway/expert_planner.py
@@ -23,14 +23,25 @@
 
 #: Seconds between two reads of counts.
 SAMPLE_SECONDS = 1.0
-#: Ranks whose counts are read each time.
-SAMPLED_RANKS = 4
+#: Ranks whose counts are read each time, when endpoints are little used and
+#: when they are full.
+SAMPLED_IDLE = 2
+SAMPLED_FULL = 4
 #: Seconds after which an old count weighs half in the slow estimate.
 HALF_LIFE = 2.0
-#: Least fall of the mean skew for which a map is changed.
-LEAST_GAIN = 0.12
-#: Least fall of the mean skew for each expert that is copied.
-LEAST_GAIN_A_COPY = 0.0015
+#: Least fall of the mean skew for which a map is changed; a change costs some
+#: forty orders.
+LEAST_GAIN_IDLE = 0.35
+LEAST_GAIN_FULL = 0.08
+#: Least fall of the mean skew for each expert that is copied, when endpoints
+#: are little used and when they are full.  A copy costs the same on both,
+#: but an even group serves many more requests in time when it is full.
+GAIN_A_COPY_IDLE = 0.025
+GAIN_A_COPY_FULL = 0.0014
+#: Used part of the slots up to which a group counts as little used, and from
+#: which on it counts as full.
+IDLE_USE = 0.35
+FULL_USE = 0.6
 #: Moves that are tried in one layer.
 MOST_MOVES = 24
 #: Seconds after which a preparation is given up.
@@ -51,6 +62,7 @@
 
     :param find: returns the endpoint of a name.
     :param spare: new experts that a rank can copy in each layer.
+    :param use: returns the part of the group's slots that is in use.
     """
 
     __slots__ = (
@@ -58,6 +70,7 @@
         '_shape',
         '_spare',
         '_find',
+        '_use',
         '_clock',
         '_estimator',
         '_seen',
@@ -72,9 +85,11 @@
         shape: expert_maps.Shape,
         spare: int,
         find: Callable[[str], endpoints.Endpoint | None],
+        use: Callable[[], float],
         clock: Callable[[], float],
     ) -> None:
         self._api = api
+        self._use = use
         self._shape = shape
         self._spare = spare
         self._find = find
@@ -82,7 +97,7 @@
         self._estimator = popularity.Estimator(
             layers=shape.layers,
             experts=shape.experts,
-            agents=SAMPLED_RANKS,
+            agents=SAMPLED_FULL,
             half_life=HALF_LIFE,
         )
         self._seen: dict[str, _Seen] = {}
@@ -110,7 +125,9 @@
 
     async def _sample(self, names: tuple[str, ...]) -> bool:
         """Read counts; return whether there is something new."""
-        chosen = sorted(names)[:SAMPLED_RANKS]
+        most = SAMPLED_IDLE if self._use() < IDLE_USE else SAMPLED_FULL
+        chosen = sorted(names)[:most]
+        self._estimator.agents = len(chosen)
         news = 0
         async with anyio.create_task_group() as tasks:
 
@@ -158,6 +175,10 @@
         """Look for moves that are worth their copies."""
         before = after = 0.0
         layers = []
+        use = self._use()
+        gain_a_copy = self._shape.layers * _weigh(
+            use, GAIN_A_COPY_IDLE, GAIN_A_COPY_FULL
+        )
         for number, layer in enumerate(expert_map.layers):
             search = layer_moves.LayerSearch(
                 layer=layer,
@@ -166,7 +187,7 @@
                 most_new=self._spare,
             )
             before += search.skew
-            best, skew = _improve(search)
+            best, skew = _improve(search, gain_a_copy)
             layers.append(best)
             after += skew
             await anyio.sleep(0)
@@ -174,7 +195,9 @@
         before /= self._shape.layers
         after /= self._shape.layers
         copies = placement.count_loads(old=expert_map.layers, new=new)
-        changes = before - after >= LEAST_GAIN
+        changes = before - after >= _weigh(
+            use, LEAST_GAIN_IDLE, LEAST_GAIN_FULL
+        )
         logging.info(
             'map considered',
             extra=logs.fields(
@@ -182,6 +205,15 @@
                 skew=round(before, 3),
                 skew_after=round(after, 3),
                 copies=copies,
+                use=round(use, 3),
+                distance=round(
+                    sum(
+                        self._estimator.distance(number)
+                        for number in range(self._shape.layers)
+                    )
+                    / self._shape.layers,
+                    3,
+                ),
                 changes=changes,
             ),
         )
@@ -199,8 +231,14 @@
     )
 
 
+def _weigh(use: float, idle: float, full: float) -> float:
+    """Return the value between two that fits the use of a group."""
+    part = min(1.0, max(0.0, (use - IDLE_USE) / (FULL_USE - IDLE_USE)))
+    return float(idle * (full / idle) ** part)
+
+
 def _improve(
-    search: layer_moves.LayerSearch,
+    search: layer_moves.LayerSearch, gain_a_copy: float
 ) -> tuple[expert_maps.Layer, float]:
     """Make moves while they pay; return the best layer and its skew."""
     best = search.layer()
@@ -212,7 +250,7 @@
             break
         search.apply(move)
         spent += move.loads
-        if best_skew - search.skew >= LEAST_GAIN_A_COPY * spent:
+        if best_skew - search.skew >= gain_a_copy * spent:
             best = search.layer()
             best_skew = search.skew
             spent = 0
--- a/marigoldramp/gateway/group_leading.py
+++ b/marigoldramp/gateway/group_leading.py
@@ -286,6 +286,7 @@
                 shape=shape,
                 spare=engine.spare,
                 find=self._table.find,
+                use=lambda: self._use(group.name),
                 clock=self._clock,
             ),
             clock=self._clock,
@@ -304,6 +305,18 @@
             if self._table.find(member) is not None
         )
 
+    def _use(self, name: str) -> float:
+        """Return the part of a group's slots that is in use."""
+        members = [
+            endpoint
+            for member in self._groups[name].members
+            if (endpoint := self._table.find(member)) is not None
+        ]
+        slots = sum(endpoint.record.slots for endpoint in members)
+        if not slots:
+            return 0.0
+        return sum(endpoint.in_flight for endpoint in members) / slots
+
     async def _hold(self, office: _Office) -> None:
         try:
             with office.scope:
--- a/marigoldramp/gateway/inbound.py
+++ b/marigoldramp/gateway/inbound.py
@@ -76,14 +76,7 @@
     :ivar ended: the whole answer has been sent.
     """
 
-    __slots__ = (
-        'head',
-        'begun',
-        'ended',
-        'close_after',
-        '_stream',
-        '_h11',
-    )
+    __slots__ = ('head', 'begun', 'ended', '_leaving', '_stream', '_h11')
 
     def __init__(
         self,
@@ -91,11 +84,12 @@
         head: Head,
         stream: tcp_streams.Stream,
         connection: h11.Connection,
+        leaving: Callable[[], bool],
     ) -> None:
         self.head = head
         self.begun = False
         self.ended = False
-        self.close_after = False
+        self._leaving = leaving
         self._stream = stream
         self._h11 = connection
 
@@ -127,7 +121,7 @@
     async def begin(self, *, status: int, headers: codecs.Headers) -> None:
         """Send the head of an answer."""
         sent = list(headers)
-        if self.close_after or self._h11.their_state is h11.SEND_BODY:
+        if self._leaving() or self._h11.their_state is h11.SEND_BODY:
             sent.append((b'connection', b'close'))
         self.begun = True
         await self._write(
@@ -236,10 +230,15 @@
             return False
         if head is None:
             return False
+        if _size(head) > self._limits().head_bytes:
+            await self._refuse(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+            return False
         exchange = Exchange(
-            head=head, stream=self._stream, connection=self._h11
+            head=head,
+            stream=self._stream,
+            connection=self._h11,
+            leaving=self._leaving,
         )
-        exchange.close_after = self._leaving()
         await self._handle(exchange)
         if not exchange.ended:
             # Ends the connection where the body of the answer was due.
@@ -336,6 +335,14 @@
     )
 
 
+def _size(head: Head) -> int:
+    """Return the bytes of a head; h11 bounds only those that wait."""
+    size = len(head.method) + len(head.target) + len(' HTTP/1.1\r\n') + 1
+    return size + sum(
+        len(name) + len(value) + len(': \r\n') for name, value in head.headers
+    )
+
+
 def _phrase(status: int) -> bytes:
     try:
         return http.HTTPStatus(status).phrase.encode()
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -106,6 +106,7 @@
     """One gateway process.
 
     :ivar leaving: a stop was asked for.
+    :ivar call_port: where callers connect, known once it listens.
     """
 
     def __init__(
@@ -119,6 +120,8 @@
         clock = ages.read_clock
         self.settings = settings
         self.leaving = False
+        self.call_port = 0
+        self._leave = anyio.Event()
         self._incarnation = secrets.randbits(48)
         self._adapter = adapter
         self._metrics = metrics
@@ -232,6 +235,7 @@
                 ),
             )
             tasks.start_soon(self._watch_signals)
+            tasks.start_soon(self._stop)
             tasks.start_soon(self.gossip.run, self.settings.peers)
             tasks.start_soon(self.refresher.run)
             tasks.start_soon(self.follower.run)
@@ -270,7 +274,7 @@
                     host=address.host, port=address.port, tasks=tasks
                 )
         if settings.calls is not None:
-            await self._call_listener.listen(
+            self.call_port = await self._call_listener.listen(
                 host=settings.calls.host,
                 port=settings.calls.port,
                 tasks=tasks,
@@ -459,13 +463,16 @@
                 if number == signal.SIGHUP:
                     self._reload('signal')
                     continue
-                if not self.leaving:
-                    self.leaving = True
-                    async with anyio.create_task_group() as tasks:
-                        tasks.start_soon(self._stop)
+                self.begin_stop()
+
+    def begin_stop(self) -> None:
+        """Begin a planned stop; a second request changes nothing."""
+        self.leaving = True
+        self._leave.set()
 
     async def _stop(self) -> None:
         """Lead through a planned stop, within the time that is given."""
+        await self._leave.wait()
         begun = self._clock()
         grace = self.settings.bounds.grace
         logging.info(
--- a/marigoldramp/gateway/rank_transport.py
+++ b/marigoldramp/gateway/rank_transport.py
@@ -60,7 +60,7 @@
 
     :ivar acted_at: when the last order went out.
     :ivar dropped: the last prepared map that was given up.
-    :ivar may_be_armed: maps that an order without a reply may have armed.
+    :ivar armed: the map that our orders may have armed.
     """
 
     __slots__ = ('report', 'acted_at', 'dropped', 'armed')
@@ -144,6 +144,8 @@
         if not found.whole:
             return _refuse(order, Refusal.ENGINE_FAILED)
         link.report = found
+        if found.version == link.armed:
+            link.armed = None
         if order.incarnation and order.incarnation != found.epoch:
             return _refuse(order, Refusal.INCARNATION)
         return _answer(order, found.epoch, _read_state(link))
--- /dev/null
+++ b/tests/adapter/test_platform.py
@@ -0,0 +1,445 @@
+"""Tests of what translates between the platform and the product."""
+
+import pathlib
+import re
+
+import msgspec
+import pytest
+
+from marigoldramp import api_client
+from marigoldramp.gateway import codecs
+from marigoldramp.gateway import deployment
+from marigoldramp.gateway import outbound
+from marigoldramp.gateway import ranks as rank_types
+from marigoldramp.platform import configuration
+from marigoldramp.platform import endpoints
+from marigoldramp.platform import headers
+from marigoldramp.platform import objects
+from marigoldramp.platform import ranks
+from marigoldramp.platform import settings_file
+from marigoldramp import store
+
+pytestmark = pytest.mark.anyio
+ROOT = pathlib.Path(__file__).parents[2]
+
+SETTINGS = """\
+NodeName = "edge-a-1"
+Ip = "10.1.0.40"
+Zone = "hala-a"
+Region = "bts"
+InternalPorts = [7340, 7355]
+SeedNodes = ["10.1.0.40:8229", "10.2.0.29:8229"]
+FutureField = 1
+[Listen]
+FrontAddr = "10.1.0.40:8227"
+Ready = "10.1.0.40:8220"
+Directory = "10.1.0.40:8224"
+[Limits]
+MaxFds = 4100
+[Bounds]
+DrainMs = 2000
+GraceS = 8
+RevokeMs = 5000
+RetryBudgetRatio = 0.2
+BudgetWindowS = 10
+BudgetExtra = 92
+ttl_max_s = 5
+[PlatformStore]
+Address = "10.200.1.7:8223"
+"""
+
+
+def test_settings_are_read(tmp_path):
+    path = tmp_path / 'local.toml'
+    path.write_text(SETTINGS)
+    found = settings_file.read(str(path))
+    assert found.instance == 'edge-a-1'
+    assert found.data_centre == 'hala-a'
+    assert found.calls == outbound.Address(host='10.1.0.40', port=8227)
+    assert found.peers == outbound.Address(host='10.1.0.40', port=7340)
+    assert [seed.port for seed in found.seeds] == [7340, 7340]
+    assert found.bounds.revoke == 5.0
+    assert found.bounds.retries.extra == 92.0
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'told'),
+    [
+        ('Ip = "10.1.0.40"\n', '', 'Ip'),
+        ('[7340, 7355]', '"x"', 'InternalPorts'),
+        ('"10.200.1.7:8223"', '"nowhere"', 'nowhere'),
+        ('DrainMs = 2000', 'DrainMs = "soon"', 'DrainMs'),
+        ('Region = "bts"', 'Region = ', 'line 4'),
+    ],
+)
+def test_settings_that_are_not_sound_are_told(tmp_path, old, new, told):
+    path = tmp_path / 'local.toml'
+    path.write_text(SETTINGS.replace(old, new))
+    with pytest.raises(ValueError) as error:
+        settings_file.read(str(path))
+    assert str(path) in str(error.value)
+    assert told in str(error.value)
+
+
+def make_document(**more):
+    route = {
+        'Name': 'r',
+        'Hostname': 'a.example',
+        'PathPrefix': '/x/',
+        'RouteKind': 'streaming',
+        'TimeoutMs': 8000,
+        'TargetLatencyMs': 402,
+        'Priority': 1,
+        'Service': 's',
+        'MaxAttempts': 2,
+        'PublicAccess': False,
+        'StreamResume': True,
+    }
+    document = {
+        'Version': 7,
+        'Routes': [route | more],
+        'Services': [
+            {
+                'Name': 's',
+                'MaxConnections': 9,
+                'Engine': {
+                    'Slots': 6,
+                    'step_ms': 5.85,
+                    'per_seq_ms': 0.71,
+                    'read_per_s': 61200.0,
+                    'usual': {'prompt': 835, 'answer': 139},
+                    'Sets': 4,
+                    'Experts': 64,
+                    'Placements': 5,
+                    'Spare': 2,
+                    'ExpertMb': 880.0,
+                    'LinkMbps': 180000.0,
+                },
+            }
+        ],
+        'Limits': {
+            'MaxHeaderBytes': 16384,
+            'MaxBodyBytes': 4194304,
+            'HeaderTimeoutMs': 3000,
+            'IdleTimeoutMs': 15000,
+        },
+        'Tenants': [{'Name': 't', 'ApiKeys': ['k1', 'k2'], 'Priority': 1}],
+    }
+    return msgspec.json.encode(document)
+
+
+def test_configuration_is_read():
+    found = configuration.decode(make_document())
+    route = found.routes[0]
+    assert (route.timeout, route.objective) == (8.0, 0.402)
+    assert found.customers['k2'].name == 't'
+    assert found.limits.idle_seconds == 15.0
+    engine = found.services['s'].engine
+    assert engine.step == pytest.approx(0.00585)
+    assert engine.expert_bytes == 880e6
+    assert engine.link_rate == 22.5e9
+
+
+@pytest.mark.parametrize(
+    ('more', 'repeat'),
+    [
+        ({'RouteKind': 'idempotent'}, deployment.Repeat.ALLOWED),
+        ({'RouteKind': 'non_idempotent'}, deployment.Repeat.FORBIDDEN),
+        ({'RouteKind': 'streaming'}, deployment.Repeat.RESUMED),
+        ({'StreamResume': False}, deployment.Repeat.FORBIDDEN),
+        ({'RouteKind': 'unheard-of'}, deployment.Repeat.FORBIDDEN),
+    ],
+)
+def test_what_may_be_repeated(more, repeat):
+    assert configuration.decode(make_document(**more)).routes[0].repeat is (
+        repeat
+    )
+
+
+def test_split_of_a_route():
+    shares = [
+        {'Service': 's', 'Weight': 90},
+        {'Service': 't', 'Weight': 10},
+    ]
+    found = configuration.decode(make_document(TrafficSplit=shares))
+    assert [target.weight for target in found.routes[0].targets] == [90, 10]
+
+
+def test_configuration_that_is_not_sound_names_the_place():
+    with pytest.raises(ValueError, match=r'\$.Routes\[0\].TimeoutMs'):
+        configuration.decode(make_document(TimeoutMs='soon'))
+
+
+@pytest.mark.parametrize(
+    ('sent', 'seconds', 'tokens', 'key'),
+    [
+        ([], None, (0, 0), ''),
+        ([(b'time-budget-ms', b'1500')], 1.5, (0, 0), ''),
+        ([(b'token-counts', b'1460,80')], None, (1460, 80), ''),
+        ([(b'token-counts', b'nonsense')], None, (0, 0), ''),
+        ([(b'authorization', b'Bearer k1')], None, (0, 0), 'k1'),
+        ([(b'authorization', b'Basic k1')], None, (0, 0), ''),
+    ],
+)
+def test_request_headers(sent, seconds, tokens, key):
+    found = headers.Codec().read_request(sent)
+    assert found.seconds == seconds
+    assert (found.prompt_tokens, found.answer_tokens) == tokens
+    assert found.key == key
+
+
+@pytest.mark.parametrize('text', [b'soon', b'-1', b'inf', b'nan'])
+def test_budget_that_is_no_time_is_refused(text):
+    with pytest.raises(ValueError, match='time budget'):
+        headers.Codec().read_request([(b'time-budget-ms', text)])
+
+
+def test_headers_to_an_endpoint():
+    sent = headers.Codec().write_request(
+        [
+            (b'host', b'a'),
+            (b'attempt-id', b'a1'),
+            (b'authorization', b'Bearer secret'),
+            (b'tenant', b'forged'),
+            (b'expect-instance', b'forged'),
+            (b'connection', b'x-mine'),
+            (b'x-mine', b'1'),
+            (b'x-other', b'2'),
+            (b'last-event-id', b'3'),
+            (b'time-budget-ms', b'9'),
+        ],
+        codecs.Sending(
+            seconds=1.2345, identity='i-1', customer='c', last_event='12'
+        ),
+    )
+    assert dict(sent) == {
+        b'host': b'a',
+        b'attempt-id': b'a1',
+        b'x-other': b'2',
+        b'time-budget-ms': b'1234',
+        b'expect-instance': b'i-1',
+        b'tenant': b'c',
+        b'last-event-id': b'12',
+    }
+    assert len(sent) == 7
+
+
+@pytest.mark.parametrize(
+    ('status', 'sent', 'not_run', 'sealed'),
+    [
+        (200, [(b'runner-seal', b's')], False, True),
+        (503, [(b'not-executed', b'1')], True, False),
+        (421, [], True, False),
+        (503, [], False, False),
+    ],
+)
+def test_answer_headers(status, sent, not_run, sealed):
+    found = headers.Codec().read_answer(status, sent)
+    assert (found.not_run, found.sealed) == (not_run, sealed)
+
+
+def test_load_of_an_endpoint():
+    found = headers.Codec().read_answer(200, [(b'runner-load', b'3,1,8')])
+    assert found.load == codecs.ReportedLoad(running=3, waiting=1, slots=8)
+
+
+class FakeClient:
+    """Answers calls of the store from a list."""
+
+    def __init__(self, *replies):
+        self.replies = list(replies)
+        self.requests = []
+
+    async def call(self, request):
+        self.requests.append(request)
+        return self.replies.pop(0)
+
+
+def reply(status, value=None):
+    body = b'' if value is None else msgspec.json.encode(value)
+    return api_client.Reply(status=status, headers=[], body=body)
+
+
+def make_object(name, revision=3, **spec):
+    return {
+        'Metadata': {'Name': name, 'Revision': revision, 'Created': 1},
+        'Spec': spec,
+        'Status': None,
+    }
+
+
+def make_store(*replies):
+    made = objects.ObjectStore(
+        address=outbound.Address(host='127.0.0.1', port=1)
+    )
+    made._client = FakeClient(*replies)
+    return made, made._client
+
+
+KEY = store.Key(kind='leases', name='g')
+LOST = api_client.Failure(begun=True, detail='cut')
+UNSENT = api_client.Failure(begun=False, detail='refused')
+
+
+@pytest.mark.parametrize(
+    ('replied', 'kind'),
+    [
+        (reply(200, make_object('g', a=1)), store.Stored),
+        (reply(404), store.Absent),
+        (reply(503), store.Unavailable),
+        (reply(429), store.Unavailable),
+        (reply(200), store.Unavailable),
+        (LOST, store.Unavailable),
+    ],
+)
+async def test_read_of_an_object(replied, kind):
+    made, _ = make_store(replied)
+    assert isinstance(await made.read(key=KEY), kind)
+
+
+@pytest.mark.parametrize(
+    ('expected', 'method', 'replied', 'kind'),
+    [
+        (0, 'POST', reply(201, make_object('g')), store.Written),
+        (0, 'POST', reply(409, make_object('g')), store.Conflict),
+        (5, 'PUT', reply(200, make_object('g')), store.Written),
+        (5, 'PUT', reply(409, make_object('g')), store.Conflict),
+        (5, 'PUT', reply(404), store.Conflict),
+        (5, 'PUT', reply(503), store.Unavailable),
+        (5, 'PUT', reply(429), store.Unavailable),
+        (5, 'PUT', reply(500), store.Uncertain),
+        (5, 'PUT', reply(200), store.Uncertain),
+        (5, 'PUT', LOST, store.Uncertain),
+        (5, 'PUT', UNSENT, store.Unavailable),
+    ],
+)
+async def test_conditional_write(expected, method, replied, kind):
+    made, client = make_store(replied)
+    found = await made.write(key=KEY, value=b'{"a":1}', expected=expected)
+    assert isinstance(found, kind)
+    sent = client.requests[0]
+    assert sent.method == method
+    body = msgspec.json.decode(sent.body)
+    assert body['Spec'] == {'a': 1}
+    assert body['Metadata'] == {'Name': 'g', 'Revision': expected}
+
+
+async def test_list_goes_on_page_by_page():
+    first = {'Items': [make_object('a')], 'More': True, 'AtRev': 7}
+    second = {'Items': [make_object('b')], 'More': False, 'AtRev': 9}
+    made, client = make_store(reply(200, first), reply(200, second))
+    found = await made.list_objects(kind='x')
+    assert [one.key.name for one in found.objects] == ['a', 'b']
+    assert found.version == 7
+    assert client.requests[1].path.endswith('?After=a')
+
+
+async def test_list_that_breaks_off_is_no_list():
+    first = {'Items': [make_object('a')], 'More': True, 'AtRev': 7}
+    made, _ = make_store(reply(200, first), LOST)
+    assert isinstance(await made.list_objects(kind='x'), store.Unavailable)
+
+
+def make_server(name, state='ready', **more):
+    return make_object(
+        name,
+        Service='s',
+        Address='10.1.1.1:80',
+        Zone='z',
+        Slots=6,
+        State=state,
+        **more,
+    )
+
+
+async def test_endpoints_are_followed():
+    events = {
+        'events': [
+            {'Object': make_server('i-1'), 'Deleted': False},
+            {'Object': make_server('i-1', 'draining'), 'Deleted': False},
+            {'Object': make_server('i-2'), 'Deleted': True},
+        ],
+        'AtRev': 12,
+    }
+    made, client = make_store(reply(200, events))
+    source = endpoints.Source(objects=made)
+    found = await source.watch(after=5, seconds=2.0)
+    assert [(one.identity, one.leaving) for one in found.records] == [
+        ('i-1', True)
+    ]
+    assert found.removed == ('i-2',)
+    assert found.revision == 12
+    assert client.requests[0].path.endswith('?Watch=5&WaitMs=2000')
+
+
+async def test_endpoint_that_cannot_be_read_hides_no_other():
+    broken = make_server('i-1')
+    broken['Spec']['Address'] = 'nowhere'
+    page = {'Items': [broken, make_server('i-2')], 'AtRev': 3}
+    made, _ = make_store(reply(200, page))
+    found = await endpoints.Source(objects=made).list_all()
+    assert [one.identity for one in found.records] == ['i-2']
+
+
+@pytest.mark.parametrize(
+    ('body', 'expected'),
+    [
+        (
+            rank_types.Prepare(version=4, layers=(((0, 2), (1, 0)),)),
+            {
+                'Operation': 'prepare',
+                'Version': 4,
+                'ExpertMap': [[[0, 2], [1, 0]]],
+            },
+        ),
+        (
+            rank_types.Arm(version=4, step=9),
+            {'Operation': 'arm', 'Version': 4, 'step': 9},
+        ),
+        (rank_types.Disarm(version=4), {'Operation': 'disarm', 'Version': 4}),
+        (rank_types.Hold(step=9), {'Operation': 'Hold', 'step': 9}),
+        (rank_types.Release(step=9), {'Operation': 'go', 'step': 9}),
+    ],
+)
+def test_orders_to_ranks(body, expected):
+    order = rank_types.Order(token=11, epoch=2, body=body)
+    found = msgspec.json.decode(msgspec.json.encode(ranks._encode(order)))
+    assert found == expected | {'FencingToken': 11, 'epoch': 2}
+
+
+#: Names that may stand elsewhere, as they are words of every HTTP program.
+COMMON = frozenset(('Retry-After', 'Authorization', 'Last-Event-Id'))
+
+
+def list_wire_names():
+    """Return the names that the adapter's sources use on the wire."""
+    names = set()
+    for path in (ROOT / 'marigoldramp' / 'platform').glob('*.py'):
+        text = path.read_text()
+        names.update(re.findall(r"'([A-Z][A-Za-z]+)'", text))
+        names.update(re.findall(r"b'([a-z]+-[a-z-]+)'", text))
+    common = {name.lower() for name in COMMON}
+    usual = {'content-type', 'content-length', 'content-encoding'}
+    return {
+        name
+        for name in names
+        if name.lower() not in common | usual
+        and (re.search(r'[a-z][A-Z]|-', name))
+    }
+
+
+def test_names_of_the_wire_stand_in_the_adapter_only():
+    names = list_wire_names()
+    assert {'PathPrefix', 'attempt-id'} <= names
+    faults = []
+    for package in ('marigoldramp', 'marigoldrampplug'):
+        for path in (ROOT / package).rglob('*.py'):
+            if 'platform' in path.parts:
+                continue
+            text = path.read_text()
+            faults += [
+                f'{path.name}: {name}'
+                for name in names
+                if re.search(rf'[\'"]{re.escape(name)}[\'"]', text, re.I)
+            ]
+    assert faults == []
--- /dev/null
+++ b/tests/gateway/site.py
@@ -0,0 +1,354 @@
+"""A gateway on real sockets before fake endpoints and a fake store."""
+
+import contextlib
+import dataclasses
+import functools
+
+import anyio
+import h11
+import msgspec
+
+from marigoldramp.gateway import configurations
+from marigoldramp.gateway import deployment
+from marigoldramp.gateway import discovery
+from marigoldramp.gateway import program
+from marigoldramp.gateway import retry_budget
+from marigoldramp.gateway import settings
+from marigoldramp import metrics
+from marigoldramp.platform import headers
+from marigoldramp.platform import pages
+from marigoldramp import store
+
+HOST = '127.0.0.1'
+ANY = settings.Address(host=HOST, port=0)
+NAME = 'notes.example'
+PATIENCE = 10.0
+
+
+class FakeStore(store.PlatformStore):
+    """Objects in memory; ``away`` makes every call fail."""
+
+    name = 'gateway_test_store'
+
+    def __init__(self):
+        self.objects = {}
+        self.away = False
+        self.version = 0
+
+    async def read(self, *, key):
+        if self.away:
+            return store.Unavailable(detail='away')
+        return self.objects.get(key, store.Absent(key=key))
+
+    async def write(self, *, key, value, expected):
+        if self.away:
+            return store.Unavailable(detail='away')
+        found = self.objects.get(key)
+        if (0 if found is None else found.version) != expected:
+            return store.Conflict(key=key)
+        self.version += 1
+        self.objects[key] = store.Stored(
+            key=key, version=self.version, value=value
+        )
+        return store.Written(key=key, version=self.version)
+
+    async def delete(self, *, key, expected):
+        raise NotImplementedError
+
+    async def list_objects(self, *, kind):
+        if self.away:
+            return store.Unavailable(detail='away')
+        return store.Listing(
+            objects=tuple(
+                one for key, one in self.objects.items() if key.kind == kind
+            ),
+            version=self.version,
+        )
+
+    async def watch(self, *, kind, after, seconds):
+        raise NotImplementedError
+
+    async def list_instances(self):
+        raise NotImplementedError
+
+    async def close(self):
+        pass
+
+
+class FakeConfigurations(configurations.ConfigurationSource):
+    """A configuration that a test changes."""
+
+    def __init__(self):
+        self.current = None
+        self.away = False
+        self.reads = 0
+
+    async def fetch(self):
+        self.reads += 1
+        if self.away:
+            return store.Unavailable(detail='away')
+        if self.current is None:
+            return store.Absent(key=store.Key(kind='config', name='main'))
+        return msgspec.json.encode(self.current.version)
+
+    def decode(self, document):
+        assert self.current is not None
+        if msgspec.json.decode(document) != self.current.version:
+            raise ValueError('overtaken')
+        return self.current
+
+
+class FakeEndpoints(discovery.EndpointSource):
+    """Endpoints that a test changes."""
+
+    def __init__(self):
+        self.records = ()
+        self.revision = 1
+        self.away = False
+        self.changes = []
+        self.changed = anyio.Event()
+
+    async def list_all(self):
+        if self.away:
+            return store.Unavailable(detail='away')
+        return discovery.Listing(
+            records=tuple(self.records), revision=self.revision
+        )
+
+    async def watch(self, *, after, seconds):
+        if not self.changes:
+            with anyio.move_on_after(seconds):
+                await self.changed.wait()
+        self.changed = anyio.Event()
+        if self.away:
+            return store.Unavailable(detail='away')
+        if self.changes:
+            return self.changes.pop(0)
+        return discovery.Changes(records=(), removed=(), revision=after)
+
+    def show(self, change):
+        """Have the watch return a change."""
+        self.changes.append(change)
+        self.changed.set()
+
+
+def make_route(**more):
+    """Return a route; ``more`` replaces what it usually is."""
+    values = dict(
+        name='r',
+        host=NAME,
+        prefix='/notes/',
+        targets=(deployment.Target(service='notes', weight=1.0),),
+        repeat=deployment.Repeat.ALLOWED,
+        attempts=2,
+        timeout=5.0,
+        objective=0.4,
+        priority=1,
+        public=True,
+        streams=False,
+    )
+    return deployment.Route(**(values | more))
+
+
+def make_configuration(*routes, version=1, customers=None, **limits):
+    """Return a configuration with these routes."""
+    bounds = dict(
+        head_bytes=4096, body_bytes=10_000, head_seconds=5.0, idle_seconds=5.0
+    )
+    return deployment.Configuration(
+        version=version,
+        routes=tuple(routes) or (make_route(),),
+        services={'notes': deployment.Service(name='notes', connections=100)},
+        limits=deployment.Limits(**(bounds | limits)),
+        customers=customers or {},
+        asks_keys=customers is not None,
+    )
+
+
+def make_record(endpoint, **more):
+    """Return the record of a fake endpoint."""
+    values = dict(
+        identity=endpoint.identity,
+        service='notes',
+        host=HOST,
+        port=endpoint.port,
+        data_centre='one',
+        slots=4,
+        leaving=False,
+    )
+    return deployment.EndpointRecord(**(values | more))
+
+
+def make_settings(instance='entry-1', **more):
+    """Return settings of a process that listens on any ports."""
+    values = dict(
+        instance=instance,
+        data_centre='one',
+        region='r',
+        calls=ANY,
+        readiness=ANY,
+        addresses=ANY,
+        peers=ANY,
+        metrics=ANY,
+        seeds=(),
+        store=ANY,
+        descriptors=1000,
+        bounds=settings.Bounds(
+            drain=2.0,
+            grace=8.0,
+            apply=2.0,
+            revoke=5.0,
+            longest_addresses=5.0,
+            retries=retry_budget.Bounds(ratio=0.2, extra=40.0, window=10.0),
+            fenced=True,
+            stall=1.5,
+        ),
+    )
+    return settings.Settings(**(values | more))
+
+
+@dataclasses.dataclass(kw_only=True)
+class Site:
+    """One gateway and what surrounds it."""
+
+    running: program.Program
+    configuration: FakeConfigurations
+    endpoints: FakeEndpoints
+    store: FakeStore
+
+    async def until(self, condition):
+        """Wait until something holds."""
+        with anyio.fail_after(PATIENCE):
+            while not condition():
+                await anyio.sleep(0.005)
+
+
+@contextlib.asynccontextmanager
+async def run_site(*fakes, configuration=None, ready=True, **more):
+    """Run a gateway before fake endpoints."""
+    async with contextlib.AsyncExitStack() as stack:
+        for fake in fakes:
+            await stack.enter_async_context(fake.serve())
+        config = FakeConfigurations()
+        config.current = configuration or make_configuration()
+        found = FakeEndpoints()
+        found.records = [make_record(fake) for fake in fakes]
+        objects = FakeStore()
+        process = make_settings(**more)
+        adapter = program.Adapter(
+            codec=headers.Codec(),
+            configuration=config,
+            endpoint_source=found,
+            store=objects,
+            rank_api=None,
+            make_pages=pages.make,
+            read_settings=lambda: process,
+        )
+        running = program.Program(
+            settings=process,
+            adapter=adapter,
+            metrics=metrics.create_local(instance='entry-1'),
+        )
+        site = Site(
+            running=running,
+            configuration=config,
+            endpoints=found,
+            store=objects,
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(running.run)
+            await site.until(lambda: running.call_port)
+            if ready:
+                await site.until(running.is_ready)
+            yield site
+            tasks.cancel_scope.cancel()
+
+
+@dataclasses.dataclass(kw_only=True)
+class Got:
+    """An answer as a caller got it.
+
+    :ivar whole: it came to its proper end.
+    """
+
+    status: int
+    headers: dict
+    body: bytes
+    whole: bool
+
+
+@contextlib.asynccontextmanager
+async def connect(site):
+    """Open a caller's connection."""
+    stream = await anyio.connect_tcp(HOST, site.running.call_port)
+    async with stream:
+        yield stream
+
+
+async def read_answer(stream, method='GET', connection=None):
+    """Read one answer from a connection."""
+    connection = connection or h11.Connection(h11.CLIENT)
+    if connection.our_state is h11.IDLE:
+        connection.send(
+            h11.Request(method=method, target='/', headers=[('host', 'x')])
+        )
+        connection.send(h11.EndOfMessage())
+    got = Got(status=0, headers={}, body=b'', whole=False)
+    try:
+        with anyio.fail_after(PATIENCE):
+            while True:
+                event = connection.next_event()
+                if event is h11.NEED_DATA:
+                    try:
+                        data = await stream.receive()
+                    except anyio.EndOfStream:
+                        data = b''
+                    connection.receive_data(data)
+                elif isinstance(event, h11.Response):
+                    got.status = event.status_code
+                    got.headers = {
+                        name.decode(): value.decode()
+                        for name, value in event.headers
+                    }
+                elif isinstance(event, h11.Data):
+                    got.body += event.data
+                elif isinstance(event, h11.EndOfMessage):
+                    got.whole = True
+                    return got
+                elif isinstance(event, h11.ConnectionClosed):
+                    return got
+    except (h11.RemoteProtocolError, anyio.BrokenResourceError):
+        return got
+
+
+async def send_request(
+    stream,
+    method='GET',
+    path='/notes/1',
+    *,
+    body=b'',
+    attempt='a1',
+    host=NAME,
+    more='',
+):
+    """Send one request."""
+    text = f'{method} {path} HTTP/1.1\r\nHost: {host}\r\n'
+    text += f'Attempt-Id: {attempt}\r\n{more}'
+    if body or method == 'POST':
+        text += f'Content-Length: {len(body)}\r\n'
+    await stream.send(text.encode() + b'\r\n' + body)
+
+
+async def call(site, method='GET', path='/notes/1', **more):
+    """Make one request by a connection of its own."""
+    async with connect(site) as stream:
+        await send_request(stream, method, path, **more)
+        return await read_answer(stream, method)
+
+
+FORBIDDEN = functools.partial(
+    make_route, repeat=deployment.Repeat.FORBIDDEN, attempts=1
+)
+RESUMED = functools.partial(
+    make_route, repeat=deployment.Repeat.RESUMED, streams=True
+)
--- /dev/null
+++ b/tests/gateway/test_beliefs.py
@@ -0,0 +1,587 @@
+"""Tests of what an entry believes of configuration, peers and endpoints."""
+
+import random
+
+import anyio
+import hypothesis
+from hypothesis import strategies
+import msgspec
+import pytest
+import virtual_time
+
+from marigoldramp.gateway import configurations
+from marigoldramp.gateway import discovery
+from marigoldramp.gateway import dispatch
+from marigoldramp.gateway import endpoints
+from marigoldramp.gateway import event_frames
+from marigoldramp.gateway import peer_reports
+from marigoldramp.gateway import peers
+from marigoldramp.gateway import refresh
+from marigoldramp.gateway import retry_budget
+from marigoldramp.gateway import routes
+
+from . import site
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return virtual_time.make_backend()
+
+
+class Clock:
+    """A clock that a test moves."""
+
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+# Routes
+
+
+@pytest.mark.parametrize(
+    ('host', 'path', 'name'),
+    [
+        ('a', '/x/', 'short'),
+        ('a', '/x/y', 'short'),
+        ('a', '/x/y/z', 'long'),
+        ('A:80', '/x/y/', 'long'),
+        ('a', '/x', None),
+        ('a', '/', None),
+        ('a', '', None),
+        ('b', '/x/', None),
+        ('c', '/anything', 'all'),
+    ],
+)
+def test_longest_prefix_of_the_host_wins(host, path, name):
+    table = routes.RouteTable(
+        routes=[
+            site.make_route(name='short', host='a', prefix='/x/'),
+            site.make_route(name='long', host='a', prefix='/x/y/'),
+            site.make_route(name='all', host='c', prefix='/'),
+        ]
+    )
+    found = table.find(host=host, path=path)
+    assert (None if found is None else found.name) == name
+
+
+# Events
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.sampled_from(
+            [b'id: 1\ndata: a\n\n', b'data: b\r\n\r\n', b'id:7\n\n']
+        ),
+        max_size=8,
+    ),
+    strategies.data(),
+)
+def test_events_are_the_same_however_bytes_are_cut(events, data):
+    whole = b''.join(events) + b'id: 9\ndata: rest'
+    splitter = event_frames.Splitter()
+    found = []
+    at = 0
+    while at < len(whole):
+        end = data.draw(strategies.integers(at + 1, len(whole)))
+        found += splitter.feed(whole[at:end])
+        at = end
+    assert [frame.data for frame in found] == events
+    assert splitter.rest == b'id: 9\ndata: rest'
+
+
+# The budget of repeats
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.floats(0.0, 0.5),
+            strategies.integers(0, 2),
+            strategies.booleans(),
+        ),
+        max_size=150,
+    )
+)
+def test_entries_together_keep_the_budget(steps):
+    """A service gets more repeats than the operator allows.
+
+    Sequence: entries that do not hear each other all repeat what fails.
+    Cause: an entry that takes more than its part of what is shared.
+    """
+    clock = Clock()
+    bounds = retry_budget.Bounds(ratio=0.2, extra=12.0, window=10.0)
+    budgets = [
+        retry_budget.RetryBudget(
+            bounds=lambda: bounds, entries=lambda: 3, clock=clock
+        )
+        for _ in range(3)
+    ]
+    requests = []
+    repeats = []
+    for pause, entry, fails in steps:
+        clock.now += pause
+        budgets[entry].note_request('s')
+        requests.append(clock.now)
+        if fails and budgets[entry].take('s'):
+            repeats.append(clock.now)
+        since = clock.now - bounds.window
+        window = sum(at > since for at in requests)
+        spent = sum(at > since for at in repeats)
+        assert spent <= bounds.ratio * window + bounds.extra
+
+
+# Configuration
+
+
+class Source(configurations.ConfigurationSource):
+    """Documents that are versions."""
+
+    async def fetch(self):
+        raise NotImplementedError
+
+    def decode(self, document):
+        return site.make_configuration(version=int(document))
+
+
+@hypothesis.given(
+    strategies.lists(strategies.integers(1, 9), min_size=1, max_size=20)
+)
+def test_configuration_never_goes_back(versions):
+    held = configurations.Configurations(source=Source())
+    highest = 0
+    for number, version in enumerate(versions):
+        held.take(b'%d' % version, newest_at=float(number))
+        highest = max(highest, version)
+        assert held.version == highest
+
+
+@pytest.mark.parametrize(
+    ('version', 'at', 'expected'),
+    [(2, 5.0, 5.0), (2, 0.5, 1.0), (1, 5.0, 1.0), (3, 5.0, 1.0)],
+)
+def test_only_the_version_in_force_is_confirmed(version, at, expected):
+    held = configurations.Configurations(source=Source())
+    held.take(b'2', newest_at=1.0)
+    held.confirm(version=version, newest_at=at)
+    assert held.confirmed_at == expected
+
+
+def test_document_that_cannot_be_read_changes_nothing():
+    held = configurations.Configurations(source=Source())
+    held.take(b'2', newest_at=1.0)
+    assert not held.take(b'broken', newest_at=2.0)
+    assert (held.version, held.confirmed_at) == (2, 1.0)
+
+
+async def test_entries_read_the_store_in_turn_when_they_hear_peers():
+    source = site.FakeConfigurations()
+    source.current = site.make_configuration()
+    held = configurations.Configurations(source=source)
+    refresher = make_refresher(held, source)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(refresher.run)
+        await anyio.sleep(1.0)
+        first = source.reads
+        for _ in range(100):
+            await anyio.sleep(0.1)
+            held.confirm(version=1, newest_at=virtual_time.now())
+        quiet = source.reads
+        await anyio.sleep(10.0)
+        tasks.cancel_scope.cancel()
+    assert first >= 1
+    assert quiet - first <= 1
+    assert 8 <= source.reads - quiet <= 15
+
+
+async def test_newer_version_is_taken_from_a_peer_while_the_store_is_away():
+    source = site.FakeConfigurations()
+    source.current = site.make_configuration()
+    held = configurations.Configurations(source=source)
+    asked = []
+
+    async def from_peers(version):
+        asked.append(version)
+        source.current = site.make_configuration(version=version)
+        return msgspec.json.encode(version)
+
+    refresher = make_refresher(held, source, from_peers)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(refresher.run)
+        await anyio.sleep(1.0)
+        source.away = True
+        refresher.hear(4)
+        await anyio.sleep(1.0)
+        tasks.cancel_scope.cancel()
+    assert held.version == 4
+    assert asked[0] == 4
+
+
+def make_refresher(held, source, from_peers=None):
+    async def nobody(version):
+        return None
+
+    return refresh.Refresher(
+        held=held,
+        source=source,
+        from_peers=from_peers or nobody,
+        clock=virtual_time.now,
+        random=random.Random(1),
+    )
+
+
+# Peers
+
+
+def make_report(instance='p', **more):
+    values = dict(
+        instance=instance,
+        host='h',
+        port=1,
+        incarnation=1,
+        sent=1.0,
+        echo=0.0,
+        echo_incarnation=0,
+        ready=True,
+        leaving=False,
+        call_host='c',
+        call_port=2,
+        version=1,
+        version_age=0.0,
+        revision=1,
+        revision_age=0.0,
+        in_flight={},
+    )
+    return peer_reports.Report(**(values | more))
+
+
+def make_peers(clock):
+    return peers.PeerTable(instance='me', clock=clock, random=random.Random(1))
+
+
+def test_requests_of_live_peers_count_once():
+    clock = Clock()
+    table = make_peers(clock)
+    table.take(make_report('a', in_flight={'x': 2}))
+    table.take(make_report('b', in_flight={'x': 1, 'y': 1}))
+    assert (table.in_flight('x'), table.in_flight('y')) == (3, 1)
+    table.take(make_report('a', sent=2.0, in_flight={'x': 1}))
+    assert table.in_flight('x') == 2
+    assert not table.take(make_report('a', sent=1.5, in_flight={'x': 9}))
+    assert table.in_flight('x') == 2
+    clock.now += peers.SILENT_AFTER + 0.1
+    table.take(make_report('b', sent=3.0, in_flight={'y': 1}))
+    table.drop_silent()
+    assert (table.in_flight('x'), table.in_flight('y')) == (0, 1)
+    table.take(make_report('a', sent=3.0, in_flight={'x': 4}))
+    assert table.in_flight('x') == 4
+
+
+@pytest.mark.parametrize(
+    ('more', 'listed'),
+    [
+        ({}, True),
+        ({'ready': False}, False),
+        ({'leaving': True}, False),
+        ({'call_host': ''}, False),
+    ],
+)
+def test_only_ready_peers_are_given_to_callers(more, listed):
+    table = make_peers(Clock())
+    table.take(make_report(**more))
+    assert bool(table.ready_addresses()) is listed
+
+
+def test_peers_are_learned_from_peers_and_given_up_at_last():
+    clock = Clock()
+    table = make_peers(clock)
+    known = peer_reports.KnownPeer(instance='far', host='f', port=3)
+    me = peer_reports.KnownPeer(instance='me', host='m', port=3)
+    table.take(make_report(known=(known, me)))
+    assert {peer.instance for peer in table} == {'p', 'far'}
+    clock.now += peers.GONE_AFTER + 1.0
+    table.drop_silent()
+    assert table.may_live() == 0
+
+
+@hypothesis.given(
+    strategies.dictionaries(
+        strategies.text('abc0123', min_size=10, max_size=20),
+        strategies.integers(1, 9),
+        max_size=200,
+    )
+)
+def test_reports_fit_a_datagram_and_come_back(in_flight):
+    report = make_report(in_flight=in_flight)
+    data = peer_reports.encode(report)
+    assert len(data) <= peer_reports.MOST_BYTES
+    found = peer_reports.decode(data)
+    assert found.in_flight.items() <= in_flight.items()
+
+
+async def test_confirmation_counts_from_when_the_question_was_sent():
+    """A revoked key is believed by an entry that was frozen.
+
+    Sequence: a peer answers; the entry freezes for seconds; it reads the
+    answer when it wakes and takes it for news.
+    Cause: the age of a confirmation counted from when it was read.
+    """
+    held = configurations.Configurations(source=Source())
+    held.take(b'1', newest_at=0.0)
+    asked = 50.0
+    report = make_report(echo=asked, echo_incarnation=7, version_age=0.25)
+    held.confirm(
+        version=report.version, newest_at=report.echo - report.version_age
+    )
+    assert held.confirmed_at == 49.75
+
+
+# Endpoints
+
+
+class Fake:
+    """Stands for an endpoint of which only the record matters."""
+
+    def __init__(self, identity):
+        self.identity = identity
+        self.port = 1
+
+
+def make_follower(clock=None, source=None):
+    table = endpoints.EndpointTable(data_centre='one', random=random.Random(1))
+    gone = []
+    follower = discovery.Follower(
+        source=source or site.FakeEndpoints(),
+        table=table,
+        clock=clock or virtual_time.now,
+        on_gone=gone.append,
+        on_change=lambda: None,
+    )
+    return follower, table, gone
+
+
+def listing(*records, revision=1):
+    return discovery.Listing(records=records, revision=revision)
+
+
+def test_leaving_endpoint_never_comes_back():
+    """An endpoint that leaves gets requests again.
+
+    Sequence: it says that it leaves; a list that lags shows it as ready.
+    Cause: the later list was taken for the newer one.
+    """
+    follower, table, _ = make_follower(Clock())
+    record = site.make_record(Fake('i-1'))
+    follower.take_listing(listing(record))
+    follower.take_listing(
+        listing(site.make_record(Fake('i-1'), leaving=True), revision=2)
+    )
+    follower.take_peer_listing(listing(record, revision=3))
+    follower.take_listing(listing(record, revision=4))
+    assert table.find('i-1').record.leaving
+    assert not table.find('i-1').is_open(now=0.0)
+
+
+def test_vanished_endpoint_is_gone_at_once_when_the_store_is_well():
+    follower, table, gone = make_follower(Clock())
+    follower.take_listing(listing(site.make_record(Fake('i-1'))))
+    follower.take_changes(
+        discovery.Changes(records=(), removed=('i-1',), revision=2)
+    )
+    assert table.find('i-1') is None
+    assert gone == ['i-1']
+
+
+@pytest.mark.parametrize('comes_back', [False, True])
+async def test_endpoint_that_lapses_is_kept_for_a_moment(comes_back):
+    """All endpoints are forgotten when the store comes back.
+
+    Sequence: the store is away; entries lapse meanwhile; at its return the
+    list is empty until the endpoints have registered again.
+    Cause: a list taken at its word right after a disturbance.
+    """
+    source = site.FakeEndpoints()
+    record = site.make_record(Fake('i-1'))
+    source.records = [record]
+    follower, table, gone = make_follower(source=source)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follower.run)
+        await anyio.sleep(1.0)
+        source.away = True
+        source.changed.set()
+        await anyio.sleep(3.0)
+        source.away = False
+        source.records = []
+        await anyio.sleep(1.5)
+        assert table.find('i-1') is not None
+        if comes_back:
+            source.show(
+                discovery.Changes(records=(record,), removed=(), revision=5)
+            )
+        await anyio.sleep(2.5)
+        tasks.cancel_scope.cancel()
+    assert (table.find('i-1') is not None) is comes_back
+    assert bool(gone) is not comes_back
+
+
+async def test_watch_that_has_gone_silent_is_given_up():
+    """One entry goes on using an endpoint that leaves.
+
+    Sequence: the connection of its watch goes silent; peers learn of the
+    change.
+    Cause: a watch that says nothing taken as one with nothing to say.
+    """
+    source = site.FakeEndpoints()
+    record = site.make_record(Fake('i-1'))
+    source.records = [record]
+    follower, table, _ = make_follower(source=source)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follower.run)
+        await anyio.sleep(0.5)
+        source.changes = [
+            discovery.Changes(
+                records=(site.make_record(Fake('i-1'), leaving=True),),
+                removed=(),
+                revision=9,
+            )
+        ]
+        for _ in range(8):
+            follower.hear(change_revision=9)
+            await anyio.sleep(0.1)
+        tasks.cancel_scope.cancel()
+    assert table.find('i-1').record.leaving
+
+
+async def test_history_that_is_gone_is_listed_anew():
+    source = site.FakeEndpoints()
+    source.records = [site.make_record(Fake('i-1'))]
+    follower, table, _ = make_follower(source=source)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follower.run)
+        await anyio.sleep(0.5)
+        source.records = [site.make_record(Fake('i-2'))]
+        source.show(discovery.HistoryGone())
+        await anyio.sleep(0.5)
+        tasks.cancel_scope.cancel()
+    assert table.find('i-1') is None
+    assert table.find('i-2') is not None
+
+
+@pytest.mark.parametrize(
+    ('failures', 'pause'), [(1, 0.25), (2, 0.5), (3, 1.0), (9, 4.0)]
+)
+def test_failing_endpoint_rests_longer_each_time(failures, pause):
+    endpoint = endpoints.Endpoint(record=site.make_record(Fake('i-1')))
+    for _ in range(failures):
+        endpoint.note_failure(now=10.0)
+    assert not endpoint.is_open(now=10.0 + pause - 0.01)
+    assert endpoint.is_open(now=10.0 + pause)
+    endpoint.note_success(seconds=1.0)
+    assert endpoint.failures == 0
+
+
+# Places
+
+
+def make_dispatcher(slots=1, count=1):
+    table = endpoints.EndpointTable(data_centre='one', random=random.Random(1))
+    for number in range(count):
+        table.put(site.make_record(Fake(f'i-{number}'), slots=slots))
+    made = dispatch.Dispatcher(
+        table=table,
+        clock=virtual_time.now,
+        slots=lambda endpoint: endpoint.record.slots,
+    )
+    return made, table
+
+
+def demand(priority=1, seconds=10.0, avoid=()):
+    return dispatch.Demand(
+        service='notes',
+        priority=priority,
+        until=virtual_time.now() + seconds,
+        avoid=frozenset(avoid),
+    )
+
+
+async def test_urgent_requests_get_places_first():
+    made, _ = make_dispatcher()
+    order = []
+
+    async def run(name, priority):
+        place = await made.enter(demand(priority))
+        order.append(name)
+        await anyio.sleep(0.1)
+        made.leave(place)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run, 'first', 5)
+        await anyio.sleep(0.01)
+        tasks.start_soon(run, 'late', 5)
+        tasks.start_soon(run, 'urgent', 0)
+    assert order == ['first', 'urgent', 'late']
+
+
+@pytest.mark.parametrize('granted', [False, True])
+async def test_request_that_is_cancelled_holds_no_place(granted):
+    """An endpoint runs fewer requests at once than it could, for ever.
+
+    Sequence: a caller leaves while its request waits, or just as it has
+    been given a place.
+    Cause: the place stays counted.
+    """
+    made, table = make_dispatcher()
+    held = await made.enter(demand())
+
+    async def run():
+        place = await made.enter(demand())
+        try:
+            await anyio.sleep(1.0)
+        finally:
+            made.leave(place)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run)
+        await anyio.sleep(0.01)
+        if granted:
+            made.leave(held)
+        tasks.cancel_scope.cancel()
+    if not granted:
+        made.leave(held)
+    assert table.find('i-0').own == 0
+    assert made.waiting('notes') == 0
+
+
+async def test_request_without_a_place_is_refused_in_time():
+    made, _ = make_dispatcher()
+    await made.enter(demand())
+    refused = await made.enter(demand(seconds=0.5))
+    assert virtual_time.now() == pytest.approx(0.5, abs=0.01)
+    assert refused.retry_after > 0.0
+
+
+async def test_waiting_request_does_not_block_those_behind_it():
+    made, table = make_dispatcher(count=2)
+    first = await made.enter(demand())
+    second = await made.enter(demand())
+    names = {first.endpoint.identity, second.endpoint.identity}
+    assert names == {'i-0', 'i-1'}
+    got = []
+
+    async def run(avoid):
+        place = await made.enter(demand(avoid=avoid))
+        got.append(place.endpoint.identity)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run, (first.endpoint.identity,))
+        await anyio.sleep(0.01)
+        tasks.start_soon(run, ())
+        await anyio.sleep(0.01)
+        made.leave(first)
+        await anyio.sleep(0.01)
+        assert got == [first.endpoint.identity]
+        made.leave(second)
--- /dev/null
+++ b/tests/gateway/test_inbound.py
@@ -0,0 +1,151 @@
+"""Tests of callers' connections: bounds, broken requests, reuse."""
+
+import anyio
+import pytest
+
+from . import fake_endpoint as fake
+from . import site
+
+pytestmark = pytest.mark.anyio
+
+
+def make(*scripts):
+    return fake.FakeEndpoint(identity='i-1', scripts=scripts)
+
+
+@pytest.mark.parametrize(
+    ('sent', 'status'),
+    [
+        (b'GET /notes/ HTTP/1.1\r\n\r\n', 400),
+        (b'nonsense\r\n\r\n', 400),
+        (
+            b'GET /notes/ HTTP/1.1\r\nHost: notes.example\r\nX: '
+            + b'y' * 9000
+            + b'\r\n\r\n',
+            431,
+        ),
+        (
+            b'POST /notes/ HTTP/1.1\r\nHost: notes.example\r\n'
+            b'Content-Length: 99000000000\r\n\r\n',
+            413,
+        ),
+        (
+            b'POST /notes/ HTTP/1.1\r\nHost: notes.example\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n'
+            + b'3000\r\n'
+            + b'x' * 0x3000,
+            413,
+        ),
+        (
+            b'POST /notes/ HTTP/1.1\r\nHost: notes.example\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\nnonsense\r\n',
+            400,
+        ),
+        (
+            b'GET /notes/ HTTP/1.1\r\nHost: notes.example\r\n'
+            b'Time-Budget-Ms: soon\r\n\r\n',
+            400,
+        ),
+    ],
+    ids=['host', 'form', 'head', 'length', 'chunks', 'chunk', 'budget'],
+)
+async def test_request_that_is_refused_reaches_no_endpoint(sent, status):
+    one = make(fake.answer())
+    async with site.run_site(one) as running:
+        async with site.connect(running) as stream:
+            await stream.send(sent)
+            got = await site.read_answer(stream)
+    assert got.status == status
+    assert got.whole
+    assert not one.seen
+
+
+async def test_head_that_does_not_end_is_answered_in_time():
+    one = make(fake.answer())
+    config = site.make_configuration(head_seconds=0.1)
+    async with site.run_site(one, configuration=config) as running:
+        async with site.connect(running) as stream:
+            await stream.send(b'GET /notes/ HTTP/1.1\r\nHo')
+            got = await site.read_answer(stream)
+    assert got.status == 408
+
+
+async def test_idle_connection_is_closed_after_its_time():
+    one = make(fake.answer())
+    config = site.make_configuration(idle_seconds=0.1)
+    async with site.run_site(one, configuration=config) as running:
+        async with site.connect(running) as stream:
+            with anyio.fail_after(site.PATIENCE):
+                with pytest.raises(anyio.EndOfStream):
+                    await stream.receive()
+
+
+async def test_body_that_stops_is_answered_at_the_deadline():
+    one = make(fake.answer())
+    config = site.make_configuration(site.make_route(timeout=0.2))
+    async with site.run_site(one, configuration=config) as running:
+        async with site.connect(running) as stream:
+            await stream.send(
+                b'POST /notes/ HTTP/1.1\r\nHost: notes.example\r\n'
+                b'Content-Length: 10\r\n\r\nhalf'
+            )
+            got = await site.read_answer(stream)
+    assert got.status == 408
+    assert not one.seen
+
+
+@pytest.mark.parametrize('count', [1, 5])
+async def test_requests_follow_each_other_on_one_connection(count):
+    async def script(stream, seen):
+        await fake.answer(seen.target.encode())(stream, seen)
+
+    one = make(script)
+    async with site.run_site(one) as running:
+        async with site.connect(running) as stream:
+            for number in range(count):
+                await site.send_request(
+                    stream, 'POST', f'/notes/{number}', body=b'b' * number
+                )
+                got = await site.read_answer(stream, 'POST')
+                assert got.body == f'/notes/{number}'.encode()
+    assert [len(seen.body) for seen in one.seen] == list(range(count))
+
+
+async def test_requests_sent_ahead_are_served_in_order():
+    async def script(stream, seen):
+        await fake.answer(seen.target.encode())(stream, seen)
+
+    one = make(script)
+    async with site.run_site(one) as running:
+        async with site.connect(running) as stream:
+            for number in range(3):
+                await site.send_request(stream, path=f'/notes/{number}')
+            data = b''
+            with anyio.fail_after(site.PATIENCE):
+                while b'/notes/2' not in data:
+                    data += await stream.receive()
+    positions = [data.index(f'/notes/{number}'.encode()) for number in (0, 1)]
+    assert positions == sorted(positions)
+    assert data.count(b'HTTP/1.1 200') == 3
+
+
+async def test_smuggled_request_is_no_request():
+    """A request hidden in another one's body runs.
+
+    Sequence: a body holds the text of a second request; lengths disagree.
+    Cause: the body is passed on with the framing that the caller gave it.
+    """
+    hidden = b'GET /notes/hidden HTTP/1.1\r\nHost: notes.example\r\n\r\n'
+    one = make(fake.answer())
+    async with site.run_site(one) as running:
+        async with site.connect(running) as stream:
+            await stream.send(
+                b'POST /notes/ HTTP/1.1\r\nHost: notes.example\r\n'
+                b'Attempt-Id: a1\r\nTransfer-Encoding: chunked\r\n\r\n'
+                + fake.chunk(hidden)
+                + b'0\r\n\r\n'
+            )
+            got = await site.read_answer(stream, 'POST')
+    assert got.status == 200
+    assert [seen.body for seen in one.seen] == [hidden]
+    assert 'transfer-encoding' not in one.seen[0].headers
--- /dev/null
+++ b/tests/gateway/test_rank_transport.py
@@ -0,0 +1,229 @@
+"""Tests of orders that ranks take directly: lost, late, from old leaders."""
+
+import random
+
+import anyio
+import pytest
+import virtual_time
+
+from marigoldramp import expert_maps
+from marigoldramp.gateway import rank_transport
+from marigoldramp import map_changes
+from marigoldramp import map_leader
+from marigoldramp import map_settling
+
+from . import fake_ranks
+
+pytestmark = pytest.mark.anyio
+SHAPE = expert_maps.Shape(ranks=4, experts=8, layers=2, slots=3)
+PACE = map_settling.Pace(poll=0.5, retry=0.15, contend=0.5, lead_steps=8)
+
+
+@pytest.fixture
+def anyio_backend():
+    return virtual_time.make_backend()
+
+
+class FakeLease:
+    """A lease that a test moves from one holder to another."""
+
+    def __init__(self, *, board, holder):
+        self.board = board
+        self.holder = holder
+        self.fence = 0
+
+    async def acquire(self):
+        if self.board.holder in (None, self.holder):
+            if self.board.holder is None:
+                self.board.fence += 1
+                self.fence = self.board.fence
+            self.board.holder = self.holder
+            return self
+        return None
+
+    async def renew(self):
+        return None
+
+    async def release(self):
+        if self.board.holder == self.holder:
+            self.board.holder = None
+
+    def held(self):
+        return self.board.holder == self.holder
+
+
+class Board:
+    """Who holds the lease, and the last fence."""
+
+    def __init__(self):
+        self.holder = None
+        self.fence = 0
+
+
+class Planner:
+    """Wants another map whenever it is asked."""
+
+    def __init__(self):
+        self.done = 0
+        self.wanted = 0
+
+    async def plan(self, *, expert_map, conversation):
+        self.wanted += 1
+        turn = self.wanted % SHAPE.ranks
+        layers = tuple(
+            tuple(
+                tuple(sorted({*held[:2], (rank + turn + 1) % SHAPE.experts}))
+                for rank, held in enumerate(
+                    rank_transport.first_map(shape=SHAPE).layers[0]
+                )
+            )
+            for _ in range(SHAPE.layers)
+        )
+        return map_changes.Plan(layers=layers, load_limit=4.0)
+
+    def ended(self, *, plan, done):
+        self.done += done
+
+
+def make_leader(group, board, name):
+    planner = Planner()
+    transport = rank_transport.RankTransport(
+        api=group,
+        group='g',
+        shape=SHAPE,
+        find=group.find,
+        clock=virtual_time.now,
+    )
+    leader = map_leader.Leader(
+        group='g',
+        instance=name,
+        shape=SHAPE,
+        agents=group.names,
+        transport=transport,
+        lease=FakeLease(board=board, holder=name),
+        renew_seconds=1.0,
+        planner=planner,
+        clock=virtual_time.now,
+        pace=PACE,
+    )
+    return leader, planner
+
+
+def make_group(**more):
+    return fake_ranks.FakeGroup(
+        size=SHAPE.ranks,
+        experts=SHAPE.experts,
+        layers=SHAPE.layers,
+        clock=virtual_time.now,
+        **more,
+    )
+
+
+async def test_maps_change_one_after_the_other():
+    group = make_group()
+    leader, planner = make_leader(group, Board(), 'one')
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(group.run)
+        tasks.start_soon(leader.run)
+        await anyio.sleep(20.0)
+        tasks.cancel_scope.cancel()
+    assert planner.done > 5
+    assert group.mixed == []
+    assert len({rank.version for rank in group.ranks}) == 1
+
+
+def make_fate(seed, share):
+    draw = random.Random(seed)
+
+    def fate(order):
+        if draw.random() >= share:
+            return True, 0.0
+        kind = draw.randrange(3)
+        if kind == 0:
+            return False, None
+        if kind == 1:
+            return False, 0.0
+        return False, draw.uniform(0.5, 8.0)
+
+    return fate
+
+
+@pytest.mark.parametrize('share', [0.1, 0.35, 0.6])
+@pytest.mark.parametrize('seed', range(6))
+async def test_lost_and_late_orders_never_mix_maps(seed, share):
+    """Two ranks use different maps in one pass.
+
+    Sequence: an order to arm gets no reply; the leader gives the change up
+    and lets the group go on; the order is carried out seconds later.
+    Cause: an order without a reply was taken as one without an effect.
+    """
+    group = make_group()
+    group.fate = make_fate(seed, share)
+    leader, planner = make_leader(group, Board(), 'one')
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(group.run)
+        tasks.start_soon(leader.run)
+        await anyio.sleep(60.0)
+        group.fate = make_fate(seed, 0.0)
+        await anyio.sleep(15.0)
+        before = group.step
+        await anyio.sleep(2.0)
+        tasks.cancel_scope.cancel()
+    assert group.mixed == []
+    assert group.step > before + 20
+    assert planner.done > 0
+
+
+@pytest.mark.parametrize('idles', [False, True])
+@pytest.mark.parametrize('seed', range(8))
+async def test_changing_leaders_never_mix_maps(seed, idles):
+    """Two ranks use different maps in one pass, or the group stands.
+
+    Sequence: a leader is cut short at any moment of a change while orders
+    are lost or late; another takes over; the first one goes on as if it
+    still led, at the same time.
+    Cause: ranks that obey both leaders, or a hold that nobody releases.
+    """
+    draw = random.Random(seed)
+    group = make_group()
+    group.fate = make_fate(seed, 0.25)
+    board = Board()
+    leaders = [make_leader(group, board, name)[0] for name in ('a', 'b')]
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(group.run)
+        for leader in leaders:
+            tasks.start_soon(leader.run)
+        for _ in range(25):
+            await anyio.sleep(draw.uniform(0.1, 3.0))
+            board.holder = None
+            group.busy = not idles or draw.random() < 0.6
+            if draw.random() < 0.15:
+                group.reform()
+        group.busy = True
+        group.fate = make_fate(seed, 0.0)
+        await anyio.sleep(15.0)
+        before = group.step
+        await anyio.sleep(2.0)
+        tasks.cancel_scope.cancel()
+    assert group.mixed == []
+    assert group.step > before + 20
+
+
+async def test_new_leader_reads_the_map_from_the_ranks():
+    group = make_group()
+    board = Board()
+    first, _ = make_leader(group, board, 'one')
+    second, planner = make_leader(group, board, 'two')
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(group.run)
+        with anyio.move_on_after(6.0):
+            await first.run()
+        board.holder = None
+        seen = group.ranks[0].version
+        tasks.start_soon(second.run)
+        await anyio.sleep(8.0)
+        tasks.cancel_scope.cancel()
+    assert seen > 0
+    assert planner.done > 0
+    assert group.ranks[0].version > seen
+    assert group.mixed == []
