Note lost and regained dependencies in one place, batch changes of endpoints

A watch now follows a change after 0.25 s, an eighth of the time in which a leaving endpoint must get nothing new. Calls after it are not measured yet.

--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -15,6 +15,7 @@
 
 from .. import logs
 from .. import store
+from . import contacts
 from . import deployment
 from . import endpoints
 
@@ -28,6 +29,9 @@
 #: own watch counts as silent.
 BEHIND_SECONDS = 0.4
 LOOK_EVERY = 0.1
+#: Seconds between a change and the next watch.  Endpoints that start or leave
+#: together are then one call of the store and not one call each.
+BATCH_SECONDS = 0.25
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -74,7 +78,7 @@
 
     :param on_gone: called with the identity of an endpoint that is removed.
     :ivar revision: of the newest change that is known.
-    :ivar in_touch_at: when the store last answered about endpoints.
+    :ivar store: whether the store answers us about endpoints.
     :ivar change_revision: of the newest change of an endpoint.
     """
 
@@ -86,14 +90,13 @@
         '_on_change',
         '_vanished',
         '_disturbed_until',
-        '_reached',
         '_behind_since',
         '_watching',
         '_leaving',
         'listed',
         'revision',
         'change_revision',
-        'in_touch_at',
+        'store',
     )
 
     def __init__(
@@ -112,14 +115,15 @@
         self._on_change = on_change
         self._vanished: dict[str, float] = {}
         self._disturbed_until = float('-inf')
-        self._reached = True
         self._behind_since = float('inf')
         self._watching: anyio.CancelScope | None = None
         self._leaving: set[str] = set()
         self.listed = False
         self.revision = 0
         self.change_revision = 0
-        self.in_touch_at = float('-inf')
+        self.store = contacts.Contact(
+            name='store', use='endpoints', clock=clock
+        )
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -129,11 +133,11 @@
                 found = await self._source.list_all()
                 match found:
                     case Listing():
-                        self._note_reached(True, '')
+                        self._note_answer()
                         self.take_listing(found)
                         await self._follow()
                     case store.Unavailable(detail=detail):
-                        self._note_reached(False, detail)
+                        self._note_failure(detail)
                         await anyio.sleep(RETRY_AFTER)
 
     def hear(self, *, change_revision: int) -> None:
@@ -157,10 +161,6 @@
                 )
                 self._watching.cancel()
 
-    def is_lost(self) -> bool:
-        """Whether the store did not answer us last time."""
-        return not self._reached
-
     def note_disturbance(self) -> None:
         """The store does not answer somebody; entries may lapse."""
         self._disturbed_until = max(
@@ -235,8 +235,10 @@
                 case None:
                     continue
                 case Changes():
-                    self._note_reached(True, '')
+                    self._note_answer()
                     self.take_changes(found)
+                    if found.records or found.removed:
+                        await anyio.sleep(BATCH_SECONDS)
                 case HistoryGone():
                     logging.info(
                         'history gone',
@@ -244,7 +246,7 @@
                     )
                     return
                 case store.Unavailable(detail=detail):
-                    self._note_reached(False, detail)
+                    self._note_failure(detail)
                     await anyio.sleep(RETRY_AFTER)
                     return
 
@@ -294,24 +296,16 @@
         while True:
             await anyio.sleep(LOOK_EVERY)
             now = self._clock()
-            if not self._reached:
+            if not self.store.reached:
                 continue
             for identity, until in list(self._vanished.items()):
                 if now >= until:
                     self._remove(identity)
 
-    def _note_reached(self, reached: bool, detail: str) -> None:
-        now = self._clock()
-        if reached:
-            self.in_touch_at = now
-        else:
-            self.note_disturbance()
-        if reached == self._reached:
-            return
-        self._reached = reached
-        if reached:
+    def _note_answer(self) -> None:
+        if self.store.note_answer():
             self.note_disturbance()
-        logging.info(
-            'store regained' if reached else 'store lost',
-            extra=logs.fields(use='endpoints', detail=detail),
-        )
+
+    def _note_failure(self, detail: str) -> None:
+        self.store.note_failure(detail)
+        self.note_disturbance()
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -356,7 +356,7 @@
             version=self.configurations.version,
             version_age=_age(now, self.configurations.confirmed_at),
             revision=self.follower.change_revision,
-            revision_age=_age(now, self.follower.in_touch_at),
+            revision_age=_age(now, self.follower.store.reached_at),
             in_flight={
                 endpoint.identity: endpoint.own
                 for endpoint in self.table
@@ -399,9 +399,9 @@
         while True:
             await anyio.sleep(ASK_PEERS_AFTER / 2)
             now = self._clock()
-            if now - self.refresher.failed_at < PEER_FRESH:
+            if now - self.refresher.store.failed_at < PEER_FRESH:
                 self.follower.note_disturbance()
-            if not self.follower.is_lost():
+            if self.follower.store.reached:
                 continue
             for peer in self.peers.live():
                 report = peer.report
--- a/marigoldramp/gateway/refresh.py
+++ b/marigoldramp/gateway/refresh.py
@@ -10,12 +10,11 @@
 from typing import Awaitable
 from typing import Callable
 
-from absl import logging
 import anyio
 
-from .. import logs
 from .. import store
 from . import configurations
+from . import contacts
 
 #: Age of a confirmation at which an entry reads the store itself, in
 #: seconds, and the random part by which entries do not all read at once.
@@ -34,7 +33,7 @@
     """Reads the configuration when its confirmation has become old.
 
     :param from_peers: used where the store does not answer us.
-    :ivar failed_at: when the store last failed to answer.
+    :ivar store: whether the store answers us.
     """
 
     __slots__ = (
@@ -45,9 +44,8 @@
         '_random',
         '_heard',
         '_wake',
-        '_reached',
         '_not_before',
-        'failed_at',
+        'store',
     )
 
     def __init__(
@@ -66,9 +64,10 @@
         self._random = random
         self._heard = 0
         self._wake = anyio.Event()
-        self._reached = True
         self._not_before = float('-inf')
-        self.failed_at = float('-inf')
+        self.store = contacts.Contact(
+            name='store', use='configuration', clock=clock
+        )
 
     def hear(self, version: int) -> None:
         """Learn that a peer has a version in force."""
@@ -103,13 +102,13 @@
         found = await self._source.fetch()
         match found:
             case bytes():
-                self._note_reached(True, '')
+                self.store.note_answer()
                 self._configurations.take(found, newest_at=asked_at)
             case store.Absent():
-                self._note_reached(True, '')
+                self.store.note_answer()
                 self._not_before = self._clock() + LOOK_EVERY
             case store.Unavailable(detail=detail):
-                self._note_reached(False, detail)
+                self.store.note_failure(detail)
                 self._not_before = self._clock() + RETRY_AFTER
         if self._heard > self._configurations.version:
             await self._ask_peers()
@@ -123,14 +122,3 @@
         document = await self._from_peers(self._heard)
         if document is not None:
             self._configurations.take(document, newest_at=float('-inf'))
-
-    def _note_reached(self, reached: bool, detail: str) -> None:
-        if not reached:
-            self.failed_at = self._clock()
-        if reached == self._reached:
-            return
-        self._reached = reached
-        logging.info(
-            'store regained' if reached else 'store lost',
-            extra=logs.fields(use='configuration', detail=detail),
-        )
--- /dev/null
+++ b/tests/gateway/test_expert_planner.py
@@ -0,0 +1,142 @@
+"""Tests of when a group's map is changed, and to what."""
+
+import random
+
+import anyio
+import pytest
+import virtual_time
+
+from marigoldramp import expert_maps
+from marigoldramp.gateway import expert_planner
+from marigoldramp.gateway import rank_transport
+from marigoldramp import layer_moves
+
+from . import fake_ranks
+
+pytestmark = pytest.mark.anyio
+SHAPE = expert_maps.Shape(ranks=8, experts=32, layers=2, slots=5)
+SPARE = 2
+
+
+@pytest.fixture
+def anyio_backend():
+    return virtual_time.make_backend()
+
+
+class Talk:
+    """Stands for the leader's conversation."""
+
+    def __init__(self, names):
+        self.names = names
+
+    def agents(self):
+        return self.names
+
+
+def make_planner(use):
+    group = fake_ranks.FakeGroup(
+        size=SHAPE.ranks,
+        experts=SHAPE.experts,
+        layers=SHAPE.layers,
+        clock=virtual_time.now,
+    )
+    planner = expert_planner.ExpertPlanner(
+        api=group,
+        shape=SHAPE,
+        spare=SPARE,
+        find=group.find,
+        use=lambda: use,
+        clock=virtual_time.now,
+    )
+    return planner, group
+
+
+def count(group, weights):
+    """Let every rank count by the weights of the experts."""
+    for counts in group.counts_now:
+        for number in range(len(counts)):
+            counts[number] += weights[number % SHAPE.experts]
+
+
+async def decide(planner, group, weights, times=4):
+    """Return the last plan after some reads of counts."""
+    plan = None
+    current = rank_transport.first_map(shape=SHAPE)
+    for _ in range(times):
+        await anyio.sleep(expert_planner.SAMPLE_SECONDS)
+        count(group, weights)
+        plan = await planner.plan(
+            expert_map=current, conversation=Talk(group.names())
+        )
+    return plan
+
+
+EVEN = [100] * SHAPE.experts
+ONE_HOT = [100] * (SHAPE.experts - 1) + [3000]
+SLIGHT = [100] * (SHAPE.experts - 1) + [200]
+
+
+@pytest.mark.parametrize(
+    ('weights', 'use', 'changes'),
+    [
+        (EVEN, 0.0, False),
+        (EVEN, 1.0, False),
+        (ONE_HOT, 0.0, True),
+        (ONE_HOT, 1.0, True),
+        (SLIGHT, 0.0, False),
+        (SLIGHT, 1.0, True),
+    ],
+)
+async def test_change_has_to_be_worth_its_copies(weights, use, changes):
+    planner, group = make_planner(use)
+    plan = await decide(planner, group, weights)
+    assert (plan is not None) is changes
+
+
+@pytest.mark.parametrize('seed', range(5))
+async def test_plan_can_be_prepared(seed):
+    """Ranks refuse a map, each time it is planned.
+
+    Sequence: a plan gives a rank more new experts than it can copy.
+    Cause: moves sought without the bound of the ranks.
+    """
+    draw = random.Random(seed)
+    weights = [int(1000 / (1 + draw.randrange(40))) for _ in EVEN]
+    planner, group = make_planner(1.0)
+    plan = await decide(planner, group, weights)
+    assert plan is not None
+    new = expert_maps.ExpertMap(
+        version=rank_transport.read_version(1), layers=plan.layers
+    )
+    assert expert_maps.check(expert_map=new, shape=SHAPE) == ()
+    old = rank_transport.first_map(shape=SHAPE)
+    for before, after in zip(old.layers, plan.layers):
+        for held, wanted in zip(before, after):
+            assert len(set(wanted) - set(held)) <= SPARE
+
+
+async def test_counts_of_a_new_epoch_are_not_compared_with_old_ones():
+    planner, group = make_planner(1.0)
+    await decide(planner, group, ONE_HOT, times=2)
+    group.reform()
+    for counts in group.counts_now:
+        counts[:] = [0] * len(counts)
+    assert await decide(planner, group, EVEN, times=1) is None
+
+
+@pytest.mark.parametrize('most', [0, 1, 2])
+def test_search_keeps_to_the_bound_of_new_experts(most):
+    layer = tuple(
+        tuple(range(rank, SHAPE.experts, SHAPE.ranks))
+        for rank in range(SHAPE.ranks)
+    )
+    search = layer_moves.LayerSearch(
+        layer=layer,
+        popularity=[1.0 / (1 + number) for number in range(SHAPE.experts)],
+        slots=SHAPE.slots,
+        most_new=most,
+    )
+    while (move := search.find()) is not None:
+        search.apply(move)
+    for held, found in zip(layer, search.layer()):
+        assert len(set(found) - set(held)) <= most
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,6 +1,8 @@
 """Tests of log lines: their form, and what must not stand in them."""
 
 import json
+import logging as standard_logging
+import os
 
 from absl import logging
 import pytest
@@ -103,3 +105,89 @@
 
 def test_long_message_is_cut(log):
     assert len(log()('x' * 100_000)) < 2 * logs.LONGEST_MESSAGE
+
+
+class Pipe:
+    """A pipe whose reader a test plays."""
+
+    def __init__(self):
+        self.reader, self.writer = os.pipe()
+
+    def close(self):
+        os.close(self.reader)
+        os.close(self.writer)
+
+    def read(self):
+        """Return all bytes that have been written."""
+        os.set_blocking(self.reader, False)
+        data = b''
+        while True:
+            try:
+                data += os.read(self.reader, 1 << 20)
+            except BlockingIOError:
+                return data
+
+    def lines(self):
+        return [json.loads(one) for one in self.read().splitlines()]
+
+
+@pytest.fixture
+def pipe():
+    made = Pipe()
+    yield made
+    made.close()
+
+
+def make_handler(pipe, clock, most=5):
+    handler = logs.StandardOutput(
+        descriptor=pipe.writer, lines_a_second=most, clock=clock
+    )
+    handler.setFormatter(logs.JsonFormatter(instance='one'))
+    return handler
+
+
+def emit(handler, text):
+    handler.handle(
+        standard_logging.LogRecord(
+            'x', standard_logging.INFO, 'p', 1, text, (), None
+        )
+    )
+
+
+def test_lines_beyond_the_bound_are_counted_and_told(pipe):
+    """Logging holds up requests under load.
+
+    Sequence: an outage makes every request write several lines.
+    Cause: a log without a bound.
+    """
+    now = [1.0]
+    handler = make_handler(pipe, lambda: now[0])
+    for number in range(12):
+        emit(handler, f'line {number}')
+    now[0] = 2.0
+    emit(handler, 'next')
+    found = pipe.lines()
+    assert [one['message'] for one in found[:5]] == [
+        f'line {number}' for number in range(5)
+    ]
+    assert found[5]['message'] == 'log lines dropped'
+    assert found[5]['fields'] == {'lines': 7}
+    assert found[6]['message'] == 'next'
+
+
+def test_reader_that_stops_blocks_nobody_and_lines_stay_whole(pipe):
+    """A process hangs as nobody reads its log.
+
+    Sequence: the reader of the pipe stops; the pipe fills.
+    Cause: a write that waits.
+    """
+    handler = make_handler(pipe, lambda: 1.0, most=100_000)
+    for number in range(2_000):
+        emit(handler, f'{number} ' + 'x' * 500)
+    assert handler.dropped > 0
+    data = pipe.read()
+    emit(handler, 'again')
+    data += pipe.read()
+    found = [json.loads(one) for one in data.splitlines()]
+    assert found[-1]['message'] == 'again'
+    assert found[-2]['message'] == 'log lines dropped'
