Hold requests back from a service that runs none

Cause: when a group of ranks breaks, all its endpoints decline what comes. A request gave up after three declines, and the others spent the budget of repeats on further ones, though the group forms anew within the time that requests have. A gate now lets single requests through as trials while a service runs nothing, those never sent first. Ruled out: a request's own number of tries, which cannot know how long the group needs.

--- a/marigoldramp/gateway/attempts.py
+++ b/marigoldramp/gateway/attempts.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+from typing import Callable
 
 from . import ages
 from . import calls
@@ -74,13 +75,22 @@
 class Attempts:
     """Makes attempts.
 
+    :param on_progress: called with a service when an endpoint of it has
+        begun to answer.
     :ivar pool: connections to endpoints.
     """
 
-    __slots__ = ('_codec', 'pool')
+    __slots__ = ('_codec', '_on_progress', 'pool')
 
-    def __init__(self, *, codec: codecs.Codec, pool: outbound.Pool) -> None:
+    def __init__(
+        self,
+        *,
+        codec: codecs.Codec,
+        pool: outbound.Pool,
+        on_progress: Callable[[str], None],
+    ) -> None:
         self._codec = codec
+        self._on_progress = on_progress
         self.pool = pool
 
     async def run(
@@ -180,7 +190,9 @@
             if pair[0] != b'content-length'
         ]
         if head.status == 200 and _is_stream(headers):
-            return await _relay(call, connection, headers, _is_framed(head))
+            return await self._relay(
+                call, connection, headers, _is_framed(head)
+            )
         body = bytearray()
         while piece := await connection.read_piece():
             body += piece
@@ -191,6 +203,48 @@
             load=facts.load,
         )
 
+    async def _relay(
+        self,
+        call: calls.Call,
+        connection: outbound.Connection,
+        headers: codecs.Headers,
+        framed: bool,
+    ) -> Result:
+        """Pass events on as they become whole.
+
+        The head goes out with the first event: until then the request can
+        be sent elsewhere without the caller noticing.  Bytes of an event that
+        is not whole are never passed on, as another endpoint may have to go
+        on from the last whole one.
+        """
+        exchange = call.exchange
+        splitter = event_frames.Splitter()
+        told = False
+        while piece := await connection.read_piece():
+            chunk = b''
+            for frame in splitter.feed(piece):
+                if not event_frames.follows(
+                    identifier=frame.identifier, last=call.last_event
+                ):
+                    continue
+                chunk += frame.data
+                if frame.identifier:
+                    call.last_event = frame.identifier
+            if chunk:
+                if not told:
+                    told = True
+                    self._on_progress(call.service)
+                if not exchange.begun:
+                    await exchange.begin(status=200, headers=headers)
+                await exchange.send(chunk)
+        if splitter.rest and not framed:
+            return Broken(detail='the stream ended in the middle of an event')
+        if not exchange.begun:
+            await exchange.begin(status=200, headers=headers)
+        await exchange.send(splitter.rest)
+        await exchange.end()
+        return Streamed()
+
 
 def _find_fault(call: calls.Call, facts: codecs.AnswerFacts) -> str:
     """Return why an answer is not the endpoint's to this request."""
@@ -216,41 +270,3 @@
         name in (b'content-length', b'transfer-encoding')
         for name, _ in head.headers
     )
-
-
-async def _relay(
-    call: calls.Call,
-    connection: outbound.Connection,
-    headers: codecs.Headers,
-    framed: bool,
-) -> Result:
-    """Pass events on as they become whole.
-
-    The head goes out with the first event: until then the request can be
-    sent elsewhere without the caller noticing.  Bytes of an event that is
-    not whole are never passed on, as another endpoint may have to go on from
-    the last whole one.
-    """
-    exchange = call.exchange
-    splitter = event_frames.Splitter()
-    while piece := await connection.read_piece():
-        chunk = b''
-        for frame in splitter.feed(piece):
-            if not event_frames.follows(
-                identifier=frame.identifier, last=call.last_event
-            ):
-                continue
-            chunk += frame.data
-            if frame.identifier:
-                call.last_event = frame.identifier
-        if chunk:
-            if not exchange.begun:
-                await exchange.begin(status=200, headers=headers)
-            await exchange.send(chunk)
-    if splitter.rest and not framed:
-        return Broken(detail='the stream ended in the middle of an event')
-    if not exchange.begun:
-        await exchange.begin(status=200, headers=headers)
-    await exchange.send(splitter.rest)
-    await exchange.end()
-    return Streamed()
--- a/marigoldramp/gateway/dispatch.py
+++ b/marigoldramp/gateway/dispatch.py
@@ -17,6 +17,7 @@
 from .. import outcomes
 from . import deployment
 from . import endpoints
+from . import gates
 
 #: Requests that an endpoint without published slots is given at once.
 USUAL_SLOTS = 4
@@ -31,12 +32,14 @@
     :ivar priority: 0 is the most urgent.
     :ivar until: time after which a place is of no use.
     :ivar avoid: endpoints that are not to be used.
+    :ivar repeated: the request was sent before.
     """
 
     service: str
     priority: int
     until: float
     avoid: frozenset[str] = frozenset()
+    repeated: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -65,7 +68,14 @@
     :param seconds: returns how long a request of a service usually runs.
     """
 
-    __slots__ = ('_table', '_clock', '_slots', '_queues', '_numbers')
+    __slots__ = (
+        '_table',
+        '_clock',
+        '_slots',
+        '_queues',
+        '_numbers',
+        '_gates',
+    )
 
     def __init__(
         self,
@@ -79,6 +89,15 @@
         self._slots = slots
         self._queues: dict[str, list[tuple[int, float, int, _Waiter]]] = {}
         self._numbers = itertools.count()
+        self._gates: dict[str, gates.Gate] = {}
+
+    def gate(self, service: str) -> gates.Gate:
+        """Return the gate of a service."""
+        found = self._gates.get(service)
+        if found is None:
+            found = gates.Gate(service=service, clock=self._clock)
+            self._gates[service] = found
+        return found
 
     def waiting(self, service: str) -> int:
         """Return how many requests wait for a service."""
@@ -117,7 +136,7 @@
                 waiter.event.set()
                 continue
             passed.append(entry)
-            if not waiter.demand.avoid:
+            if not waiter.demand.avoid and not waiter.demand.repeated:
                 break
         if queue is not None:
             for entry in passed:
@@ -170,6 +189,9 @@
         self.serve(endpoint.record.service)
 
     def _take(self, demand: Demand) -> endpoints.Endpoint | None:
+        gate = self.gate(demand.service)
+        if not gate.lets_through(repeated=demand.repeated):
+            return None
         endpoint = self._table.choose(
             service=demand.service,
             now=self._clock(),
@@ -178,6 +200,7 @@
         )
         if endpoint is not None:
             endpoint.own += 1
+            gate.note_trial()
         return endpoint
 
     def _refuse(self, demand: Demand, detail: str) -> outcomes.NotRun:
--- a/marigoldramp/gateway/forwarding.py
+++ b/marigoldramp/gateway/forwarding.py
@@ -20,8 +20,8 @@
 
 #: Places at which a request may be tried without anything being sent.
 MOST_UNREACHED = 4
-#: Sends of one request that endpoints may decline.
-MOST_DECLINED = 3
+#: Seconds between two looks whether the budget of repeats has room again.
+BUDGET_EVERY = 0.2
 LEAST_RETRY_AFTER = 0.05
 
 NotRun = outcomes.NotRun
@@ -94,7 +94,7 @@
         return await self._expire(call)
 
     async def _try(self, call: calls.Call) -> str:
-        unreached = declined = 0
+        unreached = 0
         while True:
             place = await self._dispatcher.enter(
                 dispatch.Demand(
@@ -102,6 +102,7 @@
                     priority=call.priority,
                     until=call.deadline,
                     avoid=call.tried,
+                    repeated=call.sends > 0,
                 )
             )
             if isinstance(place, NotRun):
@@ -121,14 +122,14 @@
                         continue
                     return await self._end(call, _describe(result))
                 case attempts.Declined():
-                    declined += 1
-                    if declined < MOST_DECLINED and self._budget.take(
-                        call.service
-                    ):
+                    if self._budget.take(call.service):
+                        continue
+                    if call.runs and await self._await_budget(call):
                         continue
                     return await self._end(call, self._describe_full(call))
                 case attempts.Broken():
-                    if self._may_repeat(call):
+                    if self._may_run_again(call):
+                        await self._await_budget(call)
                         continue
                     return await self._end(call, _describe(result))
 
@@ -153,18 +154,22 @@
     ) -> None:
         """Note what an attempt says about its endpoint."""
         now = self._clock()
+        gate = self._dispatcher.gate(call.service)
         match result:
             case attempts.Streamed() | attempts.Answer():
                 endpoint.note_success(seconds=seconds)
+                gate.note_progress()
                 return
             case attempts.Declined(status=attempts.WRONG_ENDPOINT):
                 endpoint.note_failure(now=now)
                 self._on_wrong_endpoint(endpoint.identity)
             case attempts.Declined():
                 endpoint.note_full(now=now)
+                gate.note_failure()
             case attempts.Unreached() | attempts.Broken():
                 endpoint.note_failure(now=now)
-        call.avoid(endpoint.identity)
+                gate.note_failure()
+                call.avoid(endpoint.identity)
         logging.info(
             'attempt failed',
             extra=logs.fields(
@@ -183,18 +188,26 @@
         """Whether a failure that an endpoint answered is tried elsewhere."""
         if answer.status < 500:
             return False
+        if not self._may_run_again(call):
+            return False
         call.avoid(call.endpoint)
-        return self._may_repeat(call)
+        return self._budget.take(call.service)
 
-    def _may_repeat(self, call: calls.Call) -> bool:
-        """Whether a call that may have run is sent once more."""
+    def _may_run_again(self, call: calls.Call) -> bool:
+        """Whether a call that may have run may run once more."""
         if call.route.repeat is Repeat.FORBIDDEN:
             return False
-        if call.runs >= call.route.attempts:
-            return False
-        if call.deadline <= self._clock():
-            return False
-        return self._budget.take(call.service)
+        return call.runs < call.route.attempts
+
+    async def _await_budget(self, call: calls.Call) -> bool:
+        """Take from the budget of repeats, when it has room.
+
+        The call's deadline ends the wait.  A stream that was cut off has
+        nothing to lose by it, and its caller cannot come back by itself.
+        """
+        while not self._budget.take(call.service):
+            await anyio.sleep(BUDGET_EVERY)
+        return True
 
     async def _pass_on(self, call: calls.Call, answer: attempts.Answer) -> str:
         if call.exchange.begun:
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -46,6 +46,8 @@
 #: Descriptors that are left for everything but callers.
 SPARE_DESCRIPTORS = 600
 MOST_IDLE_PER_ENDPOINT = 12
+#: Seconds between two looks at requests that wait, and at what is idle.
+SERVE_EVERY = 0.1
 HOUSEKEEPING_EVERY = 0.5
 #: Seconds between two looks at whether the settings have changed.
 SETTINGS_EVERY = 1.0
@@ -152,7 +154,11 @@
         self.forwarder = forwarding.Forwarder(
             admission=self.admission,
             dispatcher=self.dispatcher,
-            runner=attempts.Attempts(codec=adapter.codec, pool=self.pool),
+            runner=attempts.Attempts(
+                codec=adapter.codec,
+                pool=self.pool,
+                on_progress=self._note_progress,
+            ),
             budget=retry_budget.RetryBudget(
                 bounds=lambda: self.settings.bounds.retries,
                 entries=lambda: self.peers.may_live() + 1,
@@ -240,6 +246,7 @@
             tasks.start_soon(self.refresher.run)
             tasks.start_soon(self.follower.run)
             tasks.start_soon(self._keep_house)
+            tasks.start_soon(self._keep_serving)
             tasks.start_soon(self._keep_settings)
             tasks.start_soon(self._ask_peers_for_endpoints)
             tasks.start_soon(self._register)
@@ -327,6 +334,13 @@
             return ()
         return tuple(config.services.values())
 
+    def _note_progress(self, service: str) -> None:
+        gate = self.dispatcher.gate(service)
+        was_shut = gate.is_shut
+        gate.note_progress()
+        if was_shut:
+            self.dispatcher.serve(service)
+
     def _slots(self, endpoint: endpoints.Endpoint) -> float:
         config = self.configurations.current
         engine = None
@@ -428,13 +442,18 @@
 
     # Upkeep
 
+    async def _keep_serving(self) -> None:
+        """Give places to requests that wait for a rest or a gate to end."""
+        while True:
+            await anyio.sleep(SERVE_EVERY)
+            self.dispatcher.serve_all()
+
     async def _keep_house(self) -> None:
         while True:
             await anyio.sleep(HOUSEKEEPING_EVERY)
             self.pool.drop_expired()
             for endpoint in self.table:
                 endpoint.elsewhere = self.peers.in_flight(endpoint.identity)
-            self.dispatcher.serve_all()
 
     async def _keep_settings(self) -> None:
         """Take changes of the settings that come without a signal."""
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -379,3 +379,51 @@
             got = await site.read_answer(stream)
     assert (got.status, got.body) == (200, b'late')
     assert got.headers['connection'] == 'close'
+
+
+async def test_requests_outlast_a_service_that_runs_nothing_for_a_while():
+    """Requests are refused or cut though their service is back in time.
+
+    Sequence: a group of ranks breaks; every endpoint declines all requests,
+    and cuts the streams that it runs; a moment later all is well.
+    Cause: requests that use up their tries and the budget of repeats while
+    nothing can run.
+    """
+    well = False
+
+    async def script(stream, seen):
+        if not well:
+            await fake.decline()(stream, seen)
+            return True
+        return await fake.stream_events(1, 3, begins=resume)(stream, seen)
+
+    async def first(stream, seen):
+        return await fake.stream_events(1, 1, ending='cut')(stream, seen)
+
+    fakes = [make(f'i-{number}', script) for number in range(3)]
+    fakes[0].scripts = [first, script]
+    config = site.make_configuration(site.RESUMED())
+    statuses = []
+
+    async with site.run_site(*fakes, configuration=config) as running:
+        gate = running.running.dispatcher.gate('notes')
+
+        async def run(number):
+            got = await site.call(
+                running, 'POST', body=b'x', attempt=f'a{number}'
+            )
+            statuses.append((got.status, got.whole, got.body))
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(8):
+                tasks.start_soon(run, number)
+            await running.until(lambda: gate.is_shut)
+            sends = sum(len(one.seen) for one in fakes)
+            await anyio.sleep(0.5)
+            assert sum(len(one.seen) for one in fakes) - sends <= 5
+            well = True
+    events = b''.join(fake.event(one) for one in range(1, 4))
+    good = [one for one in statuses if one == (200, True, events)]
+    assert len(good) >= 6
+    refused = [one for one in statuses if one not in good]
+    assert {status for status, _, _ in refused} <= {503}
