Leave slow and failing endpoints by their outcomes, probe connections

Cause: three plain endpoints have next to nothing in flight, so a choice by requests in flight sent a third of the urgent requests to one that had turned slow; one that fails a part of its requests was as good as any other. Both show in outcomes only; what is believed fades with a half-life of 4 s, and entries tell each other what they find slow, as each of eight sees 0.2 requests a second of such an endpoint. Besides, connections to endpoints and to the store are probed, so that one that has gone silent ends after 2 or 3 s and not at the deadline; a watch can last 25 s for it.

--- a/marigoldramp/api_client.py
+++ b/marigoldramp/api_client.py
@@ -8,6 +8,7 @@
 import dataclasses
 from typing import Any
 from typing import Callable
+from typing import Iterable
 
 import anyio
 import httpcore
@@ -74,6 +75,7 @@
     """Makes calls over a bounded number of connections.
 
     :param address: scheme, host and port.
+    :param options: of the sockets.
     :param kept: idle connections that are kept.  With 0 each call has a new
         one, which a connection that has gone silent cannot delay.
     :param limit: gives a context that raises ``TimeoutError`` after a number
@@ -87,6 +89,7 @@
         *,
         address: str,
         kept: int = MOST_CONNECTIONS,
+        options: Iterable[tuple[int, int, int]] = (),
         limit: Limit = anyio.fail_after,
     ) -> None:
         self._address = address.rstrip('/')
@@ -95,6 +98,7 @@
             max_connections=MOST_CONNECTIONS,
             max_keepalive_connections=kept,
             keepalive_expiry=KEEP_ALIVE_SECONDS,
+            socket_options=list(options),
         )
 
     async def call(self, request: Request) -> Reply | Failure:
--- a/marigoldramp/gateway/attempts.py
+++ b/marigoldramp/gateway/attempts.py
@@ -7,6 +7,7 @@
 import dataclasses
 from typing import Callable
 
+from .. import tcp_streams
 from . import ages
 from . import calls
 from . import codecs
@@ -24,6 +25,9 @@
 IDLE_UNREPEATABLE = 0.0
 #: The same for other requests.
 IDLE_REPEATABLE = 60.0
+#: A request that may be repeated goes on elsewhere when its connection has
+#: been silent for so many seconds; callers give a stream up after two.
+PROBES = tcp_streams.probe_options(2)
 EVENT_STREAM = b'text/event-stream'
 
 
@@ -64,7 +68,12 @@
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Streamed:
-    """A whole stream, passed on to its end."""
+    """A whole stream, passed on to its end.
+
+    :ivar first_event: seconds from the attempt's start to its first event.
+    """
+
+    first_event: float
 
 
 Result = Unreached | Declined | Broken | Answer | Streamed
@@ -126,15 +135,19 @@
         self, call: calls.Call, endpoint: endpoints.Endpoint
     ) -> outbound.Connection | outbound.Unreached:
         longest = IDLE_REPEATABLE
+        options = PROBES
         if call.route.repeat is deployment.Repeat.FORBIDDEN:
             longest = IDLE_UNREPEATABLE
+            options = ()
         connection = self.pool.take_idle(
             identity=endpoint.identity, longest=longest
         )
         if connection is not None:
             return connection
         return await self.pool.open(
-            address=endpoint.address, seconds=CONNECT_SECONDS
+            address=endpoint.address,
+            seconds=CONNECT_SECONDS,
+            options=options,
         )
 
     def _send(
@@ -157,6 +170,7 @@
         if call.body or head.method not in (b'GET', b'HEAD'):
             headers.append((b'content-length', b'%d' % len(call.body)))
         call.endpoint = endpoint.identity
+        call.sent_at = ages.read_clock()
         call.sends += 1
         call.runs += 1
         try:
@@ -220,6 +234,7 @@
         exchange = call.exchange
         splitter = event_frames.Splitter()
         told = False
+        first_event = 0.0
         while piece := await connection.read_piece():
             chunk = b''
             for frame in splitter.feed(piece):
@@ -233,7 +248,9 @@
             if chunk:
                 pause = call.note_event(now=ages.read_clock())
                 self._on_events(call, pause if told else 0.0)
-                told = True
+                if not told:
+                    first_event = ages.read_clock() - call.sent_at
+                    told = True
                 if not exchange.begun:
                     await exchange.begin(status=200, headers=headers)
                 await exchange.send(chunk)
@@ -243,7 +260,7 @@
             await exchange.begin(status=200, headers=headers)
         await exchange.send(splitter.rest)
         await exchange.end()
-        return Streamed()
+        return Streamed(first_event=first_event)
 
 
 def _find_fault(call: calls.Call, facts: codecs.AnswerFacts) -> str:
--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -20,7 +20,7 @@
 from . import endpoints
 
 #: Seconds that one watch lasts at most.
-WATCH_SECONDS = 10.0
+WATCH_SECONDS = 25.0
 #: Seconds between two tries while the store does not answer.
 RETRY_AFTER = 0.5
 #: Seconds for which a vanished endpoint is kept after the store's return.
--- a/marigoldramp/gateway/endpoints.py
+++ b/marigoldramp/gateway/endpoints.py
@@ -6,11 +6,13 @@
 """
 
 import random as random_module
+import statistics
 from typing import Callable
 from typing import Iterator
 
 from . import deployment
 from . import outbound
+from . import quality
 
 #: Seconds for which an endpoint is left alone after one failure, and the
 #: longest such time.
@@ -21,8 +23,8 @@
 #: Penalty of an endpoint in another data centre, in requests in flight; it
 #: decides between equals only.
 REMOTE_PENALTY = 0.05
-#: Weight of the newest observation of seconds taken.
-SMOOTHING = 0.2
+#: Requests in flight for which a part of failures of 1 counts.
+ERROR_PENALTY = 6.0
 
 
 class Endpoint:
@@ -32,7 +34,8 @@
     :ivar elsewhere: requests that other entries say run on it.
     :ivar resting_until: it is given no requests before then.
     :ivar failures: failures in a row.
-    :ivar seconds: smoothed time that it takes for a request, 0 if unknown.
+    :ivar quality: how well it does.
+    :ivar seconds: smoothed time for a whole request, 0 if unknown.
     """
 
     __slots__ = (
@@ -41,6 +44,7 @@
         'elsewhere',
         'resting_until',
         'failures',
+        'quality',
         'seconds',
         'gone',
     )
@@ -51,6 +55,7 @@
         self.elsewhere = 0
         self.resting_until = 0.0
         self.failures = 0
+        self.quality = quality.Quality()
         self.seconds = 0.0
         self.gone = False
 
@@ -79,7 +84,7 @@
         """A request came to a good end."""
         self.failures = 0
         if self.seconds:
-            self.seconds += SMOOTHING * (seconds - self.seconds)
+            self.seconds += quality.SMOOTHING * (seconds - self.seconds)
         else:
             self.seconds = seconds
 
@@ -161,21 +166,35 @@
         """
         best: Endpoint | None = None
         best_rank = 0.0
+        usual = self.usual_seconds(service)
         for endpoint in self._by_service.get(service, {}).values():
             if endpoint.identity in avoid or not endpoint.is_open(now=now):
                 continue
             room = slots(endpoint)
             if endpoint.in_flight >= room:
                 continue
-            rank = self._rank(endpoint, room)
+            rank = self._rank(endpoint, room, usual, now)
             if best is None or rank < best_rank:
                 best = endpoint
                 best_rank = rank
         return best
 
-    def _rank(self, endpoint: Endpoint, room: float) -> float:
+    def usual_seconds(self, service: str) -> float:
+        """Return what endpoints of a service take to answer, 0 if unknown."""
+        known = [
+            one.quality.seconds
+            for one in self._by_service.get(service, {}).values()
+            if one.quality.seconds
+        ]
+        return statistics.median_low(known) if known else 0.0
+
+    def _rank(
+        self, endpoint: Endpoint, room: float, usual: float, now: float
+    ) -> float:
+        """Return how long a request may take there; the least is best."""
         remote = endpoint.record.data_centre != self._data_centre
         penalty = REMOTE_PENALTY if remote else 0.0
-        return (
-            endpoint.in_flight + penalty + self._random.random() * 0.1
-        ) / room
+        penalty += ERROR_PENALTY * endpoint.quality.errors(now=now)
+        penalty += self._random.random() * 0.1
+        slowness = endpoint.quality.slowness(usual=usual, now=now)
+        return (1.0 + endpoint.in_flight + penalty) * slowness / room
--- a/marigoldramp/gateway/forwarding.py
+++ b/marigoldramp/gateway/forwarding.py
@@ -175,8 +175,19 @@
         now = self._clock()
         gate = self._dispatcher.gate(call.service)
         match result:
-            case attempts.Streamed() | attempts.Answer():
+            case attempts.Streamed(first_event=first_event):
                 endpoint.note_success(seconds=seconds)
+                endpoint.quality.note_answer(seconds=first_event, now=now)
+                gate.note_progress()
+                return
+            case attempts.Answer(status=status) if status < 500:
+                endpoint.note_success(seconds=seconds)
+                endpoint.quality.note_answer(seconds=seconds, now=now)
+                gate.note_progress()
+                return
+            case attempts.Answer():
+                endpoint.note_success(seconds=seconds)
+                endpoint.quality.note_error(now=now)
                 gate.note_progress()
                 return
             case attempts.Declined(status=attempts.WRONG_ENDPOINT):
@@ -187,6 +198,7 @@
                 gate.note_failure()
             case attempts.Unreached() | attempts.Broken():
                 endpoint.note_failure(now=now)
+                endpoint.quality.note_error(now=now)
                 gate.note_failure()
                 call.avoid(endpoint.identity)
         logging.info(
--- a/marigoldramp/gateway/group_leading.py
+++ b/marigoldramp/gateway/group_leading.py
@@ -33,7 +33,7 @@
 LOOK_EVERY = 0.5
 #: Seconds for which a renewal of a lease lasts, and between two renewals.
 LEASE_SECONDS = 3.0
-RENEW_SECONDS = 1.0
+RENEW_SECONDS = 1.2
 #: Seconds without the ranks after which a leader lets another one try, and
 #: for which it does not try again itself.
 UNREACHED_SECONDS = 3.0
--- a/marigoldramp/gateway/outbound.py
+++ b/marigoldramp/gateway/outbound.py
@@ -211,14 +211,18 @@
         return None
 
     async def open(
-        self, *, address: Address, seconds: float
+        self,
+        *,
+        address: Address,
+        seconds: float,
+        options: tuple[tcp_streams.SocketOption, ...] = (),
     ) -> Connection | Unreached:
         """Open a connection within a time."""
         self.opened += 1
         try:
             with anyio.fail_after(seconds):
                 stream = await tcp_streams.connect(
-                    host=address.host, port=address.port
+                    host=address.host, port=address.port, options=options
                 )
         except TimeoutError:
             return Unreached(detail='no connection in time')
--- a/marigoldramp/gateway/peer_reports.py
+++ b/marigoldramp/gateway/peer_reports.py
@@ -38,6 +38,7 @@
     :ivar revision_age: seconds since it was in touch with the store about
         endpoints; negative if it never was.
     :ivar in_flight: requests of the sender by endpoint.
+    :ivar slow: endpoints that the sender finds slow, and how many times.
     :ivar fit: the sender may lead groups of ranks.
     :ivar leads: groups that it leads.
     """
@@ -58,6 +59,7 @@
     revision: int
     revision_age: float
     in_flight: dict[str, int]
+    slow: dict[str, float] = {}
     fit: bool = False
     leads: tuple[str, ...] = ()
     known: tuple[KnownPeer, ...] = ()
@@ -74,7 +76,7 @@
     while len(data) > MOST_BYTES and busiest:
         busiest = busiest[: len(busiest) * 3 // 4]
         report = msgspec.structs.replace(
-            report, in_flight=dict(busiest), known=()
+            report, in_flight=dict(busiest), known=(), slow={}
         )
         data = msgspec.msgpack.encode(report)
     return data
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -34,6 +34,7 @@
 from . import peer_reports
 from . import peer_roster
 from . import peers
+from . import quality
 from . import ranks
 from . import refresh
 from . import retry_budget
@@ -382,6 +383,7 @@
                 for endpoint in self.table
                 if endpoint.own
             },
+            slow=self._list_slow(now),
             fit=self.leading.fit and self.is_ready(),
             leads=self.leading.led(),
             known=self.peers.name_some(peer_reports.MOST_KNOWN),
@@ -399,10 +401,34 @@
                 version=report.version,
                 newest_at=report.echo - report.version_age,
             )
+        for identity, slowness in report.slow.items():
+            endpoint = self.table.find(identity)
+            if endpoint is not None:
+                endpoint.quality.note_told(
+                    slowness=slowness, now=self._clock()
+                )
         for endpoint in self.table:
             endpoint.elsewhere = self.peers.in_flight(endpoint.identity)
         self.dispatcher.serve_all()
 
+    def _list_slow(self, now: float) -> dict[str, float]:
+        """Return the endpoints that we find slow ourselves."""
+        usual = {
+            service: self.table.usual_seconds(service)
+            for service in {one.record.service for one in self.table}
+        }
+        found = {
+            one.identity: one.quality.own_slowness(
+                usual=usual[one.record.service], now=now
+            )
+            for one in self.table
+        }
+        return {
+            identity: round(slowness, 2)
+            for identity, slowness in found.items()
+            if slowness > quality.SLOW_FROM
+        }
+
     async def _fetch_configuration(self, version: int) -> bytes | None:
         for peer in self.peers.live():
             if peer.report is not None and peer.report.version >= version:
--- /dev/null
+++ b/marigoldramp/gateway/quality.py
@@ -0,0 +1,80 @@
+"""How well one endpoint does, from the outcomes of requests.
+
+An endpoint can turn slow, or fail a part of its requests, while it says that
+it is well.  Both show in outcomes only.  What is believed of it fades, so
+that it is tried again: an endpoint that is left alone gives no news.
+"""
+
+#: Weight of the newest observation.
+SMOOTHING = 0.25
+#: Seconds after which half of what is believed has faded.
+HALF_LIFE = 4.0
+#: Seconds that an answer takes at least, when two are compared.
+LEAST_SECONDS = 0.005
+#: Times longer than usual from which on an endpoint counts as slow; below it
+#: requests of unlike size tell nothing.
+SLOW_FROM = 1.8
+#: Largest factor of slowness.
+MOST_SLOWNESS = 20.0
+
+
+class Quality:
+    """Estimates of one endpoint.
+
+    :ivar seconds: smoothed time until it answers, 0 if unknown.
+    """
+
+    __slots__ = ('seconds', '_errors', '_at', '_told', '_told_at')
+
+    def __init__(self) -> None:
+        self.seconds = 0.0
+        self._errors = 0.0
+        self._at = float('-inf')
+        self._told = 1.0
+        self._told_at = float('-inf')
+
+    def note_answer(self, *, seconds: float, now: float) -> None:
+        """Learn of a good answer and of how long it took."""
+        if not self.seconds or now - self._at > 4.0 * HALF_LIFE:
+            self.seconds = seconds
+        else:
+            self.seconds += SMOOTHING * (seconds - self.seconds)
+        self._errors = self.errors(now=now) * (1.0 - SMOOTHING)
+        self._at = now
+
+    def note_error(self, *, now: float) -> None:
+        """Learn of a failure."""
+        errors = self.errors(now=now)
+        self._errors = errors + SMOOTHING * (1.0 - errors)
+        self._at = now
+
+    def note_told(self, *, slowness: float, now: float) -> None:
+        """Learn how slow a peer finds the endpoint."""
+        self._told = slowness
+        self._told_at = now
+
+    def errors(self, *, now: float) -> float:
+        """Return the part of its requests that it fails, 0 to 1."""
+        return self._errors * _fade(now - self._at)
+
+    def own_slowness(self, *, usual: float, now: float) -> float:
+        """Return how many times longer than usual it takes, 1 for usual.
+
+        :param usual: what endpoints of the service usually take.
+        """
+        if not self.seconds or not usual:
+            return 1.0
+        ratio = self.seconds / max(LEAST_SECONDS, usual)
+        if ratio < SLOW_FROM:
+            return 1.0
+        over = min(MOST_SLOWNESS, ratio) - 1.0
+        return 1.0 + over * _fade(now - self._at)
+
+    def slowness(self, *, usual: float, now: float) -> float:
+        """Return its slowness by our own outcomes or by peers' word."""
+        told = 1.0 + (self._told - 1.0) * _fade(now - self._told_at)
+        return max(self.own_slowness(usual=usual, now=now), told)
+
+
+def _fade(age: float) -> float:
+    return float(0.5 ** (max(0.0, age) / HALF_LIFE))
--- a/marigoldramp/gateway/refresh.py
+++ b/marigoldramp/gateway/refresh.py
@@ -18,7 +18,7 @@
 
 #: Age of a confirmation at which an entry reads the store itself, in
 #: seconds, and the random part by which entries do not all read at once.
-READ_AFTER = 0.7
+READ_AFTER = 0.9
 READ_SPREAD = 0.4
 #: Seconds between two reads while the store does not answer.
 RETRY_AFTER = 0.4
--- a/marigoldramp/platform/objects.py
+++ b/marigoldramp/platform/objects.py
@@ -8,12 +8,16 @@
 
 from .. import api_client
 from .. import store
+from .. import tcp_streams
 from ..gateway import settings
 
 PATH = '/marigoldramp/objects'
 #: Seconds for one call.  The store answers in milliseconds when it is well
 #: and some hundred when it is slow.
 CALL_SECONDS = 1.0
+#: Seconds after which a silent connection counts as lost; a leaving endpoint
+#: must get nothing new within two of its word.
+SILENT_SECONDS = 3
 MILLISECONDS = 1000.0
 JSON = [(b'content-type', b'application/json')]
 
@@ -100,9 +104,12 @@
     __slots__ = ('_client',)
 
     def __init__(self, *, address: settings.Address) -> None:
-        # Connections to the store can go silent for good, so none is kept.
+        # Connections to the store can go silent for good, so none is kept,
+        # and probes end a watch that waits on one.
         self._client = api_client.ApiClient(
-            address=f'http://{address.host}:{address.port}', kept=0
+            address=f'http://{address.host}:{address.port}',
+            kept=0,
+            options=tcp_streams.probe_options(SILENT_SECONDS),
         )
 
     async def read(
--- a/marigoldramp/tcp_streams.py
+++ b/marigoldramp/tcp_streams.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import select
+import socket
 from typing import Any
 
 import httpcore
@@ -257,11 +258,37 @@
         future.set_result(None)
 
 
-async def connect(*, host: str, port: int) -> Stream:
+SocketOption = tuple[int, int, int]
+
+
+def probe_options(seconds: int) -> tuple[SocketOption, ...]:
+    """Return options by which a connection breaks that has gone silent.
+
+    Something between the two ends can lose track of an open connection.
+    Nothing more arrives on it then, and nothing tells; only probes do.
+
+    :param seconds: after which a peer that acknowledges nothing counts as
+        lost, at least 2.
+    """
+    tcp = socket.IPPROTO_TCP
+    return (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (tcp, socket.TCP_KEEPIDLE, 1),
+        (tcp, socket.TCP_KEEPINTVL, 1),
+        (tcp, socket.TCP_KEEPCNT, max(1, seconds - 1)),
+        (tcp, socket.TCP_USER_TIMEOUT, seconds * 1000),
+    )
+
+
+async def connect(
+    *, host: str, port: int, options: tuple[SocketOption, ...] = ()
+) -> Stream:
     """Open a connection.
 
     :raises OSError: it could not be opened.
     """
     loop = asyncio.get_running_loop()
-    _, stream = await loop.create_connection(Stream, host, port)
+    transport, stream = await loop.create_connection(Stream, host, port)
+    for option in options:
+        transport.get_extra_info('socket').setsockopt(*option)
     return stream
--- /dev/null
+++ b/tests/gateway/test_quality.py
@@ -0,0 +1,96 @@
+"""Tests of how an endpoint is left that is slow or fails, and tried again."""
+
+import random
+
+import pytest
+
+from marigoldramp.gateway import endpoints
+from marigoldramp.gateway import quality
+
+from . import site
+
+
+class Fake:
+    """Stands for an endpoint of which only the record matters."""
+
+    def __init__(self, identity):
+        self.identity = identity
+        self.port = 1
+
+
+def make_table(count=3):
+    table = endpoints.EndpointTable(data_centre='one', random=random.Random(1))
+    for number in range(count):
+        table.put(site.make_record(Fake(f'i-{number}')))
+    return table
+
+
+def choose(table, now, times=60):
+    """Return how often each endpoint is chosen, with nothing in flight."""
+    found = {}
+    for _ in range(times):
+        one = table.choose(
+            service='notes',
+            now=now,
+            slots=lambda endpoint: 4.0,
+            avoid=frozenset(),
+        )
+        found[one.identity] = found.get(one.identity, 0) + 1
+    return found
+
+
+def answer(table, now, **seconds):
+    for name, taken in seconds.items():
+        table.find(name.replace('_', '-')).quality.note_answer(
+            seconds=taken, now=now
+        )
+
+
+@pytest.mark.parametrize(
+    ('seconds', 'age', 'used'),
+    [
+        (0.2, 0.0, False),
+        (0.2, 2.0, False),
+        (0.2, 60.0, True),
+        (0.02, 0.0, True),
+        (0.001, 0.0, True),
+    ],
+    ids=['slow', 'still', 'faded', 'usual', 'fast'],
+)
+def test_slow_endpoint_is_left_and_tried_again(seconds, age, used):
+    """Urgent requests go on being late at an endpoint that turned slow.
+
+    Sequence: an endpoint works ten times as long; its health is good.
+    Cause: a choice by requests in flight alone, of which there are none.
+    """
+    table = make_table()
+    answer(table, 10.0, i_0=0.015, i_1=0.015, i_2=seconds)
+    assert ('i-2' in choose(table, 10.0 + age)) is used
+
+
+def test_word_of_a_peer_counts_and_fades():
+    table = make_table()
+    answer(table, 10.0, i_0=0.015, i_1=0.015, i_2=0.015)
+    table.find('i-2').quality.note_told(slowness=9.0, now=10.0)
+    assert 'i-2' not in choose(table, 10.0)
+    assert 'i-2' in choose(table, 60.0)
+
+
+@pytest.mark.parametrize(
+    ('failing', 'used'), [(('i-2',), False), (('i-0', 'i-1', 'i-2'), True)]
+)
+def test_failing_endpoint_is_left_unless_all_fail(failing, used):
+    table = make_table()
+    for _ in range(4):
+        for name in failing:
+            table.find(name).quality.note_error(now=10.0)
+    assert ('i-2' in choose(table, 10.0)) is used
+    assert 'i-2' in choose(table, 100.0)
+
+
+def test_one_slow_answer_among_many_says_little():
+    one = quality.Quality()
+    for _ in range(10):
+        one.note_answer(seconds=0.015, now=10.0)
+    one.note_answer(seconds=0.03, now=10.0)
+    assert one.own_slowness(usual=0.015, now=10.0) == 1.0
--- a/tests/test_object_api.py
+++ b/tests/test_object_api.py
@@ -9,6 +9,7 @@
 import msgspec
 import pytest
 
+from marigoldramp import api_client
 from marigoldramp import settings
 from marigoldramp import store
 from marigoldramp_standins import instance_list
@@ -253,7 +254,7 @@
     The platform accepts the request, then stays silent, sends one byte and
     no more, breaks off or sends without end.  Each ends as a failure.
     """
-    monkeypatch.setattr(object_api, 'LONGEST_ANSWER', 1000)
+    monkeypatch.setattr(api_client, 'LONGEST_ANSWER', 1000)
     limits = Limits()
 
     async def handle(exchange):
