Compare what entries know of endpoints by the endpoints' own revisions

A watch's revision also grows with changes of other objects, so entries that knew the same took each other's for a change that they had missed; each time was a call of the store. What entries tell each other now is the revision of the newest change of an endpoint, and each such revision is acted on once.

--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -36,10 +36,14 @@
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Listing:
-    """All endpoints at a revision."""
+    """All endpoints at a revision.
+
+    :ivar newest: revision of the newest change of one of them.
+    """
 
     records: tuple[deployment.EndpointRecord, ...]
     revision: int
+    newest: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -47,11 +51,16 @@
     """What has changed up to a revision.
 
     :ivar removed: identities of endpoints that are no longer listed.
+    :ivar newest: revision of the newest of these changes.  The revision up
+        to which a watch has seen everything is no measure of what it knows:
+        it also grows with changes of other objects, and entries that know
+        the same would take each other's for a change that they have missed.
     """
 
     records: tuple[deployment.EndpointRecord, ...]
     removed: tuple[str, ...]
     revision: int
+    newest: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -93,6 +102,7 @@
         '_behind_since',
         '_watching',
         '_leaving',
+        '_acted_on',
         'listed',
         'revision',
         'change_revision',
@@ -118,6 +128,7 @@
         self._behind_since = float('inf')
         self._watching: anyio.CancelScope | None = None
         self._leaving: set[str] = set()
+        self._acted_on = 0
         self.listed = False
         self.revision = 0
         self.change_revision = 0
@@ -146,12 +157,15 @@
         Our own watch may have gone silent, seen as a leaving endpoint that
         this entry alone goes on using.
         """
-        if change_revision <= max(self.revision, self.change_revision):
+        known = max(self.revision, self.change_revision, self._acted_on)
+        if change_revision <= known:
+            self._behind_since = float('inf')
             return
         now = self._clock()
         self._behind_since = min(self._behind_since, now)
         if now - self._behind_since > BEHIND_SECONDS:
             self._behind_since = float('inf')
+            self._acted_on = change_revision
             if self._watching is not None:
                 logging.info(
                     'watch behind peers',
@@ -173,12 +187,12 @@
         Leavings are taken and endpoints added; nothing is removed, as the
         peer's own view may be disturbed.
         """
-        if listing.revision <= self.change_revision and self.listed:
+        if listing.newest <= self.change_revision and self.listed:
             return
         for record in listing.records:
             if record.identity not in self._vanished:
                 self._put(record)
-        self.change_revision = max(self.change_revision, listing.revision)
+        self.change_revision = max(self.change_revision, listing.newest)
         self.listed = True
         self._on_change()
 
@@ -191,7 +205,7 @@
             if endpoint.identity not in listed:
                 self._note_vanished(endpoint.identity)
         self.revision = listing.revision
-        self.change_revision = max(self.change_revision, listing.revision)
+        self.change_revision = max(self.change_revision, listing.newest)
         self.listed = True
         self._behind_since = float('inf')
         logging.info(
@@ -210,7 +224,7 @@
             self._note_vanished(identity)
         self.revision = max(self.revision, changes.revision)
         if changes.records or changes.removed:
-            self.change_revision = max(self.change_revision, changes.revision)
+            self.change_revision = max(self.change_revision, changes.newest)
             self._on_change()
         self._behind_since = float('inf')
 
@@ -218,7 +232,8 @@
         """Return what is known, for a peer."""
         return Listing(
             records=tuple(endpoint.record for endpoint in self._table),
-            revision=self.change_revision,
+            revision=self.revision,
+            newest=self.change_revision,
         )
 
     async def _follow(self) -> None:
--- a/marigoldramp/gateway/peer_exchange.py
+++ b/marigoldramp/gateway/peer_exchange.py
@@ -21,7 +21,7 @@
 class EndpointList(msgspec.Struct, frozen=True, kw_only=True):
     """Endpoints as one entry knows them."""
 
-    revision: int
+    newest: int
     records: tuple[deployment.EndpointRecord, ...]
 
 
@@ -50,7 +50,7 @@
                 listing = self._follower.listing()
                 body = msgspec.json.encode(
                     EndpointList(
-                        revision=listing.revision, records=listing.records
+                        newest=listing.newest, records=listing.records
                     )
                 )
             case _:
@@ -86,4 +86,6 @@
         found = msgspec.json.decode(body, type=EndpointList)
     except msgspec.MsgspecError:
         return None
-    return discovery.Listing(records=found.records, revision=found.revision)
+    return discovery.Listing(
+        records=found.records, revision=0, newest=found.newest
+    )
--- a/marigoldramp/platform/endpoints.py
+++ b/marigoldramp/platform/endpoints.py
@@ -47,7 +47,9 @@
         if isinstance(found, store.Unavailable):
             return found
         return discovery.Listing(
-            records=_read_all(found.items), revision=found.revision
+            records=_read_all(found.items),
+            revision=found.revision,
+            newest=_newest(found.items),
         )
 
     async def watch(
@@ -71,9 +73,14 @@
         records=_read_all(kept),
         removed=tuple(removed),
         revision=found.revision,
+        newest=_newest([event.changed for event in found.events]),
     )
 
 
+def _newest(found: list[objects.Object]) -> int:
+    return max((one.meta.revision for one in found), default=0)
+
+
 def _read_all(
     found: list[objects.Object],
 ) -> tuple[deployment.EndpointRecord, ...]:
--- a/tests/adapter/test_platform.py
+++ b/tests/adapter/test_platform.py
@@ -368,7 +368,7 @@
         ('i-1', True)
     ]
     assert found.removed == ('i-2',)
-    assert found.revision == 12
+    assert (found.revision, found.newest) == (12, 3)
     assert client.requests[0].path.endswith('?Watch=5&WaitMs=2000')
 
 
--- a/tests/gateway/test_beliefs.py
+++ b/tests/gateway/test_beliefs.py
@@ -378,7 +378,9 @@
 
 
 def listing(*records, revision=1):
-    return discovery.Listing(records=records, revision=revision)
+    return discovery.Listing(
+        records=records, revision=revision, newest=revision
+    )
 
 
 def test_leaving_endpoint_never_comes_back():
@@ -460,6 +462,7 @@
                 records=(site.make_record(Fake('i-1'), leaving=True),),
                 removed=(),
                 revision=9,
+                newest=9,
             )
         ]
         for _ in range(8):
@@ -469,6 +472,45 @@
     assert table.find('i-1').record.leaving
 
 
+async def test_entries_that_know_the_same_do_not_disturb_each_other():
+    """Entries give up their watches several times a second, for nothing.
+
+    Sequence: one entry's watch answers just after other objects have
+    changed, so it has seen everything up to a higher revision.
+    Cause: that revision taken for the one of a change of an endpoint.
+    """
+    source = site.FakeEndpoints()
+    record = site.make_record(Fake('i-1'))
+    source.records = [record]
+    follower, _, _ = make_follower(source=source)
+    other, _, _ = make_follower(source=site.FakeEndpoints())
+    for each, revision in ((follower, 7), (other, 12)):
+        each.take_changes(
+            discovery.Changes(
+                records=(record,), removed=(), revision=revision, newest=6
+            )
+        )
+    assert other.change_revision == 6
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follower.run)
+        await anyio.sleep(0.5)
+        watching = follower._watching
+        for _ in range(20):
+            follower.hear(change_revision=other.change_revision)
+            await anyio.sleep(0.1)
+        assert follower._watching is watching
+        for _ in range(40):
+            follower.hear(change_revision=99)
+            await anyio.sleep(0.1)
+        again = follower._watching
+        assert again is not watching
+        for _ in range(40):
+            follower.hear(change_revision=99)
+            await anyio.sleep(0.1)
+        assert follower._watching is again
+        tasks.cancel_scope.cancel()
+
+
 async def test_history_that_is_gone_is_listed_anew():
     source = site.FakeEndpoints()
     source.records = [site.make_record(Fake('i-1'))]
