Log what decided each request, also a refused one

Cause: the line of a refused request had no identifier, and no line told which configuration had decided, how old. A request that its only endpoint had cut off waited for another one until its deadline (found by the test of the lines).

--- a/marigoldramp/gateway/admission.py
+++ b/marigoldramp/gateway/admission.py
@@ -59,7 +59,12 @@
     def trusts_keys(self) -> bool:
         """Whether keys may be believed that the configuration holds."""
         longest = self._revoke_seconds() * (1.0 - REVOKE_MARGIN)
-        return self._age() < longest
+        return self.version_age() < longest
+
+    @property
+    def version(self) -> int:
+        """The configuration in force, 0 for none."""
+        return self._configurations.version
 
     async def admit(self, exchange: inbound.Exchange) -> calls.Call | NotRun:
         """Return the call, its body read, or why it is refused."""
@@ -68,6 +73,7 @@
             facts = self._codec.read_request(head.headers)
         except ValueError as error:
             return NotRun(reason=Reason.MALFORMED, detail=str(error))
+        exchange.request = facts.attempt
         config = self._configurations.current
         if config is None:
             return NotRun(
@@ -108,6 +114,8 @@
             body=body,
             deadline=deadline,
             last_event=facts.last_event,
+            version=config.version,
+            version_age=self.version_age(),
         )
 
     def _identify(
@@ -143,7 +151,7 @@
         Ours may have been overtaken; a caller told "unknown" never comes
         back, though its route or key is there.
         """
-        if self._age() <= FRESH_SECONDS:
+        if self.version_age() <= FRESH_SECONDS:
             return NotRun(reason=reason, detail=detail)
         return NotRun(
             reason=Reason.STORE_AWAY,
@@ -151,7 +159,8 @@
             retry_after=COME_BACK,
         )
 
-    def _age(self) -> float:
+    def version_age(self) -> float:
+        """Return the seconds since our version was known to be the newest."""
         return self._clock() - self._configurations.confirmed_at
 
 
--- a/marigoldramp/gateway/calls.py
+++ b/marigoldramp/gateway/calls.py
@@ -16,6 +16,8 @@
     :ivar priority: 0 is the most urgent.
     :ivar deadline: when the caller must have its final answer.
     :ivar last_event: the last event that the caller has.
+    :ivar version: configuration by which it was admitted.
+    :ivar version_age: seconds since that was known to be the newest.
     :ivar sends: how often it went out to an endpoint.
     :ivar runs: how often it may have run.
     :ivar tried: endpoints that it is not sent to again.
@@ -36,6 +38,8 @@
     body: bytes
     deadline: float
     last_event: str
+    version: int = 0
+    version_age: float = 0.0
     sends: int = 0
     runs: int = 0
     tried: frozenset[str] = frozenset()
--- a/marigoldramp/gateway/endpoints.py
+++ b/marigoldramp/gateway/endpoints.py
@@ -162,11 +162,15 @@
         """Return the open endpoint with the most room, if one has any.
 
         :param slots: returns how many requests an endpoint may run.
-        :param avoid: endpoints that are not to be used.
+        :param avoid: endpoints that are not to be used while there are
+            others.
         """
         best: Endpoint | None = None
         best_rank = 0.0
         usual = self.usual_seconds(service)
+        if avoid.issuperset(self._by_service.get(service, ())):
+            # Waiting for another endpoint would last until the deadline.
+            avoid = frozenset()
         for endpoint in self._by_service.get(service, {}).values():
             if endpoint.identity in avoid or not endpoint.is_open(now=now):
                 continue
--- a/marigoldramp/gateway/forwarding.py
+++ b/marigoldramp/gateway/forwarding.py
@@ -1,5 +1,6 @@
 """The way of one request: admission, a place, attempts, a final answer."""
 
+import math
 from typing import Callable
 
 from absl import logging
@@ -211,7 +212,7 @@
                 status=getattr(result, 'status', 0),
                 sends=call.sends,
                 failures=endpoint.failures,
-                seconds=round(seconds, 4),
+                seconds=_round(seconds),
             ),
         )
 
@@ -321,10 +322,13 @@
             logging.info(
                 'request ended',
                 extra=logs.fields(
+                    request=exchange.request,
                     outcome=outcome,
+                    version=self._admission.version,
+                    version_age=_round(self._admission.version_age()),
                     host=exchange.head.host,
                     path=exchange.head.path,
-                    seconds=round(seconds, 4),
+                    seconds=_round(seconds),
                 ),
             )
             return
@@ -341,19 +345,26 @@
                 route=call.route.name,
                 service=call.service,
                 customer=call.customer,
+                version=call.version,
+                version_age=_round(call.version_age),
                 endpoint=call.endpoint,
                 sends=call.sends,
                 runs=call.runs,
                 last_event=call.last_event,
-                waited=round(call.waited, 4),
-                first_event=round(call.first_event, 4),
-                longest_pause=round(call.longest_pause, 4),
-                seconds=round(seconds, 4),
-                left=round(call.deadline - self._clock(), 4),
+                waited=_round(call.waited),
+                first_event=_round(call.first_event),
+                longest_pause=_round(call.longest_pause),
+                seconds=_round(seconds),
+                left=_round(call.deadline - self._clock()),
             ),
         )
 
 
+def _round(seconds: float) -> float:
+    """Return seconds for the log; -1 for a time that never was."""
+    return round(seconds, 4) if math.isfinite(seconds) else -1.0
+
+
 def _describe(
     result: attempts.Unreached | attempts.Broken,
 ) -> outcomes.Refusal:
--- a/marigoldramp/gateway/inbound.py
+++ b/marigoldramp/gateway/inbound.py
@@ -72,11 +72,20 @@
 class Exchange:
     """One request and the answer to it.
 
+    :ivar request: the caller's identifier of it, empty while unknown.
     :ivar begun: the answer's head has been sent.
     :ivar ended: the whole answer has been sent.
     """
 
-    __slots__ = ('head', 'begun', 'ended', '_leaving', '_stream', '_h11')
+    __slots__ = (
+        'head',
+        'request',
+        'begun',
+        'ended',
+        '_leaving',
+        '_stream',
+        '_h11',
+    )
 
     def __init__(
         self,
@@ -87,6 +96,7 @@
         leaving: Callable[[], bool],
     ) -> None:
         self.head = head
+        self.request = ''
         self.begun = False
         self.ended = False
         self._leaving = leaving
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -207,6 +207,19 @@
             clock=clock,
         )
 
+        self._show_gauges()
+
+    def _show_gauges(self) -> None:
+        """Show on the metrics page what the process believes."""
+        gauge = self._metrics.gauge
+        gauge('ready', lambda: float(self.is_ready()))
+        gauge('running_requests', lambda: float(self.forwarder.running))
+        gauge('configuration_version', lambda: self.configurations.version)
+        gauge('configuration_age_seconds', self.admission.version_age)
+        gauge('live_peers', lambda: float(len(self.peers.live())))
+        gauge('known_endpoints', lambda: float(len(self.table)))
+        gauge('endpoint_connections', lambda: float(self.pool.opened))
+
     # What pages show
 
     def is_ready(self) -> bool:
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -427,3 +427,56 @@
     assert len(good) >= 6
     refused = [one for one in statuses if one not in good]
     assert {status for status, _, _ in refused} <= {503}
+
+
+@pytest.fixture
+def lines(caplog):
+    """Return a function that gives the fields of logged lines."""
+    caplog.set_level('INFO')
+
+    def find(message):
+        return [
+            record.fields
+            for record in caplog.records
+            if record.getMessage() == message
+        ]
+
+    return find
+
+
+@pytest.mark.parametrize(
+    ('path', 'script', 'outcome'),
+    [
+        ('/notes/', fake.answer(), 'served'),
+        ('/other/', fake.answer(), 'refused:unknown_route'),
+        ('/notes/', fake.cut, 'unknown:endpoint_failed'),
+        ('/notes/', fake.hang, 'unknown:deadline'),
+        ('/notes/', fake.decline(), 'refused:'),
+    ],
+)
+async def test_each_request_leaves_a_line_with_what_decided_it(
+    path, script, outcome, lines
+):
+    one = make('i-1', script)
+    config = site.make_configuration(site.make_route(timeout=0.3))
+    async with site.run_site(one, configuration=config) as running:
+        await site.call(running, path=path, attempt='a-7')
+        await running.until(lambda: lines('request ended'))
+    found = lines('request ended')[0]
+    assert found['request'] == 'a-7'
+    assert found['outcome'].startswith(outcome)
+    assert found['version'] == 1
+    assert 0.0 <= found['version_age'] < 5.0
+    assert found['seconds'] >= 0.0
+
+
+async def test_metrics_page_shows_requests_and_beliefs():
+    one = make('i-1', fake.answer())
+    async with site.run_site(one) as running:
+        await site.call(running)
+        await running.until(lambda: running.running.forwarder.running == 0)
+        page = running.running._metrics.render().decode()
+    assert 'marigoldramp_requests_total{outcome="served",route="r"} 1' in page
+    assert 'marigoldramp_request_seconds_count{outcome="served"} 1' in page
+    assert 'marigoldramp_configuration_version 1' in page
+    assert 'marigoldramp_known_endpoints 1.0' in page
