Give refusals the error object that chat clients show

Cause: a public chat client showed only "Error code: 401" for a refusal, as the body had problem details alone.

--- a/marigoldramp/problems.py
+++ b/marigoldramp/problems.py
@@ -36,11 +36,23 @@
 }
 
 
+class Error(msgspec.Struct, frozen=True, kw_only=True):
+    """What clients of chat completions look for in a refusal.
+
+    Without it they show a person the status alone.
+    """
+
+    message: str
+    type: str
+    code: str
+
+
 class Problem(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Body of a refusal.
 
     :ivar outcome: ``not_run`` or ``outcome_unknown``.
     :ivar retry_after: seconds after which coming back can help.
+    :ivar error: the same for clients that know no problem details.
     """
 
     type: str
@@ -51,6 +63,7 @@
     detail: str = ''
     call: str = ''
     retry_after: float | None = None
+    error: Error | None = None
 
 
 class StreamError(msgspec.Struct, frozen=True, kw_only=True):
@@ -81,6 +94,11 @@
         detail=refusal.detail,
         call=call,
         retry_after=retry_after,
+        error=Error(
+            message=refusal.detail or title,
+            type=outcome,
+            code=refusal.reason.value,
+        ),
     )
 
 
