--- /dev/null
+++ b/tests/gateway/test_group_leading.py
@@ -0,0 +1,178 @@
+"""Tests of which entry leads a group of ranks."""
+
+import random
+
+import anyio
+import pytest
+
+from marigoldramp.gateway import deployment
+from marigoldramp.gateway import endpoints
+from marigoldramp.gateway import group_leading
+import virtual_time
+
+from . import fake_ranks
+from . import site
+
+pytestmark = pytest.mark.anyio
+RANKS = 4
+ENGINE = deployment.Engine(
+    slots=6,
+    step=0.005,
+    step_per_request=0.001,
+    prompt_rate=1000.0,
+    usual_prompt=100,
+    usual_answer=100,
+    layers=2,
+    experts=8,
+    places=3,
+    spare=1,
+)
+SERVICE = deployment.Service(name='notes', connections=9, engine=ENGINE)
+
+
+@pytest.fixture
+def anyio_backend():
+    return virtual_time.make_backend()
+
+
+class Fleet:
+    """Entries that hear each other at once, and one group of ranks."""
+
+    def __init__(self, names=('a', 'b', 'c')):
+        self.group = fake_ranks.FakeGroup(
+            size=RANKS, experts=8, layers=2, clock=virtual_time.now
+        )
+        self.store = site.FakeStore()
+        self.silent = set()
+        self.entries = {name: self.make(name) for name in names}
+        self.scopes = {}
+
+    def make(self, name):
+        table = endpoints.EndpointTable(
+            data_centre='one', random=random.Random(1)
+        )
+        for rank in self.group.names():
+            table.put(self.group.find(rank).record)
+        return group_leading.GroupLeading(
+            instance=name,
+            table=table,
+            services=lambda: (SERVICE,),
+            rivals=lambda: [
+                other
+                for other, entry in self.entries.items()
+                if other != name and other not in self.silent and entry.fit
+            ],
+            led_elsewhere=lambda: frozenset(
+                group
+                for other, entry in self.entries.items()
+                if other != name and other not in self.silent
+                for group in entry.led()
+            ),
+            api=self.group,
+            store=self.store,
+            clock=virtual_time.now,
+        )
+
+    async def run_entry(self, name):
+        with anyio.CancelScope() as self.scopes[name]:
+            await self.entries[name].run()
+
+    def leaders(self):
+        return [
+            name
+            for name, entry in self.entries.items()
+            if entry.led() and name not in self.silent
+        ]
+
+    def start(self, tasks):
+        tasks.start_soon(self.group.run)
+        for name in self.entries:
+            tasks.start_soon(self.run_entry, name)
+
+
+async def test_one_entry_leads_and_only_one_asks_the_store():
+    fleet = Fleet()
+    async with anyio.create_task_group() as tasks:
+        fleet.start(tasks)
+        await anyio.sleep(5.0)
+        assert len(fleet.leaders()) == 1
+        contending = [
+            name for name, one in fleet.entries.items() if one._offices
+        ]
+        assert contending == fleet.leaders()
+        tasks.cancel_scope.cancel()
+
+
+async def test_another_entry_leads_when_the_leader_is_killed():
+    """A group that is held stands for ever.
+
+    Sequence: the leader is killed; nobody takes its place.
+    Cause: entries that contend only while nobody ever led.
+    """
+    fleet = Fleet()
+    async with anyio.create_task_group() as tasks:
+        fleet.start(tasks)
+        await anyio.sleep(5.0)
+        first = fleet.leaders()[0]
+        fleet.scopes[first].cancel()
+        fleet.silent.add(first)
+        fleet.group.ranks[0].held = fleet.group.step + 2
+        await anyio.sleep(8.0)
+        assert fleet.leaders() not in ([], [first])
+        before = fleet.group.step
+        await anyio.sleep(2.0)
+        assert fleet.group.step > before + 10
+        assert fleet.group.mixed == []
+        tasks.cancel_scope.cancel()
+
+
+async def test_leader_that_stops_gives_its_lease_up():
+    fleet = Fleet()
+    async with anyio.create_task_group() as tasks:
+        fleet.start(tasks)
+        await anyio.sleep(5.0)
+        first = fleet.leaders()[0]
+        with anyio.fail_after(4.0):
+            await fleet.entries[first].stop()
+        assert not fleet.entries[first].fit
+        await anyio.sleep(2.5)
+        assert fleet.leaders() not in ([], [first])
+        tasks.cancel_scope.cancel()
+
+
+async def test_leader_that_cannot_reach_the_ranks_lets_another_try():
+    """A group waits for a leader that is cut off from it.
+
+    Sequence: the leader loses its way to the ranks, and keeps the one to
+    the store, by which it renews its lease.
+    Cause: a leader that holds its lease whatever it can do with it.
+    """
+    fleet = Fleet()
+    async with anyio.create_task_group() as tasks:
+        fleet.start(tasks)
+        await anyio.sleep(5.0)
+        first = fleet.leaders()[0]
+        cut = fake_ranks.FakeGroup(
+            size=RANKS, experts=8, layers=2, clock=virtual_time.now
+        )
+        for rank in cut.ranks:
+            rank.cut = True
+        office = next(iter(fleet.entries[first]._offices.values()))
+        fleet.entries[first]._api = cut
+        office.leader.conversation._transport._api = cut
+        await anyio.sleep(14.0)
+        assert fleet.leaders() not in ([], [first])
+        tasks.cancel_scope.cancel()
+
+
+async def test_nobody_leads_while_the_store_is_away():
+    fleet = Fleet()
+    fleet.store.away = True
+    async with anyio.create_task_group() as tasks:
+        fleet.start(tasks)
+        await anyio.sleep(5.0)
+        assert fleet.leaders() == []
+        fleet.store.away = False
+        await anyio.sleep(3.0)
+        assert len(fleet.leaders()) == 1
+        tasks.cancel_scope.cancel()
