Stop faster, and change maps by pauses as well as by use

Accepting now ends when no request has come for 0.5 s, after 0.8 to 2.5 s, and address answers last 1 s.

--- a/marigoldramp/gateway/expert_planner.py
+++ b/marigoldramp/gateway/expert_planner.py
@@ -42,10 +42,12 @@
 #: but an even group serves many more requests in time when it is full.
 GAIN_A_COPY_IDLE = 0.025
 GAIN_A_COPY_FULL = 0.0014
-#: Used part of the slots up to which a group counts as little used, and from
-#: which on it counts as full.
-IDLE_USE = 0.35
-FULL_USE = 0.6
+#: Use up to which a group counts as little used, and from which on it counts
+#: as full: the part of its slots in use, or the pauses of its streams as a
+#: part of the accepted ones, whichever is higher.  With pauses far below the
+#: accepted ones a more even group serves nobody better.
+IDLE_USE = 0.65
+FULL_USE = 0.9
 #: Moves that are tried in one layer.
 MOST_MOVES = 24
 #: Seconds after which a preparation is given up.
@@ -66,7 +68,7 @@
 
     :param find: returns the endpoint of a name.
     :param spare: new experts that a rank can copy in each layer.
-    :param use: returns the part of the group's slots that is in use.
+    :param use: returns the use of the group, see :data:`IDLE_USE`.
     """
 
     __slots__ = (
--- a/marigoldramp/gateway/forwarding.py
+++ b/marigoldramp/gateway/forwarding.py
@@ -40,8 +40,8 @@
 class Forwarder:
     """Serves requests of callers.
 
-    :param retry_after: returns when a caller should come back that found no
-        room, in seconds.
+    :ivar running: requests that have not ended.
+    :ivar asked_at: when the last one came.
     """
 
     __slots__ = (
@@ -53,6 +53,7 @@
         '_metrics',
         '_on_wrong_endpoint',
         'running',
+        'asked_at',
     )
 
     def __init__(
@@ -74,10 +75,12 @@
         self._metrics = metrics
         self._on_wrong_endpoint = on_wrong_endpoint
         self.running = 0
+        self.asked_at = float('-inf')
 
     async def handle(self, exchange: inbound.Exchange) -> None:
         """Serve one request to its final answer."""
         self.running += 1
+        self.asked_at = exchange.head.arrived
         call: calls.Call | None = None
         outcome = 'caller_left'
         try:
--- a/marigoldramp/gateway/group_leading.py
+++ b/marigoldramp/gateway/group_leading.py
@@ -84,6 +84,8 @@
 
     :param services: returns the services now configured.
     :param rivals: returns the entries that are heard and fit to lead.
+    :param pauses: returns the pauses of a service's streams, as a part of
+        the accepted ones.
     :param led_elsewhere: returns the groups that peers say they lead.
     :ivar fit: we may lead; told to peers.
     """
@@ -94,6 +96,7 @@
         '_services',
         '_rivals',
         '_led_elsewhere',
+        '_pauses',
         '_api',
         '_store',
         '_clock',
@@ -113,6 +116,7 @@
         services: Callable[[], Iterable[deployment.Service]],
         rivals: Callable[[], Iterable[str]],
         led_elsewhere: Callable[[], frozenset[str]],
+        pauses: Callable[[str], float],
         api: ranks.RankApi,
         store: store_module.PlatformStore,
         clock: Callable[[], float],
@@ -122,6 +126,7 @@
         self._services = services
         self._rivals = rivals
         self._led_elsewhere = led_elsewhere
+        self._pauses = pauses
         self._api = api
         self._store = store
         self._clock = clock
@@ -306,7 +311,7 @@
         )
 
     def _use(self, name: str) -> float:
-        """Return the part of a group's slots that is in use."""
+        """Return the use of a group, by its slots and by its pauses."""
         members = [
             endpoint
             for member in self._groups[name].members
@@ -315,7 +320,8 @@
         slots = sum(endpoint.record.slots for endpoint in members)
         if not slots:
             return 0.0
-        return sum(endpoint.in_flight for endpoint in members) / slots
+        used = sum(endpoint.in_flight for endpoint in members) / slots
+        return max(used, self._pauses(self._groups[name].service))
 
     async def _hold(self, office: _Office) -> None:
         try:
--- a/marigoldramp/gateway/pacing.py
+++ b/marigoldramp/gateway/pacing.py
@@ -25,10 +25,25 @@
 STALLED_SHARE = 2.0
 
 
+#: Weight of the newest pause in the mean.
+SMOOTHING = 0.02
+
+
 class Pace:
-    """The limit of one service, as one entry sees its passes."""
+    """The limit of one service, as one entry sees its passes.
+
+    :ivar share: smoothed pauses, as a part of the accepted ones.
+    """
 
-    __slots__ = ('_clock', '_cut', '_high', '_low', '_count', '_adjusted_at')
+    __slots__ = (
+        '_clock',
+        '_cut',
+        '_high',
+        '_low',
+        '_count',
+        '_adjusted_at',
+        'share',
+    )
 
     def __init__(self, *, clock: Callable[[], float]) -> None:
         self._clock = clock
@@ -37,6 +52,7 @@
         self._low = 0
         self._count = 0
         self._adjusted_at = clock()
+        self.share = 0.0
 
     def limit(self, slots: float) -> float:
         """Return how many requests one endpoint may run on average."""
@@ -48,6 +64,7 @@
         if accepted <= 0.0 or seconds > STALLED_SHARE * accepted:
             return
         self._count += 1
+        self.share += SMOOTHING * (seconds / accepted - self.share)
         self._high += seconds > HIGH_SHARE * accepted
         self._low += seconds < LOW_SHARE * accepted
         now = self._clock()
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -41,8 +41,12 @@
 from . import settings as settings_module
 
 #: Seconds for which new connections are still taken after the request for a
-#: stop: callers keep an address answer for a while.
-STILL_ACCEPTING = 3.0
+#: stop, at least and at most: callers keep an address answer for a while.
+#: In between it ends when none has come for some time.  An instance that
+#: takes longer to stop is missing longer, and others stop meanwhile.
+ACCEPTING_LEAST = 0.8
+ACCEPTING_MOST = 2.5
+QUIET_SECONDS = 0.5
 #: Seconds before the forced stop at which the process ends by itself.
 SPARE = 0.4
 #: Descriptors that are left for everything but callers.
@@ -202,6 +206,7 @@
             services=self._services,
             rivals=self.peers.fit_to_lead,
             led_elsewhere=self.peers.led_groups,
+            pauses=lambda service: self.dispatcher.pace(service).share,
             api=adapter.ranks,
             store=adapter.store,
             clock=clock,
@@ -546,8 +551,10 @@
         with anyio.move_on_after(grace / 2):
             await self.leading.stop()
         ends = begun + grace - SPARE
-        accepts_until = min(begun + STILL_ACCEPTING, ends)
-        while self._clock() < accepts_until:
+        await anyio.sleep(ACCEPTING_LEAST)
+        while self._clock() < min(begun + ACCEPTING_MOST, ends):
+            if self._clock() - self.forwarder.asked_at > QUIET_SECONDS:
+                break
             await anyio.sleep(0.05)
         self._call_listener.close()
         while self._clock() < ends:
--- a/marigoldramp/platform/pages.py
+++ b/marigoldramp/platform/pages.py
@@ -11,7 +11,7 @@
 MOST_ADDRESSES = 64
 #: Seconds for which callers are to keep an answer.  Shorter costs more
 #: questions; longer, and callers keep to an entry that has gone.
-KEEP_SECONDS = 2.0
+KEEP_SECONDS = 1.0
 JSON = [(b'content-type', b'application/json')]
 
 
--- a/tests/gateway/test_group_leading.py
+++ b/tests/gateway/test_group_leading.py
@@ -4,11 +4,11 @@
 
 import anyio
 import pytest
+import virtual_time
 
 from marigoldramp.gateway import deployment
 from marigoldramp.gateway import endpoints
 from marigoldramp.gateway import group_leading
-import virtual_time
 
 from . import fake_ranks
 from . import site
@@ -68,6 +68,7 @@
                 if other != name and other not in self.silent
                 for group in entry.led()
             ),
+            pauses=lambda service: 0.0,
             api=self.group,
             store=self.store,
             clock=virtual_time.now,
