Part what entries tell each other from the program, share one list of headers

A report made within 0.03 s of another one could still show a process as not leaving that had just been asked to stop; it is described anew then (found by reading).

--- a/marigoldramp/gateway/codecs.py
+++ b/marigoldramp/gateway/codecs.py
@@ -7,22 +7,9 @@
 import abc
 import dataclasses
 
-Headers = list[tuple[bytes, bytes]]
-
-#: Headers that concern one connection only and are never passed on.
-HOP_BY_HOP = frozenset(
-    (
-        b'connection',
-        b'keep-alive',
-        b'proxy-authenticate',
-        b'proxy-authorization',
-        b'proxy-connection',
-        b'te',
-        b'trailer',
-        b'transfer-encoding',
-        b'upgrade',
-    )
-)
+from .. import asgi
+
+Headers = asgi.Headers
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -119,5 +106,5 @@
 
 def drop_hop_by_hop(headers: Headers) -> Headers:
     """Return the headers that may go on to the next connection."""
-    dropped = HOP_BY_HOP | list_connection_options(headers)
+    dropped = asgi.HOP_BY_HOP | list_connection_options(headers)
     return [pair for pair in headers if pair[0] not in dropped]
--- a/marigoldramp/gateway/peer_exchange.py
+++ b/marigoldramp/gateway/peer_exchange.py
@@ -11,6 +11,7 @@
 from . import discovery
 from . import inbound
 from . import outbound
+from . import peers
 
 CONFIGURATION_PATH = '/configuration'
 ENDPOINTS_PATH = '/endpoints'
@@ -58,6 +59,45 @@
         await exchange.respond(status=status, headers=[], body=body)
 
 
+class PeerSource:
+    """Fetches from peers whose reports show that they know more."""
+
+    __slots__ = ('_peers',)
+
+    def __init__(self, *, peers: peers.PeerTable) -> None:
+        self._peers = peers
+
+    async def fetch_configuration(self, version: int) -> bytes | None:
+        """Return the document of a version or a newer one, if one has it."""
+        for peer in self._peers.live():
+            if peer.report is not None and peer.report.version >= version:
+                found = await fetch(
+                    address=_address(peer), path=CONFIGURATION_PATH
+                )
+                if found is not None:
+                    return found
+        return None
+
+    async def fetch_endpoints(
+        self, *, newer_than: int
+    ) -> discovery.Listing | None:
+        """Return the endpoints that some peer knows, if it knows more."""
+        for peer in self._peers.live():
+            report = peer.report
+            if report is None or report.revision_age < 0.0:
+                continue
+            if report.revision <= newer_than:
+                continue
+            found = await fetch_endpoints(address=_address(peer))
+            if found is not None:
+                return found
+        return None
+
+
+def _address(peer: peers.Peer) -> outbound.Address:
+    return outbound.Address(host=peer.host, port=peer.port)
+
+
 async def fetch(*, address: outbound.Address, path: str) -> bytes | None:
     """Return a page of a peer, ``None`` if it could not be had."""
     reply = await outbound.exchange(
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -9,7 +9,6 @@
 from absl import logging
 import anyio
 import anyio.abc
-import msgspec
 
 from .. import logs
 from .. import metrics as metrics_module
@@ -35,9 +34,9 @@
 from . import peer_reports
 from . import peer_roster
 from . import peers
-from . import quality
 from . import ranks
 from . import refresh
+from . import reporting
 from . import retry_budget
 from . import settings as settings_module
 
@@ -58,15 +57,11 @@
 HOUSEKEEPING_EVERY = 0.5
 #: Seconds between two looks at whether the settings have changed.
 SETTINGS_EVERY = 1.0
-#: A peer whose knowledge of endpoints is younger than this knows more than
-#: we do without the store.
-PEER_FRESH = 1.0
-#: Seconds without the store after which endpoints are asked of peers.
-ASK_PEERS_AFTER = 1.0
-#: Seconds for which one description of ourselves serves for reports.  What a
-#: report confirms can be so much older than its receiver takes it for, which
-#: is little against the margin of keys.
-REPORT_SECONDS = 0.03
+#: Seconds between two looks whether peers know more of endpoints, while the
+#: store does not answer us.
+ASK_PEERS_EVERY = 0.5
+#: Seconds after a failure of the store for which entries may lapse.
+DISTURBED_SECONDS = 1.0
 METRICS_PATH = '/metrics'
 
 Page = Callable[[inbound.Exchange], Awaitable[None]]
@@ -135,8 +130,6 @@
         self.leaving = False
         self.call_port = 0
         self._leave = anyio.Event()
-        self._report: peer_reports.Report | None = None
-        self._incarnation = secrets.randbits(48)
         self._adapter = adapter
         self._metrics = metrics
         self._clock = clock
@@ -152,6 +145,7 @@
         self.peers = peers.PeerTable(
             instance=settings.instance, clock=clock, random=random
         )
+        self._peer_source = peer_exchange.PeerSource(peers=self.peers)
         self.pool = outbound.Pool(most_idle=MOST_IDLE_PER_ENDPOINT)
         self.dispatcher = dispatch.Dispatcher(
             table=self.table, clock=clock, slots=self._slots
@@ -190,7 +184,7 @@
         self.refresher = refresh.Refresher(
             held=self.configurations,
             source=adapter.configuration,
-            from_peers=self._fetch_configuration,
+            from_peers=self._peer_source.fetch_configuration,
             clock=clock,
             random=random,
         )
@@ -201,11 +195,11 @@
                 for seed in self.settings.seeds
                 if seed != self.settings.peers
             ),
-            make=self._make_report,
-            take=self._take_report,
+            make=self._report,
+            take=self._take,
             clock=clock,
         )
-        self.configurations.on_change(self.gossip.hasten)
+        self.configurations.on_change(self._tell_peers)
         self.leading = group_leading.GroupLeading(
             instance=settings.instance,
             table=self.table,
@@ -218,6 +212,22 @@
             clock=clock,
         )
 
+        self._reporter = reporting.Reporter(
+            parts=reporting.Parts(
+                configurations=self.configurations,
+                refresher=self.refresher,
+                follower=self.follower,
+                table=self.table,
+                peers=self.peers,
+                dispatcher=self.dispatcher,
+                leading=self.leading,
+            ),
+            settings=lambda: self.settings,
+            ready=self.is_ready,
+            leaving=lambda: self.leaving,
+            incarnation=secrets.randbits(48),
+            clock=clock,
+        )
         self._show_gauges()
 
     def _show_gauges(self) -> None:
@@ -382,126 +392,33 @@
 
     # Peers
 
-    def _make_report(self, peer: peers.Peer | None) -> peer_reports.Report:
-        """Return the report for a peer; all of one moment differ little."""
-        now = self._clock()
-        if self._report is None or now - self._report.sent > REPORT_SECONDS:
-            self._report = self._describe(now)
-        heard = None if peer is None else peer.report
-        if heard is None:
-            return self._report
-        return msgspec.structs.replace(
-            self._report,
-            echo=heard.sent,
-            echo_incarnation=heard.incarnation,
-        )
+    def _report(self, peer: peers.Peer | None) -> peer_reports.Report:
+        return self._reporter.make(peer)
 
-    def _describe(self, now: float) -> peer_reports.Report:
-        """Return a report as of now, without an echo."""
-        calls = self.settings.calls
-        return peer_reports.Report(
-            instance=self.settings.instance,
-            host=self.settings.peers.host,
-            port=self.settings.peers.port,
-            incarnation=self._incarnation,
-            sent=now,
-            echo=0.0,
-            echo_incarnation=0,
-            ready=self.is_ready(),
-            leaving=self.leaving,
-            call_host='' if calls is None else calls.host,
-            call_port=0 if calls is None else calls.port,
-            version=self.configurations.version,
-            version_age=_age(now, self.configurations.confirmed_at),
-            revision=self.follower.change_revision,
-            revision_age=_age(now, self.follower.store.reached_at),
-            in_flight={
-                endpoint.identity: endpoint.own
-                for endpoint in self.table
-                if endpoint.own
-            },
-            slow=self._list_slow(now),
-            fit=self.leading.fit and self.is_ready(),
-            leads=self.leading.led(),
-            known=self.peers.name_some(peer_reports.MOST_KNOWN),
-        )
-
-    def _take_report(
+    def _take(
         self, report: peer_reports.Report, touched: frozenset[str]
     ) -> None:
-        self.refresher.hear(report.version)
-        self.follower.hear(change_revision=report.revision)
-        if (
-            report.version_age >= 0.0
-            and report.echo
-            and report.echo_incarnation == self._incarnation
-        ):
-            self.configurations.confirm(
-                version=report.version,
-                newest_at=report.echo - report.version_age,
-            )
-        for identity, slowness in report.slow.items():
-            endpoint = self.table.find(identity)
-            if endpoint is not None:
-                endpoint.quality.note_told(
-                    slowness=slowness, now=self._clock()
-                )
-        for identity in touched:
-            endpoint = self.table.find(identity)
-            if endpoint is not None:
-                endpoint.elsewhere = self.peers.in_flight(identity)
-        self.dispatcher.serve_all()
-
-    def _list_slow(self, now: float) -> dict[str, float]:
-        """Return the endpoints that we find slow ourselves."""
-        usual = {
-            service: self.table.usual_seconds(service)
-            for service in {one.record.service for one in self.table}
-        }
-        found = {
-            one.identity: one.quality.own_slowness(
-                usual=usual[one.record.service], now=now
-            )
-            for one in self.table
-        }
-        return {
-            identity: round(slowness, 2)
-            for identity, slowness in found.items()
-            if slowness > quality.SLOW_FROM
-        }
-
-    async def _fetch_configuration(self, version: int) -> bytes | None:
-        for peer in self.peers.live():
-            if peer.report is not None and peer.report.version >= version:
-                found = await peer_exchange.fetch(
-                    address=outbound.Address(host=peer.host, port=peer.port),
-                    path=peer_exchange.CONFIGURATION_PATH,
-                )
-                if found is not None:
-                    return found
-        return None
+        self._reporter.take(report, touched)
+
+    def _tell_peers(self) -> None:
+        """Let peers know at once that something has changed."""
+        self._reporter.forget()
+        self.gossip.hasten()
 
     async def _ask_peers_for_endpoints(self) -> None:
         """Learn of endpoints from a peer while the store is away for us."""
         while True:
-            await anyio.sleep(ASK_PEERS_AFTER / 2)
+            await anyio.sleep(ASK_PEERS_EVERY)
             now = self._clock()
-            if now - self.refresher.store.failed_at < PEER_FRESH:
+            if now - self.refresher.store.failed_at < DISTURBED_SECONDS:
                 self.follower.note_disturbance()
             if self.follower.store.reached:
                 continue
-            for peer in self.peers.live():
-                report = peer.report
-                if report is None or report.revision_age < 0.0:
-                    continue
-                if report.revision <= self.follower.change_revision:
-                    continue
-                found = await peer_exchange.fetch_endpoints(
-                    address=outbound.Address(host=peer.host, port=peer.port)
-                )
-                if found is not None:
-                    self.follower.take_peer_listing(found)
-                    break
+            found = await self._peer_source.fetch_endpoints(
+                newer_than=self.follower.change_revision
+            )
+            if found is not None:
+                self.follower.take_peer_listing(found)
 
     async def _register(self) -> None:
         """Make ourselves known to entries that start later."""
@@ -570,7 +487,7 @@
         logging.info(
             'stopping', extra=logs.fields(running=self.forwarder.running)
         )
-        self.gossip.hasten()
+        self._tell_peers()
         with anyio.move_on_after(grace / 2):
             await self.leading.stop()
         ends = begun + grace - SPARE
@@ -589,11 +506,6 @@
         self._stopped.set()
 
 
-def _age(now: float, at: float) -> float:
-    """Return the age of a time, negative for a time that never was."""
-    return now - at if at != float('-inf') else -1.0
-
-
 async def run(
     *,
     settings: settings_module.Settings,
--- /dev/null
+++ b/marigoldramp/gateway/reporting.py
@@ -0,0 +1,187 @@
+"""What this entry tells its peers, and what it makes of their word."""
+
+import dataclasses
+from typing import Callable
+
+import msgspec
+
+from . import configurations
+from . import discovery
+from . import dispatch
+from . import endpoints
+from . import group_leading
+from . import peer_reports
+from . import peers
+from . import quality
+from . import refresh
+from . import settings as settings_module
+
+#: Seconds for which one description of ourselves serves for reports.  What a
+#: report confirms can be so much older than its receiver takes it for, which
+#: is little against the margin of keys.
+DESCRIPTION_SECONDS = 0.03
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Parts:
+    """The parts of a process that reports tell of, and change."""
+
+    configurations: configurations.Configurations
+    refresher: refresh.Refresher
+    follower: discovery.Follower
+    table: endpoints.EndpointTable
+    peers: peers.PeerTable
+    dispatcher: dispatch.Dispatcher
+    leading: group_leading.GroupLeading
+
+
+class Reporter:
+    """Makes and takes reports.
+
+    :param settings: returns the settings in force.
+    :param ready: returns whether callers may be sent here.
+    :param leaving: returns whether a stop was asked for.
+    """
+
+    __slots__ = (
+        '_parts',
+        '_settings',
+        '_ready',
+        '_leaving',
+        '_incarnation',
+        '_clock',
+        '_description',
+    )
+
+    def __init__(
+        self,
+        *,
+        parts: Parts,
+        settings: Callable[[], settings_module.Settings],
+        ready: Callable[[], bool],
+        leaving: Callable[[], bool],
+        incarnation: int,
+        clock: Callable[[], float],
+    ) -> None:
+        self._parts = parts
+        self._settings = settings
+        self._ready = ready
+        self._leaving = leaving
+        self._incarnation = incarnation
+        self._clock = clock
+        self._description: peer_reports.Report | None = None
+
+    def make(self, peer: peers.Peer | None) -> peer_reports.Report:
+        """Return the report for a peer; all of one moment differ little."""
+        now = self._clock()
+        known = self._description
+        if known is None or now - known.sent > DESCRIPTION_SECONDS:
+            known = self._describe(now)
+            self._description = known
+        heard = None if peer is None else peer.report
+        if heard is None:
+            return known
+        return msgspec.structs.replace(
+            known,
+            echo=heard.sent,
+            echo_incarnation=heard.incarnation,
+        )
+
+    def forget(self) -> None:
+        """Describe ourselves anew for the next report."""
+        self._description = None
+
+    def take(
+        self, report: peer_reports.Report, touched: frozenset[str]
+    ) -> None:
+        """Believe what a peer says.
+
+        :param touched: endpoints whose requests in flight may have changed.
+        """
+        self._parts.refresher.hear(report.version)
+        self._parts.follower.hear(change_revision=report.revision)
+        self._take_confirmation(report)
+        self._take_slow(report)
+        for identity in touched:
+            endpoint = self._parts.table.find(identity)
+            if endpoint is not None:
+                endpoint.elsewhere = self._parts.peers.in_flight(identity)
+        self._parts.dispatcher.serve_all()
+
+    def _describe(self, now: float) -> peer_reports.Report:
+        """Return a report as of now, without an echo."""
+        parts = self._parts
+        settings = self._settings()
+        calls = settings.calls
+        return peer_reports.Report(
+            instance=settings.instance,
+            host=settings.peers.host,
+            port=settings.peers.port,
+            incarnation=self._incarnation,
+            sent=now,
+            echo=0.0,
+            echo_incarnation=0,
+            ready=self._ready(),
+            leaving=self._leaving(),
+            call_host='' if calls is None else calls.host,
+            call_port=0 if calls is None else calls.port,
+            version=parts.configurations.version,
+            version_age=_age(now, parts.configurations.confirmed_at),
+            revision=parts.follower.change_revision,
+            revision_age=_age(now, parts.follower.store.reached_at),
+            in_flight={
+                endpoint.identity: endpoint.own
+                for endpoint in parts.table
+                if endpoint.own
+            },
+            slow=self._list_slow(now),
+            fit=parts.leading.fit and self._ready(),
+            leads=parts.leading.led(),
+            known=parts.peers.name_some(peer_reports.MOST_KNOWN),
+        )
+
+    def _take_confirmation(self, report: peer_reports.Report) -> None:
+        """Learn since when a version is known to be the newest.
+
+        Without an echo of ours nothing tells how long the report was on its
+        way, or lay unread here.
+        """
+        if report.version_age < 0.0 or not report.echo:
+            return
+        if report.echo_incarnation == self._incarnation:
+            self._parts.configurations.confirm(
+                version=report.version,
+                newest_at=report.echo - report.version_age,
+            )
+
+    def _take_slow(self, report: peer_reports.Report) -> None:
+        for identity, slowness in report.slow.items():
+            endpoint = self._parts.table.find(identity)
+            if endpoint is not None:
+                endpoint.quality.note_told(
+                    slowness=slowness, now=self._clock()
+                )
+
+    def _list_slow(self, now: float) -> dict[str, float]:
+        """Return the endpoints that we find slow ourselves."""
+        table = self._parts.table
+        usual = {
+            service: table.usual_seconds(service)
+            for service in {one.record.service for one in table}
+        }
+        found = {
+            one.identity: one.quality.own_slowness(
+                usual=usual[one.record.service], now=now
+            )
+            for one in table
+        }
+        return {
+            identity: round(slowness, 2)
+            for identity, slowness in found.items()
+            if slowness > quality.SLOW_FROM
+        }
+
+
+def _age(now: float, at: float) -> float:
+    """Return the age of a time, negative for a time that never was."""
+    return now - at if at != float('-inf') else -1.0
