Add a soak that injects faults from outside into real processes

Three real gateway processes run before stand-ins of the store and of endpoints; a seed draws signals, proxies that delay, reset, silence or refuse, a store that is away, slow, forgetful or loses answers, and planned work in series. Callers and endpoints note what they see, and the promises are checked from that.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo demo-up test test-long lint format generate clean
+.PHONY: demo demo-up test test-long soak lint format generate clean
 
 $(VENV)/installed: requirements.txt requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -23,6 +23,12 @@
 test-long: $(VENV)/installed
 	HYPOTHESIS_PROFILE=long $(BIN)/python -m pytest
 
+# SEEDS and FIRST choose the seeds: make soak SEEDS=50 FIRST=1
+SEEDS ?= 5
+FIRST ?= 1
+soak: $(VENV)/installed
+	$(BIN)/python -m marigoldramp_soak --seeds $(SEEDS) --first $(FIRST)
+
 lint: $(VENV)/installed
 	$(BIN)/black --check --quiet . || $(BIN)/black --check .
 	$(BIN)/isort --check-only .
--- /dev/null
+++ b/marigoldramp_soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real processes, faults from outside, promises checked."""
--- /dev/null
+++ b/marigoldramp_soak/__main__.py
@@ -0,0 +1,114 @@
+"""Runs seeds: ``python -m marigoldramp_soak --seeds 50 --first 1``."""
+
+import argparse
+import dataclasses
+import random
+import sys
+
+from absl import logging
+import anyio
+
+from . import checks
+from . import faults as faults_module
+from . import site as site_module
+
+#: Seconds in which faults are injected, and of calm after them, at the end
+#: of which nearly all requests must be served.
+FAULT_SECONDS = 15.0
+CALM_SECONDS = 8.0
+JUDGED_SECONDS = 3.0
+START_SECONDS = 4.0
+LEAST_SERVED = 0.9
+#: Share of the seeds that have planned work only, in which nothing is cut.
+PLANNED_SHARE = 0.3
+
+
+@dataclasses.dataclass(kw_only=True)
+class Outcome:
+    """What came of one seed."""
+
+    seed: int
+    requests: int
+    served: int
+    broken: list
+    faults: list
+    folder: str
+
+
+async def run_seed(seed, seconds):
+    """Run one seed."""
+    # The schedule of faults does not depend on how callers get on.
+    draw = random.Random(f'faults {seed}')
+    planned_only = draw.random() < PLANNED_SHARE
+    folder = site_module.make_folder()
+    site = site_module.Site(
+        seed=seed, draw=random.Random(f'site {seed}'), folder=folder
+    )
+    faults = faults_module.Faults(
+        site=site, draw=draw, planned_only=planned_only
+    )
+    ends = float('inf')
+    async with anyio.create_task_group() as tasks:
+        await site.start(tasks)
+        await anyio.sleep(START_SECONDS)
+        async with anyio.create_task_group() as calls:
+            for caller in site.make_callers():
+                calls.start_soon(caller.run, lambda: ends)
+            await faults.run(anyio.current_time() + seconds)
+            calm_since = anyio.current_time()
+            ends = calm_since + CALM_SECONDS
+        await site.end()
+        tasks.cancel_scope.cancel()
+    broken = list(checks.check(site, faults, planned_only))
+    broken += judge_calm(site, ends - JUDGED_SECONDS)
+    return Outcome(
+        seed=seed,
+        requests=len(site.told),
+        served=sum(told.whole and told.status == 200 for told in site.told),
+        broken=broken,
+        faults=faults.injected,
+        folder=str(folder),
+    )
+
+
+def judge_calm(site, since):
+    """Return a line if too few requests were served after the faults."""
+    late = [
+        told
+        for told in site.told
+        if told.sent_at > since and told.key not in site.revoked
+    ]
+    served = sum(told.whole and told.status == 200 for told in late)
+    if late and served >= LEAST_SERVED * len(late):
+        return []
+    return [f'{served} of {len(late)} served after the faults']
+
+
+def main():
+    """Run the seeds; return 1 if a promise was broken."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--first', type=int, default=1)
+    parser.add_argument('--seeds', type=int, default=5)
+    parser.add_argument('--seconds', type=float, default=FAULT_SECONDS)
+    options = parser.parse_args()
+    logging.set_verbosity(logging.ERROR)
+    failed = 0
+    for seed in range(options.first, options.first + options.seeds):
+        outcome = anyio.run(run_seed, seed, options.seconds)
+        verdict = 'BROKEN' if outcome.broken else 'kept'
+        print(
+            f'seed {seed}: {verdict}, {outcome.served} of '
+            f'{outcome.requests} served, faults: {" ".join(outcome.faults)}',
+            flush=True,
+        )
+        for line in outcome.broken[:10]:
+            print(f'    {line}', flush=True)
+        if outcome.broken:
+            print(f'    logs: {outcome.folder}', flush=True)
+            failed += 1
+    print(f'{failed} of {options.seeds} seeds broke a promise')
+    return 1 if failed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/marigoldramp_soak/callers.py
@@ -0,0 +1,124 @@
+"""Callers that keep connections open and note what they were told."""
+
+import contextlib
+import dataclasses
+
+import anyio
+import h11
+
+from . import runners
+
+NOT_RUN = frozenset((408, 421, 429, 503))
+PATIENCE = 8.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class Told:
+    """What one request came to at its caller.
+
+    :ivar sent_at: when its last byte was sent.
+    :ivar whole: the answer came to its proper end.
+    """
+
+    request: str
+    path: str
+    key: str
+    entry: int
+    sent_at: float
+    status: int = 0
+    body: bytes = b''
+    whole: bool = False
+    ended_at: float = 0.0
+
+
+class Caller:
+    """One caller: requests on connections that it keeps until they end."""
+
+    def __init__(self, *, name, draw, entries, key, told):
+        self._name = name
+        self._draw = draw
+        self._entries = entries
+        self._key = key
+        self._told = told
+
+    async def run(self, until):
+        """Make requests until a time."""
+        number = 0
+        while anyio.current_time() < until():
+            entry = self._draw.randrange(len(self._entries))
+            try:
+                stream = await anyio.connect_tcp(*self._entries[entry])
+            except OSError:
+                await anyio.sleep(0.1)
+                continue
+            connection = h11.Connection(h11.CLIENT)
+            async with stream:
+                for _ in range(self._draw.randrange(1, 12)):
+                    number += 1
+                    if not await self._ask(stream, connection, number, entry):
+                        break
+                    connection.start_next_cycle()
+                    await anyio.sleep(self._draw.uniform(0.0, 0.2))
+
+    async def _ask(self, stream, connection, number, entry):
+        """Make one request; whether the connection can carry another."""
+        path = self._draw.choice(('/safe/', '/once/', '/stream/'))
+        method = 'GET' if path == '/safe/' else 'POST'
+        told = Told(
+            request=f'{self._name}-{number}',
+            path=path,
+            key=self._key(),
+            entry=entry,
+            sent_at=anyio.current_time(),
+        )
+        self._told.append(told)
+        headers = [
+            ('Host', 'soak.example'),
+            ('Attempt-Id', told.request),
+            ('Time-Budget-Ms', '4000'),
+            ('Authorization', f'Bearer {told.key}'),
+            ('Content-Length', '0'),
+        ]
+        data = connection.send(
+            h11.Request(method=method, target=path + '1', headers=headers)
+        )
+        data += connection.send(h11.EndOfMessage())
+        with contextlib.suppress(
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            h11.RemoteProtocolError,
+        ):
+            with anyio.move_on_after(PATIENCE):
+                await stream.send(data)
+                await self._read(stream, connection, told)
+        told.ended_at = anyio.current_time()
+        return told.whole and connection.our_state is h11.DONE
+
+    async def _read(self, stream, connection, told):
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                try:
+                    data = await stream.receive()
+                except anyio.EndOfStream:
+                    data = b''
+                connection.receive_data(data)
+            elif isinstance(event, h11.Response):
+                told.status = event.status_code
+            elif isinstance(event, h11.Data):
+                told.body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                told.whole = True
+                return
+            else:
+                return
+
+
+def whole_body(told):
+    """Return the only body that a request's success may have."""
+    if told.path == '/stream/':
+        return b''.join(
+            runners.make_event(number, told.request)
+            for number in range(1, runners.EVENTS + 1)
+        )
+    return f'done {told.request}'.encode()
--- /dev/null
+++ b/marigoldramp_soak/checks.py
@@ -0,0 +1,71 @@
+"""The promises, checked from what callers and endpoints have seen."""
+
+import collections
+
+from . import callers
+
+#: Seconds after its word in which a leaving endpoint may get requests.
+DRAIN = 2.0
+#: Seconds after which a removed key must not work.
+REVOKE = 5.0
+#: Seconds of calm before and after which rules with a time bound hold.
+CONTACT = 3.0
+SLACK = 0.5
+
+
+def check(site, faults, planned_only):
+    """Return what was broken, a line each."""
+    runs = collections.defaultdict(list)
+    for run in site.runs:
+        runs[run.request].append(run)
+    broken = []
+    for told in site.told:
+        broken += check_request(told, runs[told.request], site)
+        if planned_only and not told.whole:
+            broken.append(f'{told.request}: cut by planned work: {told}')
+    broken += check_drains(site, faults)
+    known = {told.request for told in site.told}
+    broken += [f'{one}: run by nobody' for one in set(runs) - known]
+    return broken
+
+
+def check_request(told, runs, site):
+    """Return what is broken about one request."""
+    name = told.request
+    if told.path == '/once/' and len(runs) > 1:
+        yield f'{name}: ran {len(runs)} times'
+    if told.status in callers.NOT_RUN and told.whole and runs:
+        yield f'{name}: told {told.status} and ran'
+    if told.status == 200:
+        expected = callers.whole_body(told)
+        if told.whole and told.body != expected:
+            yield f'{name}: another body: {told.body[:200]!r}'
+        if not expected.startswith(told.body):
+            yield f'{name}: a broken body: {told.body[:200]!r}'
+    gone = site.revoked.get(told.key)
+    if runs and gone is not None and told.sent_at > gone + REVOKE:
+        yield f'{name}: ran {told.sent_at - gone:.1f} s after its key went'
+    for run in runs:
+        if run.customer != site.customer_of(told.key):
+            yield f'{name}: ran for {run.customer!r}'
+
+
+def check_drains(site, faults):
+    """Return the requests that came to endpoints that had left."""
+    leaving = {
+        one.identity: one.leaving_since
+        for one in site.all_runners
+        if one.leaving_since is not None
+    }
+    for run in site.runs:
+        since = leaving.get(run.endpoint)
+        if since is None or run.at <= since + DRAIN + SLACK:
+            continue
+        if not any(
+            span.begun < run.at and span.ended > since - CONTACT
+            for span in faults.disturbed
+        ):
+            yield (
+                f'{run.request}: at {run.endpoint} {run.at - since:.1f} s '
+                'after its leaving'
+            )
--- /dev/null
+++ b/marigoldramp_soak/entries.py
@@ -0,0 +1,103 @@
+"""Real gateway processes, started and ended by their process identifiers."""
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+import anyio
+
+ROOT = pathlib.Path(__file__).parent.parent
+#: Seconds after which a process that was asked to stop is killed.
+GRACE = 8
+
+SETTINGS = """\
+NodeName = "entry-{number}"
+Ip = "{host}"
+Zone = "one"
+Region = "r"
+InternalPorts = [{peers}, {peers}]
+[Listen]
+FrontAddr = "{host}:{calls}"
+Ready = "{host}:{ready}"
+Directory = "{host}:{directory}"
+[Bounds]
+DrainMs = 2000
+GraceS = {grace}
+ConfigApplyMs = 2000
+RevokeMs = 5000
+RetryBudgetRatio = 0.2
+BudgetWindowS = 10
+BudgetExtra = 60
+RequireFencing = true
+ttl_max_s = 5
+[PlatformStore]
+Address = "127.0.0.1:{store}"
+"""
+
+
+class Entry:
+    """One gateway process, under an address of its own.
+
+    :ivar stopping: it was asked to stop.
+    """
+
+    def __init__(self, *, number, seed, ports, folder, store):
+        # Seeds that run at the same time keep apart by their addresses.
+        self.host = f'127.{seed >> 8 & 63}.{seed & 255}.{20 + number}'
+        self.calls = ports['calls']
+        self.stopping = False
+        self.paused = False
+        self._log = folder / f'entry-{number}.log'
+        self._settings = folder / f'entry-{number}.toml'
+        text = SETTINGS.format(
+            number=number, host=self.host, grace=GRACE, store=store, **ports
+        )
+        self._settings.write_text(text)
+        self._process = None
+
+    def start(self):
+        """Start the process."""
+        self.stopping = False
+        self.paused = False
+        environment = dict(
+            os.environ,
+            MARIGOLDRAMP_BOOT=str(self._settings),
+            PYTHONPATH=str(ROOT),
+        )
+        with self._log.open('ab') as log:
+            self._process = subprocess.Popen(
+                [sys.executable, '-m', 'marigoldramp.platform'],
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    @property
+    def runs(self):
+        """Whether the process lives."""
+        return self._process is not None and self._process.poll() is None
+
+    def signal(self, number):
+        """Send a signal to this process only."""
+        if self.runs:
+            self._process.send_signal(number)
+
+    async def kill(self):
+        """Kill it and wait for its end."""
+        self.signal(signal.SIGKILL)
+        await self._wait()
+
+    async def stop(self):
+        """Ask it to stop; kill it when its time is over."""
+        self.stopping = True
+        self.signal(signal.SIGTERM)
+        with anyio.move_on_after(GRACE):
+            await self._wait()
+            return
+        await self.kill()
+
+    async def _wait(self):
+        while self.runs:
+            await anyio.sleep(0.02)
--- /dev/null
+++ b/marigoldramp_soak/faults.py
@@ -0,0 +1,171 @@
+"""Faults that a seed injects, in series and overlapping."""
+
+import dataclasses
+import signal
+
+import anyio
+
+PLANNED = ('stop', 'reload', 'configure', 'revoke', 'drain')
+UNPLANNED = (
+    'kill',
+    'pause',
+    'break_runner',
+    'reset',
+    'silence',
+    'delay',
+    'refuse',
+    'store_away',
+    'store_slow',
+    'store_loses',
+    'store_forgets',
+    'cut_from_store',
+)
+
+
+@dataclasses.dataclass(kw_only=True)
+class Disturbed:
+    """When rules with a time bound do not hold."""
+
+    begun: float
+    ended: float = float('inf')
+
+
+class Faults:
+    """Injects faults into a site until a time."""
+
+    def __init__(self, *, site, draw, planned_only):
+        self._site = site
+        self._draw = draw
+        self._kinds = PLANNED if planned_only else PLANNED + UNPLANNED
+        self.disturbed = []
+        self.injected = []
+
+    async def run(self, until):
+        """Inject until a time, then end all faults."""
+        async with anyio.create_task_group() as tasks:
+            while anyio.current_time() < until:
+                kind = self._draw.choice(self._kinds)
+                self.injected.append(kind)
+                tasks.start_soon(getattr(self, f'_{kind}'))
+                await anyio.sleep(self._draw.uniform(0.1, 1.5))
+
+    def _begin(self):
+        span = Disturbed(begun=anyio.current_time())
+        self.disturbed.append(span)
+        return span
+
+    async def _for(self, low, high):
+        await anyio.sleep(self._draw.uniform(low, high))
+
+    def _entry(self):
+        """Return an entry that nothing is done to yet, if there is one."""
+        free = [
+            one
+            for one in self._site.entries
+            if one.runs and not one.stopping and not one.paused
+        ]
+        return self._draw.choice(free) if len(free) > 1 else None
+
+    async def _stop(self):
+        entry = self._entry()
+        if entry is not None:
+            await entry.stop()
+            entry.start()
+
+    async def _reload(self):
+        entry = self._entry()
+        if entry is not None:
+            entry.signal(signal.SIGHUP)
+
+    async def _configure(self):
+        self._site.configure()
+
+    async def _revoke(self):
+        self._site.revoke(self._draw)
+
+    async def _drain(self):
+        await self._site.replace_runner(self._draw)
+
+    async def _kill(self):
+        entry = self._entry()
+        if entry is not None:
+            span = self._begin()
+            entry.stopping = True
+            await entry.kill()
+            await self._for(0.1, 1.0)
+            entry.start()
+            span.ended = anyio.current_time()
+
+    async def _pause(self):
+        entry = self._entry()
+        if entry is not None:
+            span = self._begin()
+            entry.paused = True
+            entry.signal(signal.SIGSTOP)
+            await self._for(0.3, 6.0)
+            entry.signal(signal.SIGCONT)
+            entry.paused = False
+            span.ended = anyio.current_time()
+
+    async def _break_runner(self):
+        runner = self._draw.choice(self._site.runners)
+        runner.fault = self._draw.choice(
+            ('decline', 'fail', 'cut', 'slow', 'hang')
+        )
+        await self._for(0.5, 3.0)
+        runner.fault = ''
+
+    async def _reset(self):
+        self._draw.choice(self._site.proxies()).reset()
+
+    async def _silence(self):
+        span = self._begin()
+        self._draw.choice(self._site.proxies()).silence()
+        span.ended = anyio.current_time() + 3.0
+
+    async def _delay(self):
+        span = self._begin()
+        proxy = self._draw.choice(self._site.proxies())
+        proxy.delay = self._draw.uniform(0.01, 0.3)
+        await self._for(0.5, 2.0)
+        proxy.delay = 0.0
+        span.ended = anyio.current_time()
+
+    async def _refuse(self):
+        span = self._begin()
+        proxy = self._draw.choice(self._site.proxies())
+        proxy.refuses = True
+        await self._for(0.5, 2.0)
+        proxy.refuses = False
+        span.ended = anyio.current_time()
+
+    async def _store_away(self):
+        span = self._begin()
+        self._site.store.away = True
+        await self._for(0.5, 7.0)
+        self._site.store.away = False
+        span.ended = anyio.current_time()
+
+    async def _store_slow(self):
+        span = self._begin()
+        self._site.store.slow = self._draw.uniform(0.05, 0.5)
+        await self._for(0.5, 3.0)
+        self._site.store.slow = 0.0
+        span.ended = anyio.current_time()
+
+    async def _store_loses(self):
+        self._site.store.loses = True
+        await self._for(0.5, 3.0)
+        self._site.store.loses = False
+
+    async def _store_forgets(self):
+        self._site.store.forget_history()
+
+    async def _cut_from_store(self):
+        span = self._begin()
+        proxy = self._draw.choice(self._site.store_proxies)
+        proxy.refuses = True
+        proxy.reset()
+        await self._for(0.5, 8.0)
+        proxy.refuses = False
+        span.ended = anyio.current_time()
--- /dev/null
+++ b/marigoldramp_soak/objects.py
@@ -0,0 +1,134 @@
+"""Stand-in of the platform's object store, with the faults that it has."""
+
+import json
+import urllib.parse
+
+import anyio
+import httpcore
+
+from marigoldramp.gateway import inbound
+from marigoldramp.gateway import listeners
+
+PATH = '/marigoldramp/objects/'
+JSON = [(b'content-type', b'application/json')]
+
+
+class Objects:
+    """Objects by kind and name, under one revision counter.
+
+    :ivar away: calls are answered with 503.
+    :ivar slow: seconds by which each answer is late.
+    :ivar loses: the answers to writes are lost though they are done.
+    """
+
+    def __init__(self):
+        self.kinds = {}
+        self.revision = 0
+        self.history = []
+        self.away = False
+        self.slow = 0.0
+        self.loses = False
+        self._changed = anyio.Event()
+
+    def put(self, kind, name, spec):
+        """Write an object; return its revision."""
+        self.revision += 1
+        found = {
+            'Metadata': {'Name': name, 'Revision': self.revision},
+            'Spec': spec,
+            'Status': None,
+        }
+        self.kinds.setdefault(kind, {})[name] = found
+        self._note(kind, found, False)
+        return self.revision
+
+    def drop(self, kind, name):
+        """Remove an object."""
+        found = self.kinds.get(kind, {}).pop(name, None)
+        if found is not None:
+            self.revision += 1
+            self._note(kind, found, True)
+
+    def forget_history(self):
+        """Answer watches from before now with 410."""
+        self.history.clear()
+        self.history.append((self.revision, '', None, False))
+
+    async def handle(self, exchange):
+        """Answer one call."""
+        if self.slow:
+            await anyio.sleep(self.slow)
+        if self.away:
+            await exchange.respond(status=503, headers=[], body=b'')
+            return
+        status, value = await self._serve(exchange)
+        if self.loses and exchange.head.method != b'GET':
+            raise httpcore.ReadError('the answer is lost')
+        body = json.dumps(value).encode()
+        await exchange.respond(status=status, headers=JSON, body=body)
+
+    async def _serve(self, exchange):
+        rest = exchange.head.path.removeprefix(PATH)
+        kind, _, name = rest.partition('/')
+        query = urllib.parse.parse_qs(exchange.head.query)
+        kinds = self.kinds.setdefault(kind, {})
+        if exchange.head.method == b'GET':
+            if name:
+                found = kinds.get(name)
+                return (404, None) if found is None else (200, found)
+            if 'Watch' in query:
+                return await self._watch(kind, query)
+            return 200, {
+                'Items': list(kinds.values()),
+                'More': False,
+                'AtRev': self.revision,
+            }
+        body = await exchange.read_body(most=1 << 20, seconds=5.0)
+        sent = json.loads(body)
+        name = name or sent['Metadata']['Name']
+        found = kinds.get(name)
+        expected = sent['Metadata'].get('Revision', 0)
+        if expected != (0 if found is None else found['Metadata']['Revision']):
+            return 409, found
+        self.put(kind, name, sent['Spec'])
+        return 200, kinds[name]
+
+    async def _watch(self, kind, query):
+        after = int(query['Watch'][0])
+        until = anyio.current_time() + int(query['WaitMs'][0]) / 1000.0
+        while True:
+            if self.history and after < self.history[0][0] - 1:
+                return 410, None
+            events = [
+                {'Object': found, 'Deleted': gone}
+                for revision, of, found, gone in self.history
+                if of == kind and revision > after
+            ]
+            left = until - anyio.current_time()
+            if events or left <= 0.0 or self.away:
+                return 200, {'events': events, 'AtRev': self.revision}
+            with anyio.move_on_after(left):
+                await self._changed.wait()
+
+    def _note(self, kind, found, gone):
+        self.history.append((self.revision, kind, dict(found), gone))
+        del self.history[:-2000]
+        self._changed.set()
+        self._changed = anyio.Event()
+
+
+async def serve(handler, host, port, tasks):
+    """Serve HTTP by a handler; return the listener and its port."""
+
+    async def run(stream):
+        connection = inbound.Connection(
+            stream=stream,
+            handler=handler,
+            limits=lambda: inbound.UNKNOWN_LIMITS,
+            leaving=lambda: False,
+        )
+        await connection.serve()
+
+    listener = listeners.Listener(serve=run, most=1000)
+    bound = await listener.listen(host=host, port=port, tasks=tasks)
+    return listener, bound
--- /dev/null
+++ b/marigoldramp_soak/runners.py
@@ -0,0 +1,114 @@
+"""Stand-in of an endpoint that notes what it runs."""
+
+import dataclasses
+import itertools
+
+import anyio
+import httpcore
+
+#: Seconds for which an endpoint serves on after it has said that it leaves.
+SERVES_ON = 4.0
+EVENTS = 12
+EVENT_SECONDS = 0.03
+_numbers = itertools.count(1)
+
+
+@dataclasses.dataclass(kw_only=True)
+class Run:
+    """One request that an endpoint began to work on."""
+
+    request: str
+    at: float
+    endpoint: str
+    customer: str
+    first_event: int
+
+
+class Runner:
+    """One endpoint.
+
+    :ivar fault: what it does wrong: ``decline``, ``fail``, ``cut``, ``slow``,
+        ``hang`` or nothing.
+    """
+
+    def __init__(self, *, service, draw, runs):
+        self.identity = f'i-{next(_numbers):06x}'
+        self.service = service
+        self.fault = ''
+        self.leaving_since = None
+        self.port = 0
+        self.address = ''
+        self._draw = draw
+        self._runs = runs
+
+    def record(self):
+        """Return how it registers."""
+        leaves = self.leaving_since is not None
+        return {
+            'Service': self.service,
+            'Address': self.address,
+            'Zone': 'one',
+            'Slots': 6,
+            'State': 'draining' if leaves else 'ready',
+        }
+
+    async def handle(self, exchange):
+        """Answer one request."""
+        headers = dict(exchange.head.headers)
+        request = headers.get(b'attempt-id', b'').decode()
+        echo = [(b'attempt-id', request.encode())]
+        expected = headers.get(b'expect-instance', b'').decode()
+        if expected and expected != self.identity:
+            await exchange.respond(status=421, headers=echo, body=b'')
+            return
+        await exchange.read_body(most=1 << 20, seconds=5.0)
+        fault = self.fault if self._draw.random() < 0.6 else ''
+        if fault == 'decline':
+            refused = [*echo, (b'not-executed', b'1')]
+            await exchange.respond(status=503, headers=refused, body=b'')
+            return
+        first = int(headers.get(b'last-event-id', b'0')) + 1
+        self._runs.append(
+            Run(
+                request=request,
+                at=anyio.current_time(),
+                endpoint=self.identity,
+                customer=headers.get(b'tenant', b'').decode(),
+                first_event=first,
+            )
+        )
+        sealed = [*echo, (b'runner-seal', b's')]
+        match fault:
+            case 'hang':
+                await anyio.sleep(60.0)
+            case 'slow':
+                await anyio.sleep(0.5)
+            case 'fail':
+                await exchange.respond(status=500, headers=sealed, body=b'no')
+                return
+            case 'cut' if not exchange.head.path.startswith('/stream/'):
+                raise httpcore.ReadError('broken off')
+        if exchange.head.path.startswith('/stream/'):
+            await self._stream(exchange, sealed, first, request, fault)
+            return
+        await anyio.sleep(0.01)
+        await exchange.respond(
+            status=200, headers=sealed, body=f'done {request}'.encode()
+        )
+
+    async def _stream(self, exchange, headers, first, request, fault):
+        kind = (b'content-type', b'text/event-stream')
+        chunked = (b'transfer-encoding', b'chunked')
+        await exchange.begin(status=200, headers=[*headers, kind, chunked])
+        for number in range(first, EVENTS + 1):
+            await anyio.sleep(EVENT_SECONDS)
+            if fault == 'cut' and number > first + 2:
+                await exchange.send(f'id: {number}\nda'.encode())
+                raise httpcore.ReadError('broken off')
+            await exchange.send(make_event(number, request))
+        await exchange.end()
+
+
+def make_event(number, request):
+    """Return one event of the answer to a request."""
+    return f'id: {number}\ndata: {request} {number}\n\n'.encode()
--- /dev/null
+++ b/marigoldramp_soak/site.py
@@ -0,0 +1,186 @@
+"""The site of one seed: a store, endpoints, gateways and callers."""
+
+import pathlib
+import socket
+import tempfile
+
+import anyio
+
+from . import callers
+from . import entries
+from . import objects
+from . import proxies
+from . import runners
+
+HOST = '127.0.0.1'
+ENTRIES = 3
+CALLERS = 6
+SERVICES = {'stream': 4, 'plain': 3}
+KEYS = 8
+ROUTES = (
+    ('/safe/', 'idempotent', 'plain', 2, False),
+    ('/once/', 'non_idempotent', 'plain', 1, False),
+    ('/stream/', 'streaming', 'stream', 2, True),
+)
+
+
+class Site:
+    """Everything that one seed runs."""
+
+    def __init__(self, *, seed, draw, folder):
+        self._seed = seed
+        self.store = objects.Objects()
+        self.runs = []
+        self.told = []
+        self.runners = []
+        self.all_runners = []
+        self.entries = []
+        self.store_proxies = []
+        self.revoked = {}
+        self._keys = [f'key-{number}' for number in range(KEYS)]
+        self._version = 0
+        self._runner_proxies = {}
+        self._draw = draw
+        self._folder = folder
+        self._tasks = None
+
+    async def start(self, tasks):
+        """Start all; return when the gateways are up."""
+        self._tasks = tasks
+        self.configure()
+        _, port = await objects.serve(self.store.handle, HOST, 0, tasks)
+        for service, count in SERVICES.items():
+            for _ in range(count):
+                await self._add_runner(service)
+        ports = find_ports()
+        for number in range(ENTRIES):
+            proxy = proxies.Proxy(host=HOST, target=port)
+            await tasks.start(proxy.run)
+            self.store_proxies.append(proxy)
+            entry = entries.Entry(
+                number=number,
+                seed=self._seed,
+                ports=ports,
+                folder=self._folder,
+                store=proxy.port,
+            )
+            entry.start()
+            self.entries.append(entry)
+
+    async def end(self):
+        """End every process that was started."""
+        for entry in self.entries:
+            await entry.kill()
+
+    def proxies(self):
+        """Return all proxies."""
+        return [*self._runner_proxies.values(), *self.store_proxies]
+
+    def make_callers(self):
+        """Return the callers."""
+        places = [(entry.host, entry.calls) for entry in self.entries]
+        return [
+            callers.Caller(
+                name=f'c{number}',
+                draw=self._draw,
+                entries=places,
+                key=lambda: self._draw.choice(
+                    [*self._keys, *self.revoked] or ['none']
+                ),
+                told=self.told,
+            )
+            for number in range(CALLERS)
+        ]
+
+    def customer_of(self, key):
+        """Return the customer to whom a key belongs."""
+        return 'house-' + key.rpartition('-')[2]
+
+    def configure(self):
+        """Put a new version of the configuration into the store."""
+        self._version += self._draw.randrange(1, 4)
+        self.store.put(
+            'config',
+            'main',
+            {
+                'Version': self._version,
+                'Routes': [self._make_route(*route) for route in ROUTES],
+                'Services': [
+                    {'Name': name, 'MaxConnections': 200} for name in SERVICES
+                ],
+                'Limits': {
+                    'MaxHeaderBytes': 16384,
+                    'MaxBodyBytes': 1000000,
+                    'HeaderTimeoutMs': 3000,
+                    'IdleTimeoutMs': 15000,
+                },
+                'Tenants': [
+                    {'Name': self.customer_of(key), 'ApiKeys': [key]}
+                    for key in self._keys
+                ],
+            },
+        )
+
+    def revoke(self, draw):
+        """Take a key away; it is not given back."""
+        if len(self._keys) > 2:
+            key = draw.choice(self._keys)
+            self._keys.remove(key)
+            self.configure()
+            self.revoked[key] = anyio.current_time()
+
+    async def replace_runner(self, draw):
+        """Have an endpoint leave, after another one has come."""
+        old = draw.choice(self.runners)
+        await self._add_runner(old.service)
+        self.runners.remove(old)
+        old.leaving_since = anyio.current_time()
+        self.store.put('servers', old.identity, old.record())
+        await anyio.sleep(runners.SERVES_ON)
+        self.store.drop('servers', old.identity)
+
+    async def _add_runner(self, service):
+        runner = runners.Runner(
+            service=service, draw=self._draw, runs=self.runs
+        )
+        _, runner.port = await objects.serve(
+            runner.handle, HOST, 0, self._tasks
+        )
+        proxy = proxies.Proxy(host=HOST, target=runner.port)
+        await self._tasks.start(proxy.run)
+        runner.address = f'{HOST}:{proxy.port}'
+        self._runner_proxies[runner.identity] = proxy
+        self.runners.append(runner)
+        self.all_runners.append(runner)
+        self.store.put('servers', runner.identity, runner.record())
+
+    def _make_route(self, prefix, kind, service, attempts, resumes):
+        return {
+            'Name': prefix.strip('/'),
+            'Hostname': 'soak.example',
+            'PathPrefix': prefix,
+            'RouteKind': kind,
+            'TimeoutMs': 4000,
+            'TargetLatencyMs': 400,
+            'Priority': 1,
+            'Service': service,
+            'MaxAttempts': attempts,
+            'StreamResume': resumes,
+        }
+
+
+def find_ports():
+    """Return ports that are free on all addresses of this machine."""
+    names = ('calls', 'ready', 'directory', 'peers')
+    held = [socket.socket() for _ in names]
+    for one in held:
+        one.bind(('', 0))
+    found = {name: one.getsockname()[1] for name, one in zip(names, held)}
+    for one in held:
+        one.close()
+    return found
+
+
+def make_folder():
+    """Return a new folder for settings and logs."""
+    return pathlib.Path(tempfile.mkdtemp(prefix='soak-'))
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,30 @@
+"""A short seeded run of the soak, and its seeds that have ever failed."""
+
+import subprocess
+import sys
+
+import pytest
+
+#: Seeds that broke a promise once, each with its cause.
+REGRESSIONS = {}
+
+
+@pytest.mark.parametrize('seed', [2, *REGRESSIONS])
+def test_seed_keeps_the_promises(seed):
+    done = subprocess.run(
+        [
+            sys.executable,
+            '-m',
+            'marigoldramp_soak',
+            '--first',
+            str(seed),
+            '--seeds',
+            '1',
+            '--seconds',
+            '6',
+        ],
+        capture_output=True,
+        text=True,
+        timeout=120,
+    )
+    assert done.returncode == 0, done.stdout + done.stderr[-2000:]
