Have a leader look for ranks though it is no longer the first

Four entries contended at the start, when few peers were heard; the one that got the lease was not the first among all, and only the first looked for ranks, so ranks that registered later were missing to it for good. Ruled out: the times of exchanges (17 orders, none lost) and the lease (held throughout). The test fails without the change. Besides, the time to a stream's first event no longer counts as slowness of an endpoint, as it tells of the group; and the use of a group counts what it may run, not its slots: kept short, its pauses no longer show that it needs an even map.

--- a/marigoldramp/gateway/attempts.py
+++ b/marigoldramp/gateway/attempts.py
@@ -68,12 +68,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Streamed:
-    """A whole stream, passed on to its end.
-
-    :ivar first_event: seconds from the attempt's start to its first event.
-    """
-
-    first_event: float
+    """A whole stream, passed on to its end."""
 
 
 Result = Unreached | Declined | Broken | Answer | Streamed
@@ -170,7 +165,6 @@
         if call.body or head.method not in (b'GET', b'HEAD'):
             headers.append((b'content-length', b'%d' % len(call.body)))
         call.endpoint = endpoint.identity
-        call.sent_at = ages.read_clock()
         call.sends += 1
         call.runs += 1
         try:
@@ -234,7 +228,6 @@
         exchange = call.exchange
         splitter = event_frames.Splitter()
         told = False
-        first_event = 0.0
         while piece := await connection.read_piece():
             chunk = b''
             for frame in splitter.feed(piece):
@@ -248,9 +241,7 @@
             if chunk:
                 pause = call.note_event(now=ages.read_clock())
                 self._on_events(call, pause if told else 0.0)
-                if not told:
-                    first_event = ages.read_clock() - call.sent_at
-                    told = True
+                told = True
                 if not exchange.begun:
                     await exchange.begin(status=200, headers=headers)
                 await exchange.send(chunk)
@@ -260,7 +251,7 @@
             await exchange.begin(status=200, headers=headers)
         await exchange.send(splitter.rest)
         await exchange.end()
-        return Streamed(first_event=first_event)
+        return Streamed()
 
 
 def _find_fault(call: calls.Call, facts: codecs.AnswerFacts) -> str:
--- a/marigoldramp/gateway/calls.py
+++ b/marigoldramp/gateway/calls.py
@@ -23,7 +23,6 @@
     :ivar tried: endpoints that it is not sent to again.
     :ivar endpoint: the endpoint that had it last.
     :ivar waited: seconds spent waiting for places.
-    :ivar sent_at: when it last went out to an endpoint.
     :ivar first_event: seconds until the first event was passed on, 0 for
         none yet.
     :ivar longest_pause: longest time between two events, in seconds.
@@ -45,7 +44,6 @@
     tried: frozenset[str] = frozenset()
     endpoint: str = ''
     waited: float = 0.0
-    sent_at: float = 0.0
     first_event: float = 0.0
     longest_pause: float = 0.0
     _event_at: float = 0.0
--- a/marigoldramp/gateway/expert_planner.py
+++ b/marigoldramp/gateway/expert_planner.py
@@ -43,11 +43,12 @@
 GAIN_A_COPY_IDLE = 0.025
 GAIN_A_COPY_FULL = 0.0014
 #: Use up to which a group counts as little used, and from which on it counts
-#: as full: the part of its slots in use, or the pauses of its streams as a
-#: part of the accepted ones, whichever is higher.  With pauses far below the
-#: accepted ones a more even group serves nobody better.
-IDLE_USE = 0.65
-FULL_USE = 0.9
+#: as full: the part in use of what it may run at once, or the pauses of its
+#: streams as a part of the accepted ones, whichever is higher.  What it may
+#: run counts, not its slots: a group that is kept below its slots for its
+#: pauses needs an even map most, and its pauses no longer show it.
+IDLE_USE = 0.5
+FULL_USE = 0.75
 #: Moves that are tried in one layer, and ranks that each one may go to.
 MOST_MOVES = 24
 MOST_OTHERS = 16
--- a/marigoldramp/gateway/forwarding.py
+++ b/marigoldramp/gateway/forwarding.py
@@ -179,9 +179,11 @@
         now = self._clock()
         gate = self._dispatcher.gate(call.service)
         match result:
-            case attempts.Streamed(first_event=first_event):
+            case attempts.Streamed():
+                # How soon a stream begins says more about the group's load
+                # than about the endpoint: all its ranks make passes together.
                 endpoint.note_success(seconds=seconds)
-                endpoint.quality.note_answer(seconds=first_event, now=now)
+                endpoint.quality.note_success(now=now)
                 gate.note_progress()
                 return
             case attempts.Answer(status=status) if status < 500:
--- a/marigoldramp/gateway/group_leading.py
+++ b/marigoldramp/gateway/group_leading.py
@@ -86,6 +86,8 @@
     :param rivals: returns the entries that are heard and fit to lead.
     :param pauses: returns the pauses of a service's streams, as a part of
         the accepted ones.
+    :param limit: returns how many requests an endpoint of a service may run,
+        by its slots.
     :param led_elsewhere: returns the groups that peers say they lead.
     :ivar fit: we may lead; told to peers.
     """
@@ -97,6 +99,7 @@
         '_rivals',
         '_led_elsewhere',
         '_pauses',
+        '_limit',
         '_api',
         '_store',
         '_clock',
@@ -117,6 +120,7 @@
         rivals: Callable[[], Iterable[str]],
         led_elsewhere: Callable[[], frozenset[str]],
         pauses: Callable[[str], float],
+        limit: Callable[[str, float], float],
         api: ranks.RankApi,
         store: store_module.PlatformStore,
         clock: Callable[[], float],
@@ -127,6 +131,7 @@
         self._rivals = rivals
         self._led_elsewhere = led_elsewhere
         self._pauses = pauses
+        self._limit = limit
         self._api = api
         self._store = store
         self._clock = clock
@@ -178,9 +183,13 @@
     ) -> None:
         """Begin or end to contend for the groups of a service."""
         self._leave_offices()
-        if not self._is_first(service):
+        is_first = self._is_first(service)
+        if is_first or self._leads_in(service):
+            # Endpoints come and go for a leader too, also when another entry
+            # has come that would be the first now.
+            await self._find_groups(service)
+        if not is_first:
             return
-        await self._find_groups(service)
         elsewhere = self._led_elsewhere()
         for group in self._groups.values():
             if group.service != service or group.name in self._offices:
@@ -196,6 +205,12 @@
         first = rendezvous.choose(key=service, names=names, count=1)
         return first == (self._instance,)
 
+    def _leads_in(self, service: str) -> bool:
+        return any(
+            office.group.service == service
+            for office in self._offices.values()
+        )
+
     def _leave_offices(self) -> None:
         """Stop contending where another leads, or where we cannot lead."""
         elsewhere = self._led_elsewhere()
@@ -317,11 +332,14 @@
             for member in self._groups[name].members
             if (endpoint := self._table.find(member)) is not None
         ]
-        slots = sum(endpoint.record.slots for endpoint in members)
-        if not slots:
+        service = self._groups[name].service
+        room = sum(
+            self._limit(service, endpoint.record.slots) for endpoint in members
+        )
+        if not room:
             return 0.0
-        used = sum(endpoint.in_flight for endpoint in members) / slots
-        return max(used, self._pauses(self._groups[name].service))
+        used = sum(endpoint.in_flight for endpoint in members) / room
+        return max(used, self._pauses(service))
 
     async def _hold(self, office: _Office) -> None:
         try:
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -210,6 +210,9 @@
             rivals=self.peers.fit_to_lead,
             led_elsewhere=self.peers.led_groups,
             pauses=lambda service: self.dispatcher.pace(service).share,
+            limit=lambda service, slots: self.dispatcher.pace(service).limit(
+                slots
+            ),
             api=adapter.ranks,
             store=adapter.store,
             clock=clock,
--- a/marigoldramp/gateway/quality.py
+++ b/marigoldramp/gateway/quality.py
@@ -39,6 +39,10 @@
             self.seconds = seconds
         else:
             self.seconds += SMOOTHING * (seconds - self.seconds)
+        self.note_success(now=now)
+
+    def note_success(self, *, now: float) -> None:
+        """Learn of a good answer whose time tells nothing."""
         self._errors = self.errors(now=now) * (1.0 - SMOOTHING)
         self._at = now
 
--- a/tests/gateway/test_group_leading.py
+++ b/tests/gateway/test_group_leading.py
@@ -9,6 +9,7 @@
 from marigoldramp.gateway import deployment
 from marigoldramp.gateway import endpoints
 from marigoldramp.gateway import group_leading
+from marigoldramp import map_recovery
 
 from . import fake_ranks
 from . import site
@@ -69,6 +70,7 @@
                 for group in entry.led()
             ),
             pauses=lambda service: 0.0,
+            limit=lambda service, slots: slots,
             api=self.group,
             store=self.store,
             clock=virtual_time.now,
@@ -104,6 +106,38 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_leader_learns_of_ranks_that_register_later():
+    """No map is ever changed, and nobody else takes the lead.
+
+    Sequence: entries start; one becomes leader while few ranks have
+    registered and few entries are heard; then the others come, by whose
+    names another entry would be the first.
+    Cause: only the entry that is the first looked for ranks.
+    """
+    fleet = Fleet()
+    ranks = list(fleet.group.names())
+    others = {name: fleet.entries[name] for name in ('b', 'c')}
+    async with anyio.create_task_group() as tasks:
+        for name in others:
+            del fleet.entries[name]
+        tasks.start_soon(fleet.group.run)
+        alone = fleet.entries['a']
+        records = {name: alone._table.find(name).record for name in ranks}
+        for name in ranks[1:]:
+            alone._table.remove(name)
+        tasks.start_soon(fleet.run_entry, 'a')
+        await anyio.sleep(4.0)
+        assert fleet.leaders() == ['a']
+        alone._rivals = lambda: ['b', 'c', 'd', 'e', 'f', 'g', 'h']
+        assert not alone._is_first('notes')
+        for name in ranks[1:]:
+            alone._table.put(records[name])
+        await anyio.sleep(3.0)
+        leader = next(iter(alone._offices.values())).leader
+        assert isinstance(leader.decision, map_recovery.Settled)
+        tasks.cancel_scope.cancel()
+
+
 async def test_another_entry_leads_when_the_leader_is_killed():
     """A group that is held stands for ever.
 
