--- a/marigoldramp/gateway/expert_planner.py
+++ b/marigoldramp/gateway/expert_planner.py
@@ -47,8 +47,8 @@
 #: streams as a part of the accepted ones, whichever is higher.  What it may
 #: run counts, not its slots: a group that is kept below its slots for its
 #: pauses needs an even map most, and its pauses no longer show it.
-IDLE_USE = 0.5
-FULL_USE = 0.75
+IDLE_USE = 0.4
+FULL_USE = 0.65
 #: Moves that are tried in one layer, and ranks that each one may go to.
 MOST_MOVES = 24
 MOST_OTHERS = 16
--- a/marigoldramp/gateway/group_leading.py
+++ b/marigoldramp/gateway/group_leading.py
@@ -43,7 +43,7 @@
     poll=1.0,
     retry=0.15,
     contend=0.5,
-    lead_steps=10,
+    lead_steps=8,
 )
 
 
--- a/tests/gateway/test_group_leading.py
+++ b/tests/gateway/test_group_leading.py
@@ -128,7 +128,7 @@
         tasks.start_soon(fleet.run_entry, 'a')
         await anyio.sleep(4.0)
         assert fleet.leaders() == ['a']
-        alone._rivals = lambda: ['b', 'c', 'd', 'e', 'f', 'g', 'h']
+        alone._rivals = lambda: [f'entry-{number}' for number in range(40)]
         assert not alone._is_first('notes')
         for name in ranks[1:]:
             alone._table.put(records[name])
