--- a/marigoldramp/gateway/dispatch.py
+++ b/marigoldramp/gateway/dispatch.py
@@ -78,7 +78,6 @@
     """Hands out places at endpoints.
 
     :param slots: returns how many requests an endpoint may run at once.
-    :param seconds: returns how long a request of a service usually runs.
     """
 
     __slots__ = (
