Drop what the gateway computed and nobody read

A rank's state was overlaid with a hold that its report already carried; a report was copied field by field; nothing sent had two types; the last shared part of a prompt was read from each request, and an endpoint's load carried along, for nobody; sends were counted before and taken back; two paths stood as literals beside their constants. Behaviour stays as it is.

--- a/marigoldramp/gateway/admission.py
+++ b/marigoldramp/gateway/admission.py
@@ -21,7 +21,6 @@
 #: not known to be the newest.
 COME_BACK = 0.5
 
-Refusal = outcomes.NotRun | outcomes.OutcomeUnknown
 NotRun = outcomes.NotRun
 Reason = outcomes.Reason
 
--- a/marigoldramp/gateway/attempts.py
+++ b/marigoldramp/gateway/attempts.py
@@ -30,12 +30,7 @@
 PROBES = tcp_streams.probe_options(2)
 EVENT_STREAM = b'text/event-stream'
 
-
-@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
-class Unreached:
-    """Nothing was sent."""
-
-    detail: str
+Unreached = outbound.Unreached
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -46,7 +41,6 @@
     """
 
     status: int
-    load: codecs.ReportedLoad | None
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -63,7 +57,6 @@
     status: int
     headers: codecs.Headers
     body: bytes
-    load: codecs.ReportedLoad | None
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -106,8 +99,8 @@
         learns that nobody waits for the answer.
         """
         connection = await self._connect(call, endpoint)
-        if isinstance(connection, outbound.Unreached):
-            return Unreached(detail=connection.detail)
+        if isinstance(connection, Unreached):
+            return connection
         whole = False
         try:
             refused = self._send(call, endpoint, connection)
@@ -128,7 +121,7 @@
 
     async def _connect(
         self, call: calls.Call, endpoint: endpoints.Endpoint
-    ) -> outbound.Connection | outbound.Unreached:
+    ) -> outbound.Connection | Unreached:
         longest = IDLE_REPEATABLE
         options = PROBES
         if call.route.repeat is deployment.Repeat.FORBIDDEN:
@@ -165,8 +158,6 @@
         if call.body or head.method not in (b'GET', b'HEAD'):
             headers.append((b'content-length', b'%d' % len(call.body)))
         call.endpoint = endpoint.identity
-        call.sends += 1
-        call.runs += 1
         try:
             connection.send(
                 method=head.method,
@@ -176,9 +167,9 @@
             )
         except outbound.LOST as error:
             # It had ended before anything was written.
-            call.sends -= 1
-            call.runs -= 1
             return Unreached(detail=f'{type(error).__name__}: {error}')
+        call.sends += 1
+        call.runs += 1
         return None
 
     async def _receive(
@@ -188,7 +179,7 @@
         facts = self._codec.read_answer(head.status, head.headers)
         if facts.not_run and head.status != 400:
             call.runs -= 1
-            return Declined(status=head.status, load=facts.load)
+            return Declined(status=head.status)
         fault = _find_fault(call, facts)
         if fault:
             return Broken(detail=fault)
@@ -208,7 +199,6 @@
             status=head.status,
             headers=headers,
             body=bytes(body),
-            load=facts.load,
         )
 
     async def _relay(
--- a/marigoldramp/gateway/codecs.py
+++ b/marigoldramp/gateway/codecs.py
@@ -22,7 +22,6 @@
     :ivar last_event: identifier of the last event that the caller has.
     :ivar prompt_tokens: size of the prompt, 0 if not told.
     :ivar answer_tokens: most tokens of the answer, 0 if not told.
-    :ivar subject: last shared part of the prompt, empty without one.
     """
 
     attempt: str
@@ -31,7 +30,6 @@
     last_event: str
     prompt_tokens: int = 0
     answer_tokens: int = 0
-    subject: str = ''
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
--- a/marigoldramp/gateway/peer_exchange.py
+++ b/marigoldramp/gateway/peer_exchange.py
@@ -44,18 +44,16 @@
         """Answer one request."""
         status = 200
         body = b''
-        match exchange.head.path:
-            case '/configuration' if self._configurations.document:
-                body = self._configurations.document
-            case '/endpoints' if self._follower.listed:
-                listing = self._follower.listing()
-                body = msgspec.json.encode(
-                    EndpointList(
-                        newest=listing.newest, records=listing.records
-                    )
-                )
-            case _:
-                status = 404
+        path = exchange.head.path
+        if path == CONFIGURATION_PATH and self._configurations.document:
+            body = self._configurations.document
+        elif path == ENDPOINTS_PATH and self._follower.listed:
+            listing = self._follower.listing()
+            body = msgspec.json.encode(
+                EndpointList(newest=listing.newest, records=listing.records)
+            )
+        else:
+            status = 404
         await exchange.respond(status=status, headers=[], body=body)
 
 
--- a/marigoldramp/gateway/rank_transport.py
+++ b/marigoldramp/gateway/rank_transport.py
@@ -12,6 +12,7 @@
 could undo on some ranks what others have begun to use.
 """
 
+import dataclasses
 import itertools
 from typing import Awaitable
 from typing import Callable
@@ -164,9 +165,7 @@
             case ranks.Refused():
                 return _refuse(order, _explain(order.body))
         self._note(link, order.body)
-        return _answer(
-            order, link.report.epoch, _overlay(_read_state(link), order.body)
-        )
+        return _answer(order, link.report.epoch, _read_state(link))
 
     async def _send(
         self,
@@ -241,7 +240,7 @@
         assert link.report is not None
         match body:
             case map_orders.Hold(before_step=step):
-                link.report = _replace_held(link.report, step)
+                link.report = dataclasses.replace(link.report, held=step)
             case map_orders.Undo():
                 link.armed = None
                 if link.report.prepared is not None:
@@ -327,35 +326,6 @@
     )
 
 
-def _overlay(state: RankState, body: map_orders.Body) -> RankState:
-    """Return a state with what an order has changed since its report."""
-    match body:
-        case map_orders.Hold(before_step=step):
-            return RankState(
-                rank=state.rank,
-                entered=state.entered,
-                schedule=state.schedule,
-                loaded=state.loaded,
-                hold_before=step,
-            )
-    return state
-
-
-def _replace_held(report: ranks.RankReport, step: int) -> ranks.RankReport:
-    return ranks.RankReport(
-        group=report.group,
-        epoch=report.epoch,
-        rank=report.rank,
-        size=report.size,
-        whole=report.whole,
-        step=report.step,
-        version=report.version,
-        prepared=report.prepared,
-        armed=report.armed,
-        held=step,
-    )
-
-
 def _answer(order: map_orders.Order, epoch: int, state: RankState) -> Reply:
     return Reply(
         refusal=Refusal.NONE,
--- a/marigoldramp/platform/headers.py
+++ b/marigoldramp/platform/headers.py
@@ -10,8 +10,6 @@
 LAST_EVENT = b'last-event-id'
 #: Tokens of the prompt, and the most tokens of the answer.
 TOKENS = b'token-counts'
-#: Parts of the prompt, as ``ID:TOKENS`` with commas between them.
-PREFIX = b'prompt-prefix'
 KEY = b'authorization'
 BEARER = 'bearer '
 #: Name of the customer, set by us whatever the caller sent.
@@ -56,7 +54,6 @@
             last_event=found.get(LAST_EVENT, b'').decode('latin-1'),
             prompt_tokens=prompt,
             answer_tokens=answer,
-            subject=_read_subject(found.get(PREFIX, b'')),
         )
 
     def write_request(
@@ -114,17 +111,6 @@
     return int(parts[0]), int(parts[1])
 
 
-def _read_subject(text: bytes) -> str:
-    """Return the last part of the prompt that other requests share.
-
-    The last part of all belongs to the request alone.
-    """
-    parts = [part for part in text.split(b',') if part]
-    if len(parts) < 2:
-        return ''
-    return parts[-2].partition(b':')[0].strip().decode('latin-1')
-
-
 def _read_load(text: bytes) -> codecs.ReportedLoad | None:
     parts = [part.strip() for part in text.split(b',')]
     if len(parts) != 3 or not all(part.isdigit() for part in parts):
