Refuse requests without a host and bodies too long by their head

Cause: the entry's own path took an HTTP/1.1 request without Host (RFC 9112 asks for 400), and read a body of any stated length until its bound or its timeout was reached, so that a caller that states 99 GB and waits for leave to send it heard nothing until the body's timeout.

Ruled out: doing it in the protocol class, where callbacks of the parser run on after a refusal; the wrapper of the application sees each head once.

Before: 200 and 408; after: 400 and 413 with the connection closed. A request with an idempotency key is told "outcome unknown" as before, as it may repeat one that has run. test_bad_input has both and fails without the change.

--- a/marigoldramp/agent_calls.py
+++ b/marigoldramp/agent_calls.py
@@ -89,6 +89,7 @@
             await self._refuse(send, head, _describe_given_up())
             return
         body = await asgi.read_body(
+            request=request,
             receive=receive,
             limit=self._settings.body_bytes,
             seconds=self._settings.body_timeout,
--- a/marigoldramp/asgi.py
+++ b/marigoldramp/asgi.py
@@ -53,6 +53,13 @@
                 return value.decode('latin-1')
         return None
 
+    def declared_bytes(self) -> int:
+        """Return the length of the body that the head states, or 0.
+
+        The parser refuses lengths that are no numbers.
+        """
+        return int(self.find(b'content-length') or 0)
+
 
 def read_head(scope: MutableMapping[str, Any]) -> Request:
     """Return the typed head of an ASGI HTTP scope."""
@@ -80,13 +87,21 @@
 
 
 async def read_body(
-    *, receive: Receive, limit: int, seconds: float
+    *, request: Request, receive: Receive, limit: int, seconds: float
 ) -> bytes | outcomes.NotRun:
     """Read a request's body, bounded in size and time.
 
     A body that stops half-way would otherwise hold its connection and its
-    memory for ever; the sender would see neither answer nor error.
+    memory for ever; the sender would see neither answer nor error.  One that
+    is too long by its head is refused before it is sent: a caller that waits
+    for leave to send it would else learn of the limit by the timeout.
     """
+    too_large = outcomes.NotRun(
+        reason=outcomes.Reason.BODY_TOO_LARGE,
+        detail=f'the body is longer than {limit} bytes',
+    )
+    if request.declared_bytes() > limit:
+        return too_large
     chunks: list[bytes] = []
     size = 0
     with anyio.move_on_after(seconds):
@@ -100,10 +115,7 @@
             chunk = event.get('body', b'')
             size += len(chunk)
             if size > limit:
-                return outcomes.NotRun(
-                    reason=outcomes.Reason.BODY_TOO_LARGE,
-                    detail=f'the body is longer than {limit} bytes',
-                )
+                return too_large
             chunks.append(chunk)
             if not event.get('more_body', False):
                 return b''.join(chunks)
@@ -158,6 +170,9 @@
         headers.append((b'retry-after', str(seconds).encode()))
     if call:
         headers.append((b'marigoldramp-call', call.encode()))
+    if refusal.reason is outcomes.Reason.BODY_TOO_LARGE:
+        # Else all of it would have to be read to find the next request.
+        headers.append((b'connection', b'close'))
     await send_whole(
         send=send,
         status=problem.status,
--- a/marigoldramp/intakes.py
+++ b/marigoldramp/intakes.py
@@ -73,6 +73,7 @@
         if isinstance(customer, outcomes.NotRun):
             return customer
         body = await asgi.read_body(
+            request=request,
             receive=receive,
             limit=self._settings.body_bytes,
             seconds=self._settings.body_timeout,
--- a/marigoldramp/servers.py
+++ b/marigoldramp/servers.py
@@ -190,6 +190,22 @@
     return b'\r\n'.join(lines) + b'\r\n\r\n' + body
 
 
+def _lacks_host(scope: MutableMapping[str, Any]) -> bool:
+    """Whether a request must be refused for its ``Host`` (RFC 9112, 3.2)."""
+    hosts = sum(name == b'host' for name, _ in scope['headers'])
+    return hosts > 1 or (scope['http_version'] == '1.1' and not hosts)
+
+
+def _describe_no_host(scope: MutableMapping[str, Any]) -> outcomes.Refusal:
+    detail = 'the request needs one Host header'
+    if any(name == KEY_HEADER for name, _ in scope['headers']):
+        # It may repeat a request that has run.
+        return outcomes.OutcomeUnknown(
+            reason=outcomes.Reason.MALFORMED, detail=detail
+        )
+    return outcomes.NotRun(reason=outcomes.Reason.MALFORMED, detail=detail)
+
+
 def _guard(application: Application) -> Application:
     """Return an application whose bugs are logged and told truthfully.
 
@@ -209,6 +225,11 @@
             started = True
             await send(event)
 
+        if _lacks_host(scope):
+            await asgi.send_refusal(
+                send=send, refusal=_describe_no_host(scope), call=''
+            )
+            return
         try:
             await application(scope, receive, note_and_send)
         except Exception:
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -195,6 +195,16 @@
             400,
             R.MALFORMED,
         ),
+        (
+            lines(b'host: y', b'connection: close') + b'\r\n',
+            400,
+            R.MALFORMED,
+        ),
+        (
+            lines(b'content-length: 99000000000') + b'\r\n',
+            413,
+            R.BODY_TOO_LARGE,
+        ),
     ],
     ids=[
         'half a head',
@@ -208,6 +218,8 @@
         'TLS',
         'broken chunk',
         'two lengths',
+        'two hosts',
+        'very long body',
     ],
 )
 async def test_broken_bytes_are_refused_in_time(raw, status, reason):
@@ -229,6 +241,24 @@
         assert not any('bad' in one.runs for one in site.endpoints)
 
 
+@pytest.mark.parametrize(
+    'more, outcome',
+    [
+        ([], problems.NOT_RUN),
+        ([b'idempotency-key: k'], problems.OUTCOME_UNKNOWN),
+    ],
+    ids=['no key', 'key'],
+)
+async def test_request_without_a_host_is_refused(more, outcome):
+    raw = [b'POST /ledger/pay HTTP/1.1', BEARER, *more, b'connection: close']
+    raw += [b'content-length: 0', b'', b'']
+    async with open_site() as site:
+        answer = await talk(site.doors[0].port, b'\r\n'.join(raw))
+        problem = read_problem(answer)
+        assert (problem.status, problem.reason) == (400, R.MALFORMED)
+        assert problem.outcome == outcome
+
+
 async def test_broken_body_with_a_key_is_not_called_unrun():
     """A call that ran was told "not run" when its caller's repetition of it
     broke off in its body."""
