Show operators what an entry believes and what it takes from its settings

Cause: the state of an entry (age of the configuration and of the store's word, queues, endpoints that rest or are slow, who leads) could be had from logs only, and a settings file was checked by starting a process with it.

Weighed: a page for a person at the metrics address; a page of JSON where peers ask already, with a command that prints it, needs no further listener and serves scripts too.

Result: `marigoldramp gateway status` and `marigoldramp gateway settings`; tests/gateway/test_status.py asks a running entry, one that is away, and refuses four unsound files with file and place. Nothing is changed for requests.

--- a/marigoldramp/gateway/peer_exchange.py
+++ b/marigoldramp/gateway/peer_exchange.py
@@ -4,6 +4,8 @@
 endpoints from a peer whose reports show that it knows more.
 """
 
+from typing import Callable
+
 import msgspec
 
 from . import configurations
@@ -12,9 +14,11 @@
 from . import inbound
 from . import outbound
 from . import peers
+from . import status as status_module
 
 CONFIGURATION_PATH = '/configuration'
 ENDPOINTS_PATH = '/endpoints'
+STATUS_PATH = '/status'
 #: Seconds for one exchange with a peer.
 EXCHANGE_SECONDS = 1.0
 
@@ -27,18 +31,23 @@
 
 
 class PeerPages:
-    """Answers what peers ask."""
+    """Answers what peers and operators ask.
+
+    :param describe: returns the state of this entry.
+    """
 
-    __slots__ = ('_configurations', '_follower')
+    __slots__ = ('_configurations', '_follower', '_describe')
 
     def __init__(
         self,
         *,
         held: configurations.Configurations,
         follower: discovery.Follower,
+        describe: Callable[[], status_module.Status],
     ) -> None:
         self._configurations = held
         self._follower = follower
+        self._describe = describe
 
     async def handle(self, exchange: inbound.Exchange) -> None:
         """Answer one request."""
@@ -52,6 +61,8 @@
             body = msgspec.json.encode(
                 EndpointList(newest=listing.newest, records=listing.records)
             )
+        elif path == STATUS_PATH:
+            body = msgspec.json.encode(self._describe())
         else:
             status = 404
         await exchange.respond(status=status, headers=[], body=body)
@@ -113,6 +124,19 @@
     return reply.body
 
 
+async def fetch_status(
+    *, address: outbound.Address
+) -> status_module.Status | None:
+    """Return the state of an entry, ``None`` if it could not be had."""
+    body = await fetch(address=address, path=STATUS_PATH)
+    if body is None:
+        return None
+    try:
+        return msgspec.json.decode(body, type=status_module.Status)
+    except msgspec.MsgspecError:
+        return None
+
+
 async def fetch_endpoints(
     *, address: outbound.Address
 ) -> discovery.Listing | None:
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -39,6 +39,7 @@
 from . import reporting
 from . import retry_budget
 from . import settings as settings_module
+from . import status
 
 #: Seconds for which new connections are still taken after the request for a
 #: stop, at least and at most: callers keep an address answer for a while.
@@ -118,6 +119,7 @@
 
     :ivar leaving: a stop was asked for.
     :ivar call_port: where callers connect, known once it listens.
+    :ivar peer_port: where peers ask by TCP, known once it listens.
     """
 
     def __init__(
@@ -132,6 +134,7 @@
         self.settings = settings
         self.leaving = False
         self.call_port = 0
+        self.peer_port = 0
         self._leave = anyio.Event()
         self._adapter = adapter
         self._metrics = metrics
@@ -217,23 +220,32 @@
             store=adapter.store,
             clock=clock,
         )
-
+        parts = reporting.Parts(
+            configurations=self.configurations,
+            refresher=self.refresher,
+            follower=self.follower,
+            table=self.table,
+            peers=self.peers,
+            dispatcher=self.dispatcher,
+            leading=self.leading,
+        )
         self._reporter = reporting.Reporter(
-            parts=reporting.Parts(
-                configurations=self.configurations,
-                refresher=self.refresher,
-                follower=self.follower,
-                table=self.table,
-                peers=self.peers,
-                dispatcher=self.dispatcher,
-                leading=self.leading,
-            ),
+            parts=parts,
             settings=lambda: self.settings,
             ready=self.is_ready,
             leaving=lambda: self.leaving,
             incarnation=secrets.randbits(48),
             clock=clock,
         )
+        self.describer = status.Describer(
+            parts=parts,
+            instance=settings.instance,
+            data_centre=settings.data_centre,
+            ready=self.is_ready,
+            leaving=lambda: self.leaving,
+            running=lambda: self.forwarder.running,
+            clock=clock,
+        )
         self._show_gauges()
 
     def _show_gauges(self) -> None:
@@ -303,7 +315,9 @@
         settings = self.settings
         most = max(64, settings.descriptors - SPARE_DESCRIPTORS)
         pages = peer_exchange.PeerPages(
-            held=self.configurations, follower=self.follower
+            held=self.configurations,
+            follower=self.follower,
+            describe=self.describer.describe,
         )
         self._call_listener = listeners.Listener(
             serve=self._serve_calls, most=most
@@ -319,9 +333,11 @@
                 listener = listeners.Listener(
                     serve=self._make_server(page), most=most
                 )
-                await listener.listen(
+                port = await listener.listen(
                     host=address.host, port=address.port, tasks=tasks
                 )
+                if page == pages.handle:
+                    self.peer_port = port
         if settings.calls is not None:
             self.call_port = await self._call_listener.listen(
                 host=settings.calls.host,
--- a/marigoldramp/ui/__init__.py
+++ b/marigoldramp/ui/__init__.py
@@ -19,6 +19,8 @@
 from . import commands
 from . import entry
 from . import exits
+from . import gateway_settings
+from . import gateway_status
 from . import settings_check
 from . import settings_show
 from . import status
@@ -48,6 +50,11 @@
     ),
     status.COMMAND,
     audit.COMMAND,
+    commands.Group(
+        name='gateway',
+        help="Look at entries on the users' platform.",
+        commands=(gateway_status.COMMAND, gateway_settings.COMMAND),
+    ),
     commands.Group(
         name='settings',
         help='Check and show settings files.',
--- /dev/null
+++ b/tests/gateway/test_status.py
@@ -0,0 +1,109 @@
+"""Tests of what an entry shows operators of itself."""
+
+import json
+
+import anyio
+import pytest
+
+from marigoldramp.gateway import outbound
+from marigoldramp.gateway import peer_exchange
+from marigoldramp import ui
+from marigoldramp.ui import exits
+
+from . import fake_endpoint as fake
+from . import site
+
+pytestmark = pytest.mark.anyio
+SETTINGS = """
+NodeName = "edge-1"
+Ip = "10.0.0.1"
+Zone = "one"
+InternalPorts = [7000, 7001]
+
+[Listen]
+FrontAddr = "10.0.0.1:80"
+
+[PlatformStore]
+Address = "10.0.0.9:2000"
+"""
+
+
+async def test_state_of_a_running_entry():
+    one = fake.FakeEndpoint(identity='i-1', scripts=[fake.answer()])
+    async with site.run_site(one) as running:
+        await site.call(running)
+        address = outbound.Address(
+            host=site.HOST, port=running.running.peer_port
+        )
+        found = await peer_exchange.fetch_status(address=address)
+    assert found is not None
+    assert (found.instance, found.ready, found.leaving) == (
+        'entry-1',
+        True,
+        False,
+    )
+    assert found.version == 1
+    assert found.version_age is not None
+    seen = found.endpoints[0]
+    assert (seen.identity, seen.state, seen.own) == ('i-1', 'open', 0)
+    assert found.queues[0].waiting == 0
+
+
+async def run_command(*arguments):
+    return await anyio.to_thread.run_sync(ui.run, list(arguments))
+
+
+async def test_command_shows_who_answers_and_who_does_not(capsys):
+    one = fake.FakeEndpoint(identity='i-1', scripts=[fake.answer()])
+    async with site.run_site(one) as running:
+        here = f'{site.HOST}:{running.running.peer_port}'
+        code = await run_command(
+            'gateway', 'status', here, '--endpoints', '--peers'
+        )
+        text = capsys.readouterr().out
+        assert code == exits.DONE
+        for part in ('entry-1', 'ready', 'i-1', 'open'):
+            assert part in text
+        code = await run_command('gateway', 'status', here, f'{site.HOST}:1')
+        assert code == exits.REFUSED
+        assert 'no answer' in capsys.readouterr().out
+
+
+async def test_address_that_is_none_is_refused(capsys):
+    assert await run_command('gateway', 'status', 'here') == exits.BAD_INPUT
+    assert "'here' is not an address" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(
+    ('change', 'place'),
+    [
+        (('"edge-1"', '7'), 'NodeName'),
+        (('"10.0.0.9:2000"', '"there"'), 'there'),
+        (('Ip = "10.0.0.1"\n', ''), 'Ip'),
+        (('[7000, 7001]', '[7000, 7001'), 'line 7'),
+    ],
+    ids=['type', 'address', 'missing', 'syntax'],
+)
+async def test_settings_that_are_not_sound_are_refused(
+    change, place, tmp_path, capsys
+):
+    path = tmp_path / 'boot.toml'
+    path.write_text(SETTINGS.replace(*change))
+    code = await run_command('gateway', 'settings', str(path))
+    assert code == exits.BAD_INPUT
+    told = capsys.readouterr().err
+    assert str(path) in told
+    assert place in told
+
+
+async def test_settings_in_force_are_shown(tmp_path, capsys):
+    path = tmp_path / 'boot.toml'
+    path.write_text(SETTINGS)
+    code = await run_command(
+        'gateway', 'settings', str(path), '--output', 'json'
+    )
+    assert code == exits.DONE
+    shown = json.loads(capsys.readouterr().out)['result']
+    assert shown['instance'] == 'edge-1'
+    assert shown['peers'] == {'host': '10.0.0.1', 'port': 7000}
+    assert shown['bounds']['grace'] == 8.0
