Count the time that callers have used up, and refuse before they leave

Callers of streams leave after two seconds without an event and ask again with less time; 585 of 1900 requests ended so.

Ruled out: taking the route's timeout for what a caller had at first; it changes with the configuration, so the longest time that callers of the route have stated lately counts.

--- a/marigoldramp/gateway/admission.py
+++ b/marigoldramp/gateway/admission.py
@@ -10,6 +10,7 @@
 from . import deployment
 from . import inbound
 from . import routes
+from . import urgency
 
 #: Part of the time after which a removed key must not work that is kept as a
 #: margin, for clocks that run at different rates.
@@ -38,6 +39,7 @@
         '_revoke_seconds',
         '_clock',
         '_random',
+        '_stated',
     )
 
     def __init__(
@@ -54,6 +56,7 @@
         self._revoke_seconds = revoke_seconds
         self._clock = clock
         self._random = random
+        self._stated = urgency.StatedTimes(clock=clock)
 
     def trusts_keys(self) -> bool:
         """Whether keys may be believed that the configuration holds."""
@@ -112,6 +115,8 @@
             priority=priority,
             body=body,
             deadline=deadline,
+            asked=deadline
+            - self._stated.find_usual(route=route.name, stated=seconds),
             last_event=facts.last_event,
             version=config.version,
             version_age=self.version_age(),
--- a/marigoldramp/gateway/calls.py
+++ b/marigoldramp/gateway/calls.py
@@ -15,6 +15,8 @@
     :ivar customer: name of the customer, empty for none.
     :ivar priority: 0 is the most urgent.
     :ivar deadline: when the caller must have its final answer.
+    :ivar asked: when the caller first asked for it, as far as the time that
+        it states tells.
     :ivar last_event: the last event that the caller has.
     :ivar version: configuration by which it was admitted.
     :ivar version_age: seconds since that was known to be the newest.
@@ -36,6 +38,7 @@
     priority: int
     body: bytes
     deadline: float
+    asked: float
     last_event: str
     version: int = 0
     version_age: float = 0.0
--- a/marigoldramp/gateway/forwarding.py
+++ b/marigoldramp/gateway/forwarding.py
@@ -18,18 +18,13 @@
 from . import endpoints
 from . import inbound
 from . import retry_budget
+from . import urgency
 
 #: Places at which a request may be tried without anything being sent.
 MOST_UNREACHED = 4
 #: Seconds between two looks whether the budget of repeats has room again.
 BUDGET_EVERY = 0.2
 LEAST_RETRY_AFTER = 0.05
-#: Part of a route's objective within which a request must be given a place
-#: to be answered in time; the rest is for reading the prompt, which takes
-#: 0.17 s of 0.4 s in the middle of the plays.
-IN_TIME_SHARE = 0.55
-#: Part of its whole time that a request waits for its first place.
-WAIT_SHARE = 0.6
 
 NotRun = outcomes.NotRun
 OutcomeUnknown = outcomes.OutcomeUnknown
@@ -110,9 +105,8 @@
                 dispatch.Demand(
                     service=call.service,
                     priority=call.priority,
-                    until=self._latest_start(call),
-                    in_time_until=call.arrived
-                    + IN_TIME_SHARE * call.route.objective,
+                    until=urgency.find_latest_start(call),
+                    in_time_until=urgency.find_in_time_until(call),
                     avoid=call.tried,
                     repeated=call.sends > 0,
                 )
@@ -145,17 +139,6 @@
                         continue
                     return await self._end(call, _describe(result))
 
-    def _latest_start(self, call: calls.Call) -> float:
-        """Return until when a call waits for a place.
-
-        One that has not run is told early enough that its caller can come
-        back; one that was cut off has only us.
-        """
-        if call.runs:
-            return call.deadline
-        whole = call.deadline - call.arrived
-        return call.arrived + WAIT_SHARE * whole
-
     async def _attempt(
         self, call: calls.Call, place: dispatch.Place
     ) -> attempts.Result:
