Succeed a leader that has fallen silent without waiting for its lease

Callers give a stream up after two seconds without an event, so every stream of the group is lost.

Ruled out: a shorter lease with more renewals; with the store slow or away for a moment nobody would lead, and at two seconds it would have to be renewed three times a second. Releasing without the lease would mix maps.

Change: an entry that has heard nothing of the leader for half a second, while it hears most others, takes the lease at once. Ranks refuse the older fencing number, so a leader that lives after all can do no harm.

--- a/marigoldramp/gateway/group_leading.py
+++ b/marigoldramp/gateway/group_leading.py
@@ -30,7 +30,7 @@
 from . import ranks
 
 #: Seconds between two looks at who should lead.
-LOOK_EVERY = 0.5
+LOOK_EVERY = 0.2
 #: Seconds for which a renewal of a lease lasts, and between two renewals.
 LEASE_SECONDS = 3.0
 RENEW_SECONDS = 1.2
@@ -89,6 +89,8 @@
     :param limit: returns how many requests an endpoint of a service may run,
         by its slots.
     :param led_elsewhere: returns the groups that peers say they lead.
+    :param is_gone: whether an entry is taken to have ended; the next leader
+        does not wait for the end of its lease then, as ranks check tokens.
     :ivar fit: we may lead; told to peers.
     """
 
@@ -98,6 +100,7 @@
         '_services',
         '_rivals',
         '_led_elsewhere',
+        '_is_gone',
         '_pauses',
         '_limit',
         '_api',
@@ -119,6 +122,7 @@
         services: Callable[[], Iterable[deployment.Service]],
         rivals: Callable[[], Iterable[str]],
         led_elsewhere: Callable[[], frozenset[str]],
+        is_gone: Callable[[str], bool],
         pauses: Callable[[str], float],
         limit: Callable[[str, float], float],
         api: ranks.RankApi,
@@ -130,6 +134,7 @@
         self._services = services
         self._rivals = rivals
         self._led_elsewhere = led_elsewhere
+        self._is_gone = is_gone
         self._pauses = pauses
         self._limit = limit
         self._api = api
@@ -286,6 +291,7 @@
             holder=self._instance,
             seconds=LEASE_SECONDS,
             clock=self._clock,
+            is_gone=self._is_gone,
         )
         leader = map_leader.Leader(
             group=group.name,
--- a/marigoldramp/gateway/peers.py
+++ b/marigoldramp/gateway/peers.py
@@ -13,6 +13,11 @@
 
 #: Seconds without a report after which a peer's word counts no more.
 SILENT_AFTER = 1.2
+#: Seconds without a report, of which ten come a second, after which another
+#: entry may lead in a peer's place.  A leader that is killed or suspended can
+#: leave a group of ranks standing, and callers give a stream up after two
+#: seconds; the rest of them is for taking over.
+SUSPECT_AFTER = 0.5
 #: Seconds without a report after which a peer is taken as gone for good: it
 #: may have been suspended or cut off for shorter.
 GONE_AFTER = 90.0
@@ -184,12 +189,27 @@
             and peer.report.call_host
         ]
 
+    def is_suspect(self, instance: str) -> bool:
+        """Whether a peer has fallen silent while most others are heard.
+
+        An entry that was suspended itself, or is cut off, hears nobody; it
+        must not take all others for gone.
+        """
+        peer = self._peers.get(instance)
+        if peer is None or peer.report is None or self._is_heard(peer):
+            return False
+        others = [one for one in self.live() if one is not peer]
+        heard = sum(self._is_heard(one) for one in others)
+        return 2 * heard > len(others)
+
     def fit_to_lead(self) -> list[str]:
         """Return the live peers that may lead groups of ranks."""
         return [
             peer.instance
             for peer in self.live()
-            if peer.report is not None and peer.report.fit
+            if peer.report is not None
+            and peer.report.fit
+            and not self.is_suspect(peer.instance)
         ]
 
     def led_groups(self) -> frozenset[str]:
@@ -197,10 +217,13 @@
         return frozenset(
             name
             for peer in self.live()
-            if peer.report is not None
+            if peer.report is not None and not self.is_suspect(peer.instance)
             for name in peer.report.leads
         )
 
+    def _is_heard(self, peer: Peer) -> bool:
+        return self._clock() - peer.heard_at <= SUSPECT_AFTER
+
     def _count(self, peer: Peer, sign: int) -> None:
         """Add or take away what a peer has in flight."""
         if peer.report is None or not peer.live and sign < 0:
--- a/marigoldramp/leases.py
+++ b/marigoldramp/leases.py
@@ -9,6 +9,9 @@
 A holder can still be paused between asking :meth:`Lease.held` and acting.
 Hence the fencing number, which grows with each change of hands: whoever
 takes orders refuses a lower number than it has seen.
+
+Where those who take orders check that number, nothing rests on the time, and
+a holder that is known to have ended may be succeeded at once.
 """
 
 import collections
@@ -95,6 +98,9 @@
     :param holder: this process's instance name.
     :param seconds: time for which a renewal lasts.
     :param margin: seconds by which a holder stops early.
+    :param is_gone: whether a holder is known to have ended.  Only for a lease
+        whose fencing number is checked wherever the holder acts: one that was
+        taken for gone and lives goes on until it is refused.
     """
 
     __slots__ = (
@@ -103,6 +109,7 @@
         '_grip',
         '_highest',
         '_holder',
+        '_is_gone',
         '_key',
         '_margin',
         '_seconds',
@@ -119,8 +126,10 @@
         seconds: float,
         margin: float | None = None,
         clock: Callable[[], float] = time.monotonic,
+        is_gone: Callable[[str], bool] = lambda holder: False,
     ) -> None:
         self._store = store
+        self._is_gone = is_gone
         self._key = store_module.Key(kind=KIND, name=name)
         self._holder = holder
         self._seconds = seconds
@@ -181,8 +190,10 @@
         if self._recognise(found, record):
             return await self.renew()
         self._highest = max(self._highest, record.fence)
-        if record.holder and not self._has_lapsed(found, record):
-            return NotHeld(holder=record.holder)
+        holder = record.holder
+        lapsed = self._has_lapsed(found, record)
+        if holder and not lapsed and not self._is_gone(holder):
+            return NotHeld(holder=holder)
         return await self._take(found.version)
 
     def _has_lapsed(self, found: store_module.Stored, record: Record) -> bool:
--- a/tests/gateway/test_beliefs.py
+++ b/tests/gateway/test_beliefs.py
@@ -309,6 +309,35 @@
     assert bool(table.ready_addresses()) is listed
 
 
+@pytest.mark.parametrize(
+    ('heard_at', 'suspects'),
+    [
+        ({'a': 0.0, 'b': 1.0, 'c': 1.0}, {'a'}),
+        ({'a': 1.0, 'b': 1.0, 'c': 1.0}, set()),
+        ({'a': 0.0, 'b': 0.0, 'c': 1.0}, set()),
+        ({'a': 0.0, 'b': 0.0, 'c': 0.0}, set()),
+        ({'a': 0.0}, set()),
+    ],
+    ids=['one silent', 'none', 'most silent', 'all silent', 'alone'],
+)
+def test_silent_peer_is_suspect_while_others_are_heard(heard_at, suspects):
+    """A group of ranks waits for a leader that no longer runs.
+
+    An entry that hears few is more likely to have a fault itself.
+    """
+    clock = Clock()
+    table = make_peers(clock)
+    for at in sorted(set(heard_at.values())):
+        clock.now = at
+        for name, last in heard_at.items():
+            if at <= last:
+                table.take(make_report(name, sent=at, fit=True, leads=(name,)))
+    clock.now = 1.05
+    assert {name for name in heard_at if table.is_suspect(name)} == suspects
+    assert table.led_groups() == set(heard_at) - suspects
+    assert set(table.fit_to_lead()) == set(heard_at) - suspects
+
+
 def test_peers_are_learned_from_peers_and_given_up_at_last():
     clock = Clock()
     table = make_peers(clock)
--- a/tests/gateway/test_group_leading.py
+++ b/tests/gateway/test_group_leading.py
@@ -69,6 +69,7 @@
                 if other != name and other not in self.silent
                 for group in entry.led()
             ),
+            is_gone=lambda other: other in self.silent,
             pauses=lambda service: 0.0,
             limit=lambda service, slots: slots,
             api=self.group,
@@ -161,6 +162,33 @@
         tasks.cancel_scope.cancel()
 
 
+@pytest.mark.parametrize('ends', [True, False], ids=['killed', 'suspended'])
+async def test_group_that_is_held_goes_on_before_callers_leave(ends):
+    """All streams of a group are given up by their callers.
+
+    Sequence: the leader holds a rank, to change the map, and is killed or
+    suspended; the others wait for the end of its lease; callers leave after
+    two seconds without an event.
+    Cause: the lease is kept for three seconds after the last renewal, though
+    ranks refuse an older leader and nobody hears this one.
+    """
+    fleet = Fleet()
+    async with anyio.create_task_group() as tasks:
+        fleet.start(tasks)
+        await anyio.sleep(5.0)
+        first = fleet.leaders()[0]
+        if ends:
+            fleet.scopes[first].cancel()
+        fleet.silent.add(first)
+        held = fleet.group.step + 2
+        fleet.group.ranks[0].held = held
+        await anyio.sleep(1.5)
+        assert fleet.leaders() not in ([], [first])
+        assert fleet.group.step > held
+        assert fleet.group.mixed == []
+        tasks.cancel_scope.cancel()
+
+
 async def test_leader_that_stops_gives_its_lease_up():
     fleet = Fleet()
     async with anyio.create_task_group() as tasks:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -38,13 +38,14 @@
     async def sleep(self, seconds):
         self.now += seconds
 
-    def make_lease(self, holder, lease_store=None):
+    def make_lease(self, holder, lease_store=None, **more):
         return leases.Lease(
             store=lease_store or memory.MemoryStore(table=self.table),
             name='group',
             holder=holder,
             seconds=SECONDS,
             clock=self.clock,
+            **more,
         )
 
     def read(self):
@@ -89,6 +90,21 @@
         assert run(other.acquire()) == leases.NotHeld(holder='one')
 
 
+@pytest.mark.parametrize(
+    ('gone', 'taken'), [((), False), (('b',), False), (('a',), True)]
+)
+def test_lease_of_a_holder_that_has_ended_is_free(platform, gone, taken):
+    """A new holder waits for the time of one that has ended."""
+    first = platform.make_lease('a')
+    second = platform.make_lease('b', is_gone=lambda name: name in gone)
+    held = run(first.acquire())
+    got = run(second.acquire())
+    assert isinstance(got, leases.Held) is taken
+    if taken:
+        assert got.fence > held.fence
+        assert isinstance(run(first.renew()), leases.NotHeld)
+
+
 def test_released_lease_is_free_at_once(platform):
     one, other = platform.make_lease('one'), platform.make_lease('other')
     run(one.acquire())
