Keep requests and experts away from ranks that compute slowly

Cause: all ranks of a group make each pass together; one that works x times slower makes every pass x times longer.

Ruled out: the estimates from answers (they cannot tell which rank of a group is slow); weights of ranks in the move search (it has no move that only takes an expert away, and would deal the slow rank its part again).

Change: the pace in reports, which the leader reads once a second already, is told to the other entries; requests go to such a rank only where half of all are slow; its experts go to others before moves are sought.

With a rank 12 times slower passes stay too long, as its own part remains.

--- a/marigoldramp/gateway/dispatch.py
+++ b/marigoldramp/gateway/dispatch.py
@@ -213,7 +213,7 @@
 
     def _is_paced_out(self, service: str, pace: pacing.Pace) -> bool:
         """Whether all endpoints together run as many as they should."""
-        known = self._table.of_service(service)
+        known = self._table.of_usual_pace(service, now=self._clock())
         room = sum(pace.limit(self._slots(one)) for one in known)
         return sum(one.in_flight for one in known) >= room
 
--- a/marigoldramp/gateway/endpoints.py
+++ b/marigoldramp/gateway/endpoints.py
@@ -171,12 +171,13 @@
             others.
         """
         usual = self.usual_seconds(service)
-        if avoid.issuperset(self._by_service.get(service, ())):
+        known = self.of_usual_pace(service, now=now)
+        if avoid.issuperset(one.identity for one in known):
             # Waiting for another endpoint would last until the deadline.
             avoid = frozenset()
         found = [
             endpoint
-            for endpoint in self._by_service.get(service, {}).values()
+            for endpoint in known
             if endpoint.identity not in avoid
             and endpoint.is_open(now=now)
             and endpoint.in_flight < slots(endpoint)
@@ -189,6 +190,17 @@
             default=None,
         )
 
+    def of_usual_pace(self, service: str, *, now: float) -> list[Endpoint]:
+        """Return the endpoints of a service that do not slow its group.
+
+        A request on a slow rank makes the passes of all requests longer.
+        Where half of the ranks are slow the others could not carry all, so
+        all are returned.
+        """
+        known = self.of_service(service)
+        usual = [one for one in known if not one.quality.is_slow_rank(now=now)]
+        return usual if 2 * len(usual) > len(known) else known
+
     def usual_seconds(self, service: str) -> float:
         """Return what endpoints of a service take to answer, 0 if unknown."""
         known = [
--- a/marigoldramp/gateway/expert_planner.py
+++ b/marigoldramp/gateway/expert_planner.py
@@ -7,10 +7,12 @@
 
 import dataclasses
 from typing import Callable
+from typing import Sequence
 
 from absl import logging
 import anyio
 
+from .. import evacuation
 from .. import expert_maps
 from .. import layer_moves
 from .. import logs
@@ -74,6 +76,7 @@
     :param find: returns the endpoint of a name.
     :param spare: new experts that a rank can copy in each layer.
     :param use: returns the use of the group, see :data:`IDLE_USE`.
+    :param slow_ranks: returns the pace of ranks that are slow.
     """
 
     __slots__ = (
@@ -82,6 +85,7 @@
         '_spare',
         '_find',
         '_use',
+        '_slow_ranks',
         '_clock',
         '_estimator',
         '_seen',
@@ -97,10 +101,12 @@
         spare: int,
         find: Callable[[str], endpoints.Endpoint | None],
         use: Callable[[], float],
+        slow_ranks: Callable[[], dict[int, float]],
         clock: Callable[[], float],
     ) -> None:
         self._api = api
         self._use = use
+        self._slow_ranks = slow_ranks
         self._shape = shape
         self._spare = spare
         self._find = find
@@ -183,6 +189,23 @@
             ),
         )
 
+    def _evacuate(
+        self,
+        layer: expert_maps.Layer,
+        popularity: Sequence[float],
+        slow: dict[int, float],
+    ) -> expert_maps.Layer:
+        """Return the layer without experts on slow ranks, if it can be."""
+        if not slow:
+            return layer
+        return evacuation.Evacuation(
+            layer=layer,
+            popularity=popularity,
+            slots=self._shape.slots,
+            most_new=self._spare,
+            slow=slow,
+        ).empty()
+
     async def _search(
         self, expert_map: expert_maps.ExpertMap
     ) -> map_changes.Plan | None:
@@ -193,18 +216,22 @@
         gain_a_copy = self._shape.layers * _weigh(
             use, GAIN_A_COPY_IDLE, GAIN_A_COPY_FULL
         )
+        slow = self._slow_ranks()
         for number, layer in enumerate(expert_map.layers):
+            popular = self._estimator.estimate(number)
             search = layer_moves.LayerSearch(
-                layer=layer,
-                popularity=self._estimator.estimate(number),
+                layer=self._evacuate(layer, popular, slow),
+                popularity=popular,
                 slots=self._shape.slots,
                 most_new=self._spare,
                 most_others=MOST_OTHERS,
+                first=layer,
+                closed=slow,
             )
-            before += search.skew
-            best, skew = await _improve(search, gain_a_copy)
+            best = await _improve(search, gain_a_copy)
             layers.append(best)
-            after += skew
+            before += _weigh_skew(layer, popular, slow)
+            after += _weigh_skew(best, popular, slow)
         new = tuple(layers)
         before /= self._shape.layers
         after /= self._shape.layers
@@ -220,6 +247,7 @@
                 skew_after=round(after, 3),
                 copies=copies,
                 use=round(use, 3),
+                slow_ranks=len(slow),
                 distance=round(
                     sum(
                         self._estimator.distance(number)
@@ -236,6 +264,20 @@
         return map_changes.Plan(layers=new, load_limit=PREPARE_SECONDS)
 
 
+def _weigh_skew(
+    layer: expert_maps.Layer,
+    popularity: Sequence[float],
+    slow: dict[int, float],
+) -> float:
+    """Return the time of the slowest rank over the mean of the others."""
+    loads = expert_maps.rank_loads(layer=layer, popularity=popularity)
+    total = sum(loads)
+    if total <= 0.0:
+        return 1.0
+    times = [load * slow.get(rank, 1.0) for rank, load in enumerate(loads)]
+    return max(times) * (len(loads) - len(slow)) / total
+
+
 def _scale_layers(
     counts: list[int], experts: int
 ) -> tuple[popularity.LayerCounts, ...]:
@@ -253,8 +295,8 @@
 
 async def _improve(
     search: layer_moves.LayerSearch, gain_a_copy: float
-) -> tuple[expert_maps.Layer, float]:
-    """Make moves while they pay; return the best layer and its skew."""
+) -> expert_maps.Layer:
+    """Make moves while they pay; return the best layer."""
     best = search.layer()
     best_skew = search.skew
     spent = 0
@@ -270,4 +312,4 @@
             best = search.layer()
             best_skew = search.skew
             spent = 0
-    return best, best_skew
+    return best
--- a/marigoldramp/gateway/group_leading.py
+++ b/marigoldramp/gateway/group_leading.py
@@ -293,18 +293,19 @@
             clock=self._clock,
             is_gone=self._is_gone,
         )
+        transport = rank_transport.RankTransport(
+            api=self._api,
+            group=group.name,
+            shape=shape,
+            find=self._table.find,
+            clock=self._clock,
+        )
         leader = map_leader.Leader(
             group=group.name,
             instance=self._instance,
             shape=shape,
             agents=lambda: self._agents(group.name),
-            transport=rank_transport.RankTransport(
-                api=self._api,
-                group=group.name,
-                shape=shape,
-                find=self._table.find,
-                clock=self._clock,
-            ),
+            transport=transport,
             lease=lease,
             renew_seconds=RENEW_SECONDS,
             planner=expert_planner.ExpertPlanner(
@@ -313,6 +314,7 @@
                 spare=engine.spare,
                 find=self._table.find,
                 use=lambda: self._use(group.name),
+                slow_ranks=transport.slow_ranks,
                 clock=self._clock,
             ),
             clock=self._clock,
--- a/marigoldramp/gateway/peer_reports.py
+++ b/marigoldramp/gateway/peer_reports.py
@@ -41,6 +41,8 @@
     :ivar slow: endpoints that the sender finds slow, and how many times.
     :ivar fit: the sender may lead groups of ranks.
     :ivar leads: groups that it leads.
+    :ivar paces: slow ranks of groups that it leads, see
+        :class:`.ranks.RankReport`.
     """
 
     instance: str
@@ -63,6 +65,7 @@
     fit: bool = False
     leads: tuple[str, ...] = ()
     known: tuple[KnownPeer, ...] = ()
+    paces: dict[str, float] = {}
 
 
 def encode(report: Report) -> bytes:
--- a/marigoldramp/gateway/quality.py
+++ b/marigoldramp/gateway/quality.py
@@ -16,6 +16,12 @@
 SLOW_FROM = 1.8
 #: Largest factor of slowness.
 MOST_SLOWNESS = 20.0
+#: Seconds for which the pace that a rank reports is believed; the leader of
+#: its group asks once a second.
+PACE_SECONDS = 3.0
+#: Pace from which on a rank counts as slow.  All ranks of a group make each
+#: pass together, so a slow one makes the group as slow as itself.
+SLOW_PACE = 1.15
 
 
 class Quality:
@@ -24,7 +30,17 @@
     :ivar seconds: smoothed time until it answers, 0 if unknown.
     """
 
-    __slots__ = ('seconds', '_errors', '_at', '_told', '_told_at')
+    __slots__ = (
+        'seconds',
+        '_errors',
+        '_at',
+        '_told',
+        '_told_at',
+        '_pace',
+        '_pace_at',
+        '_told_pace',
+        '_told_pace_at',
+    )
 
     def __init__(self) -> None:
         self.seconds = 0.0
@@ -32,6 +48,10 @@
         self._at = float('-inf')
         self._told = 1.0
         self._told_at = float('-inf')
+        self._pace = 1.0
+        self._pace_at = float('-inf')
+        self._told_pace = 1.0
+        self._told_pace_at = float('-inf')
 
     def note_answer(self, *, seconds: float, now: float) -> None:
         """Learn of a good answer and of how long it took."""
@@ -57,6 +77,26 @@
         self._told = slowness
         self._told_at = now
 
+    def note_pace(self, *, pace: float, now: float) -> None:
+        """Learn what pace the endpoint itself reports."""
+        self._pace = pace
+        self._pace_at = now
+
+    def note_told_pace(self, *, pace: float, now: float) -> None:
+        """Learn from a peer what pace the endpoint reports."""
+        self._told_pace = pace
+        self._told_pace_at = now
+
+    def own_pace(self, *, now: float) -> float:
+        """Return the pace that it has reported to us, 1 for usual."""
+        return self._pace if now - self._pace_at <= PACE_SECONDS else 1.0
+
+    def is_slow_rank(self, *, now: float) -> bool:
+        """Whether it makes its group slow, by its own report."""
+        told = now - self._told_pace_at <= PACE_SECONDS
+        pace = self._told_pace if told else 1.0
+        return max(pace, self.own_pace(now=now)) >= SLOW_PACE
+
     def errors(self, *, now: float) -> float:
         """Return the part of its requests that it fails, 0 to 1."""
         return self._errors * _fade(now - self._at)
--- a/marigoldramp/gateway/rank_transport.py
+++ b/marigoldramp/gateway/rank_transport.py
@@ -24,6 +24,7 @@
 from .. import logs
 from .. import map_orders
 from . import endpoints
+from . import quality
 from . import ranks
 
 #: Tokens of one fence; each order takes one.
@@ -127,6 +128,15 @@
                 return found
         return await self._act(rank_agent, link, order)
 
+    def slow_ranks(self) -> dict[int, float]:
+        """Return the slow ranks and their pace, as last reported."""
+        reports = [link.report for link in self._links.values()]
+        return {
+            report.rank: report.pace
+            for report in reports
+            if report is not None and report.pace >= quality.SLOW_PACE
+        }
+
     async def _look(
         self, name: str, link: _Link, order: map_orders.Order
     ) -> Reply | map_orders.Lost:
@@ -145,6 +155,7 @@
         if not found.whole:
             return _refuse(order, Refusal.ENGINE_FAILED)
         link.report = found
+        endpoint.quality.note_pace(pace=found.pace, now=self._clock())
         if found.version == link.armed:
             link.armed = None
         if order.incarnation and order.incarnation != found.epoch:
--- a/marigoldramp/gateway/ranks.py
+++ b/marigoldramp/gateway/ranks.py
@@ -25,6 +25,7 @@
     :ivar version: the map in force.
     :ivar prepared: the map whose experts are all copied, if any.
     :ivar held: the step that does not begin before a release.
+    :ivar pace: times longer than usual that its work takes.
     """
 
     group: str
@@ -37,6 +38,7 @@
     prepared: int | None
     armed: Armed | None
     held: int | None
+    pace: float = 1.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
--- a/marigoldramp/gateway/reporting.py
+++ b/marigoldramp/gateway/reporting.py
@@ -139,6 +139,7 @@
                 if endpoint.own
             },
             slow=self._list_slow(now),
+            paces=self._list_paces(now),
             fit=parts.leading.fit and self._ready(),
             leads=parts.leading.led(),
             known=self._name_peers(now),
@@ -173,6 +174,23 @@
                     slowness=slowness, now=self._clock()
                 )
 
+        for identity, pace in report.paces.items():
+            endpoint = self._parts.table.find(identity)
+            if endpoint is not None:
+                endpoint.quality.note_told_pace(pace=pace, now=self._clock())
+
+    def _list_paces(self, now: float) -> dict[str, float]:
+        """Return the slow ranks that have told us so."""
+        paces = {
+            one.identity: one.quality.own_pace(now=now)
+            for one in self._parts.table
+        }
+        return {
+            identity: round(pace, 2)
+            for identity, pace in paces.items()
+            if pace >= quality.SLOW_PACE
+        }
+
     def _list_slow(self, now: float) -> dict[str, float]:
         """Return the endpoints that we find slow ourselves."""
         table = self._parts.table
--- a/marigoldramp/layer_moves.py
+++ b/marigoldramp/layer_moves.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+from typing import Collection
 from typing import Iterator
 from typing import Sequence
 
@@ -49,11 +50,14 @@
         into those that are hardly better than others.
     :param most_new: experts that a rank may hold at the end that it did not
         hold at the start; ``None`` for any number.
+    :param first: the layer at the start, if ``layer`` is not it.
+    :param closed: ranks that take no part: slow ones that were emptied.
     """
 
     __slots__ = (
         '_most_new',
         '_most_others',
+        '_open',
         '_first',
         '_new',
         '_slots',
@@ -72,12 +76,17 @@
         slots: int,
         most_new: int | None = None,
         most_others: int | None = None,
+        first: expert_maps.Layer | None = None,
+        closed: Collection[int] = (),
     ) -> None:
         self._most_others = most_others
+        self._open = [one for one in range(len(layer)) if one not in closed]
         self._slots = slots
         self._most_new = most_new
-        self._first = [frozenset(held) for held in layer]
-        self._new = [0] * len(layer)
+        self._first = [frozenset(held) for held in first or layer]
+        self._new = [
+            len(set(held) - before) for held, before in zip(layer, self._first)
+        ]
         self._ranks = [list(held) for held in layer]
         self._popularity = popularity
         self._holders: list[set[int]] = [set() for _ in popularity]
@@ -94,7 +103,7 @@
     @property
     def skew(self) -> float:
         """Return the largest rank load over the mean."""
-        return expert_maps.skew(self.loads)
+        return expert_maps.skew([self.loads[rank] for rank in self._open])
 
     def layer(self) -> expert_maps.Layer:
         """Return the layer with all moves made."""
@@ -107,11 +116,11 @@
         falls also when one of several equally loaded ranks is relieved, at
         which the largest load itself does not change yet.
         """
-        mean = sum(self.loads) / len(self.loads)
-        hot = max(range(len(self.loads)), key=self.loads.__getitem__)
+        mean = sum(self.loads) / len(self._open)
+        hot = max(self._open, key=self.loads.__getitem__)
         # A rank above the mean that takes more only trades one excess for
         # another; leaving these out halves the work.
-        others = [rank for rank, load in enumerate(self.loads) if load < mean]
+        others = [rank for rank in self._open if self.loads[rank] < mean]
         if self._most_others is not None:
             others.sort(key=self.loads.__getitem__)
             del others[self._most_others :]
--- a/marigoldramp/platform/ranks.py
+++ b/marigoldramp/platform/ranks.py
@@ -61,6 +61,7 @@
     prepared: int | None = None
     armed: _Armed | None = None
     held: int | None = None
+    pace: float = 1.0
 
 
 class _Counts(msgspec.Struct, kw_only=True, rename={'counts': 'Counts'}):
@@ -119,6 +120,7 @@
                 else ranks.Armed(version=armed.version, step=armed.step)
             ),
             held=found.held,
+            pace=found.pace,
         )
 
     async def counts(
--- a/tests/gateway/test_beliefs.py
+++ b/tests/gateway/test_beliefs.py
@@ -592,6 +592,43 @@
     )
 
 
+@pytest.mark.parametrize(
+    ('paces', 'used'),
+    [
+        ({}, {'i-0', 'i-1', 'i-2'}),
+        ({'i-0': 1.1}, {'i-0', 'i-1', 'i-2'}),
+        ({'i-0': 1.6}, {'i-1', 'i-2'}),
+        ({'i-0': 1.6, 'i-1': 4.0}, {'i-0', 'i-1', 'i-2'}),
+    ],
+)
+@pytest.mark.parametrize('told', [False, True])
+async def test_slow_rank_gets_no_requests(paces, used, told):
+    """A request on a slow rank makes the passes of all others longer.
+
+    Where most ranks are slow the others could not carry all requests.
+    """
+    made, table = make_dispatcher(count=3)
+    for identity, pace in paces.items():
+        quality = table.find(identity).quality
+        note = quality.note_told_pace if told else quality.note_pace
+        note(pace=pace, now=virtual_time.now())
+    got = set()
+    for _ in range(len(used)):
+        got.add((await made.enter(demand())).endpoint.identity)
+    assert got == used
+    refused = await made.enter(demand(seconds=0.5))
+    assert refused.retry_after > 0.0
+
+
+async def test_pace_is_believed_for_a_while_only():
+    _, table = make_dispatcher()
+    known = table.find('i-0').quality
+    known.note_pace(pace=4.0, now=virtual_time.now())
+    assert known.is_slow_rank(now=virtual_time.now())
+    await anyio.sleep(4.0)
+    assert not known.is_slow_rank(now=virtual_time.now())
+
+
 async def test_urgent_requests_get_places_first():
     made, _ = make_dispatcher()
     order = []
--- a/tests/gateway/test_expert_planner.py
+++ b/tests/gateway/test_expert_planner.py
@@ -33,7 +33,7 @@
         return self.names
 
 
-def make_planner(use):
+def make_planner(use, slow=None):
     group = fake_ranks.FakeGroup(
         size=SHAPE.ranks,
         experts=SHAPE.experts,
@@ -46,6 +46,7 @@
         spare=SPARE,
         find=group.find,
         use=lambda: use,
+        slow_ranks=lambda: slow or {},
         clock=virtual_time.now,
     )
     return planner, group
@@ -140,3 +141,45 @@
         search.apply(move)
     for held, found in zip(layer, search.layer()):
         assert len(set(found) - set(held)) <= most
+
+
+@pytest.mark.parametrize(
+    ('use', 'slow', 'left'),
+    [
+        (1.0, {3: 1.6}, 0),
+        (0.0, {3: 4.0}, 0),
+        (1.0, {3: 4.0}, 0),
+        # Six ranks have thirty places for thirty-two experts.
+        (1.0, {3: 4.0, 5: 4.0}, 2),
+    ],
+)
+async def test_slow_ranks_get_no_experts(use, slow, left):
+    """Every stream of a group is late while one rank computes slowly.
+
+    Sequence: a rank turns slow; requests are kept away from it; each pass
+    still waits for its experts.
+    Cause: the search evens out the numbers of tokens, not their time.
+    """
+    planner, group = make_planner(use, slow)
+    plan = await decide(planner, group, EVEN)
+    assert plan is not None
+    for layer in plan.layers:
+        assert min(expert_maps.count_replicas(layer=layer, experts=32)) >= 1
+        assert sum(len(layer[rank]) for rank in slow) == left
+
+
+async def test_rank_at_its_usual_pace_gets_experts_again():
+    planner, group = make_planner(1.0)
+    first = rank_transport.first_map(shape=SHAPE)
+    layers = tuple(
+        ((), *layer[1:-1], layer[0] + layer[-1]) for layer in first.layers
+    )
+    current = expert_maps.ExpertMap(version=first.version, layers=layers)
+    for _ in range(4):
+        await anyio.sleep(expert_planner.SAMPLE_SECONDS)
+        count(group, EVEN)
+        plan = await planner.plan(
+            expert_map=current, conversation=Talk(group.names())
+        )
+    assert plan is not None
+    assert all(layer[0] for layer in plan.layers)
--- /dev/null
+++ b/tests/test_evacuation.py
@@ -0,0 +1,87 @@
+"""Tests of taking experts away from slow ranks."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from marigoldramp import evacuation
+from marigoldramp import expert_maps
+
+
+def empty(layer, slow, *, slots=3, most_new=2, popularity=None):
+    experts = 1 + max(expert for held in layer for expert in held)
+    return evacuation.Evacuation(
+        layer=layer,
+        popularity=popularity or [1.0] * experts,
+        slots=slots,
+        most_new=most_new,
+        slow=slow,
+    ).empty()
+
+
+@pytest.mark.parametrize(
+    ('layer', 'slow', 'expected'),
+    [
+        (((0, 1), (2, 3)), (), ((0, 1), (2, 3))),
+        # A replica elsewhere is enough.
+        (((0, 1), (0, 1, 2)), (0,), ((), (0, 1, 2))),
+        # One that is nowhere else is copied to a free place.
+        (((0,), (1, 2), (3,)), (0,), ((), (1, 2), (0, 3))),
+        # Or takes the place of a replica that is missed least.
+        (((0,), (1, 2, 3), (1, 2, 3)), (0,), ((), (0, 2, 3), (1, 2, 3))),
+        # Two slow ranks.
+        (((0,), (1,), (2,)), (0, 1), ((), (), (0, 1, 2))),
+    ],
+)
+def test_slow_ranks_are_emptied(layer, slow, expected):
+    """One slow rank makes each pass of its group as slow as itself."""
+    assert empty(layer, slow) == expected
+
+
+@pytest.mark.parametrize(
+    ('options', 'left'),
+    [
+        ({'most_new': 1}, 1),
+        ({'slots': 2}, 2),
+        ({'most_new': 0}, 2),
+    ],
+)
+def test_what_finds_no_place_stays(options, left):
+    layer = empty(((0, 1), (2, 3)), (0,), **options)
+    assert len(layer[0]) == left
+
+
+def test_most_popular_experts_go_first():
+    layer = empty(
+        ((0, 1), (2, 3)), (0,), most_new=1, popularity=[1.0, 5.0, 1.0, 1.0]
+    )
+    assert layer == ((0,), (1, 2, 3))
+
+
+@hypothesis.given(
+    strategies.integers(2, 6),
+    strategies.integers(0, 3),
+    strategies.integers(0, 2),
+    strategies.data(),
+)
+def test_layer_stays_sound(ranks, slow, most_new, data):
+    experts = 2 * ranks
+    slots = 3
+    first = tuple(tuple(range(rank, experts, ranks)) for rank in range(ranks))
+    popularity = data.draw(
+        strategies.lists(
+            strategies.floats(0.0, 10.0), min_size=experts, max_size=experts
+        )
+    )
+    new = empty(
+        first,
+        range(min(slow, ranks - 1)),
+        slots=slots,
+        most_new=most_new,
+        popularity=popularity,
+    )
+    assert min(expert_maps.count_replicas(layer=new, experts=experts)) >= 1
+    for before, after in zip(first, new):
+        assert len(after) <= slots
+        assert len(set(after)) == len(after)
+        assert len(set(after) - set(before)) <= most_new
