Split the gateway's program by what its parts are for

A newcomer who looks for how a stop proceeds had to read all of it.

Change: adapter (what a platform brings), upkeep (what is done again and again), stopping (the planned stop).

--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -2,9 +2,6 @@
 
 import random as random_module
 import secrets
-import signal
-from typing import Awaitable
-from typing import Callable
 
 from absl import logging
 import anyio
@@ -12,13 +9,12 @@
 
 from .. import logs
 from .. import metrics as metrics_module
-from .. import store as store_module
 from .. import tcp_streams
+from . import adapter as adapter_module
 from . import admission
 from . import ages
 from . import attempts
 from . import calls
-from . import codecs
 from . import configurations
 from . import deployment
 from . import discovery
@@ -34,85 +30,19 @@
 from . import peer_reports
 from . import peer_roster
 from . import peers
-from . import ranks
 from . import refresh
 from . import reporting
 from . import retry_budget
 from . import settings as settings_module
 from . import status
+from . import stopping
+from . import upkeep
 
-#: Seconds for which new connections are still taken after the request for a
-#: stop, at least and at most: callers keep an address answer for a while.
-#: In between it ends when none has come for some time.  An instance that
-#: takes longer to stop is missing longer, and others stop meanwhile.
-ACCEPTING_LEAST = 0.8
-ACCEPTING_MOST = 2.5
-QUIET_SECONDS = 0.5
-#: Seconds for which a connection must be idle before a stop closes it; a
-#: request may be on its way on one that has just been opened or used.
-IDLE_BEFORE_CLOSE = 0.25
-#: Seconds before the forced stop at which the process ends by itself.
-SPARE = 0.4
 #: Descriptors that are left for everything but callers.
 SPARE_DESCRIPTORS = 600
 MOST_IDLE_PER_ENDPOINT = 12
-#: Seconds between two looks at requests that wait, and at what is idle.
-SERVE_EVERY = 0.1
-HOUSEKEEPING_EVERY = 0.5
-#: Seconds between two looks at whether the settings have changed.
-SETTINGS_EVERY = 1.0
-#: Seconds between two looks whether peers know more of endpoints, while the
-#: store does not answer us.
-ASK_PEERS_EVERY = 0.5
-#: Seconds after a failure of the store for which entries may lapse.
-DISTURBED_SECONDS = 1.0
 METRICS_PATH = '/metrics'
 
-Page = Callable[[inbound.Exchange], Awaitable[None]]
-
-
-class Adapter:
-    """What a deployment's platform brings; see the package ``platform``."""
-
-    __slots__ = (
-        'codec',
-        'configuration',
-        'endpoints',
-        'store',
-        'ranks',
-        'make_pages',
-        'read_settings',
-    )
-
-    def __init__(
-        self,
-        *,
-        codec: codecs.Codec,
-        configuration: configurations.ConfigurationSource,
-        endpoint_source: discovery.EndpointSource,
-        store: store_module.PlatformStore,
-        rank_api: ranks.RankApi,
-        make_pages: Callable[['Program'], 'Pages'],
-        read_settings: Callable[[], settings_module.Settings],
-    ) -> None:
-        self.codec = codec
-        self.configuration = configuration
-        self.endpoints = endpoint_source
-        self.store = store
-        self.ranks = rank_api
-        self.make_pages = make_pages
-        self.read_settings = read_settings
-
-
-class Pages:
-    """The platform's own questions: readiness and addresses."""
-
-    __slots__ = ('readiness', 'addresses')
-
-    def __init__(self, *, readiness: Page, addresses: Page) -> None:
-        self.readiness = readiness
-        self.addresses = addresses
-
 
 class Program:
     """One gateway process.
@@ -126,12 +56,11 @@
         self,
         *,
         settings: settings_module.Settings,
-        adapter: Adapter,
+        adapter: adapter_module.Adapter,
         metrics: metrics_module.Metrics,
     ) -> None:
         random = random_module.Random(secrets.randbits(64))
         clock = ages.read_clock
-        self.settings = settings
         self.leaving = False
         self.call_port = 0
         self.peer_port = 0
@@ -247,8 +176,28 @@
             running=lambda: self.forwarder.running,
             clock=clock,
         )
+        self._upkeep = upkeep.Upkeep(
+            parts=upkeep.Parts(
+                table=self.table,
+                peers=self.peers,
+                pool=self.pool,
+                dispatcher=self.dispatcher,
+                follower=self.follower,
+                refresher=self.refresher,
+                peer_source=self._peer_source,
+            ),
+            settings=settings,
+            read_settings=adapter.read_settings,
+            begin_stop=self.begin_stop,
+            clock=clock,
+        )
         self._show_gauges()
 
+    @property
+    def settings(self) -> settings_module.Settings:
+        """The settings in force."""
+        return self._upkeep.settings
+
     def _show_gauges(self) -> None:
         """Show on the metrics page what the process believes."""
         gauge = self._metrics.gauge
@@ -295,15 +244,11 @@
                     store=str(self.settings.store),
                 ),
             )
-            tasks.start_soon(self._watch_signals)
             tasks.start_soon(self._stop)
+            self._upkeep.start(tasks)
             tasks.start_soon(self.gossip.run, self.settings.peers)
             tasks.start_soon(self.refresher.run)
             tasks.start_soon(self.follower.run)
-            tasks.start_soon(self._keep_house)
-            tasks.start_soon(self._keep_serving)
-            tasks.start_soon(self._keep_settings)
-            tasks.start_soon(self._ask_peers_for_endpoints)
             tasks.start_soon(self._register)
             tasks.start_soon(self.leading.run)
             await self._stopped.wait()
@@ -323,7 +268,7 @@
         self._call_listener = listeners.Listener(
             serve=self._serve_calls, most=most
         )
-        places: list[tuple[outbound.Address | None, Page]] = [
+        places: list[tuple[outbound.Address | None, adapter_module.Page]] = [
             (settings.readiness, self._pages.readiness),
             (settings.addresses, self._pages.addresses),
             (settings.peers, pages.handle),
@@ -346,7 +291,7 @@
                 tasks=tasks,
             )
 
-    def _make_server(self, page: Page) -> listeners.Serve:
+    def _make_server(self, page: adapter_module.Page) -> listeners.Serve:
         async def serve(stream: tcp_streams.Stream) -> None:
             connection = inbound.Connection(
                 stream=stream,
@@ -433,21 +378,6 @@
         own = self.settings.instance
         return sum(peer.instance < own for peer in self.peers.live())
 
-    async def _ask_peers_for_endpoints(self) -> None:
-        """Learn of endpoints from a peer while the store is away for us."""
-        while True:
-            await anyio.sleep(ASK_PEERS_EVERY)
-            now = self._clock()
-            if now - self.refresher.store.failed_at < DISTURBED_SECONDS:
-                self.follower.note_disturbance()
-            if self.follower.store.reached:
-                continue
-            found = await self._peer_source.fetch_endpoints(
-                newer_than=self.follower.change_revision
-            )
-            if found is not None:
-                self.follower.take_peer_listing(found)
-
     async def _register(self) -> None:
         """Make ourselves known to entries that start later."""
         roster = peer_roster.Roster(
@@ -458,50 +388,6 @@
         )
         await roster.run()
 
-    # Upkeep
-
-    async def _keep_serving(self) -> None:
-        """Give places to requests that wait for a rest or a gate to end."""
-        while True:
-            await anyio.sleep(SERVE_EVERY)
-            self.dispatcher.serve_all()
-
-    async def _keep_house(self) -> None:
-        while True:
-            await anyio.sleep(HOUSEKEEPING_EVERY)
-            self.pool.drop_expired()
-            for endpoint in self.table:
-                endpoint.elsewhere = self.peers.in_flight(endpoint.identity)
-
-    async def _keep_settings(self) -> None:
-        """Take changes of the settings that come without a signal."""
-        while True:
-            await anyio.sleep(SETTINGS_EVERY)
-            self._reload('changed')
-
-    def _reload(self, cause: str) -> None:
-        try:
-            found = self._adapter.read_settings()
-        except (OSError, ValueError) as error:
-            logging.error(
-                'settings refused',
-                extra=logs.fields(cause=cause, detail=str(error)),
-            )
-            return
-        if found != self.settings:
-            self.settings = found
-            logging.info('settings reloaded', extra=logs.fields(cause=cause))
-
-    async def _watch_signals(self) -> None:
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as received:
-            async for number in received:
-                if number == signal.SIGHUP:
-                    self._reload('signal')
-                    continue
-                self.begin_stop()
-
     def begin_stop(self) -> None:
         """Begin a planned stop; a second request changes nothing."""
         self.leaving = True
@@ -510,34 +396,27 @@
     async def _stop(self) -> None:
         """Lead through a planned stop, within the time that is given."""
         await self._leave.wait()
-        begun = self._clock()
-        grace = self.settings.bounds.grace
         logging.info(
             'stopping', extra=logs.fields(running=self.forwarder.running)
         )
         self._tell_peers()
-        with anyio.move_on_after(grace / 2):
-            await self.leading.stop()
-        ends = begun + grace - SPARE
-        await anyio.sleep(ACCEPTING_LEAST)
-        while self._clock() < min(begun + ACCEPTING_MOST, ends):
-            if self._clock() - self.forwarder.asked_at > QUIET_SECONDS:
-                break
-            await anyio.sleep(0.05)
-        self._call_listener.close()
-        while self._clock() < ends:
-            for connection in list(self._connections):
-                connection.close_if_idle(longer_than=IDLE_BEFORE_CLOSE)
-            if not self._connections:
-                break
-            await anyio.sleep(0.05)
+        await stopping.lead_through(
+            stopping.Parts(
+                resign=self.leading.stop,
+                listener=self._call_listener,
+                connections=self._connections,
+                asked_at=lambda: self.forwarder.asked_at,
+                clock=self._clock,
+            ),
+            grace=self.settings.bounds.grace,
+        )
         self._stopped.set()
 
 
 async def run(
     *,
     settings: settings_module.Settings,
-    adapter: Adapter,
+    adapter: adapter_module.Adapter,
     metrics: metrics_module.Metrics,
 ) -> None:
     """Run a process until it is stopped."""
--- a/marigoldramp/platform/__main__.py
+++ b/marigoldramp/platform/__main__.py
@@ -9,6 +9,7 @@
 from .. import metrics
 from . import configuration
 from . import endpoints
+from ..gateway import adapter
 from ..gateway import program
 from . import headers
 from . import objects
@@ -29,7 +30,7 @@
         return BAD_SETTINGS
     logs.configure_stdout(instance=settings.instance)
     store = objects.ObjectStore(address=settings.store)
-    adapter = program.Adapter(
+    brought = adapter.Adapter(
         codec=headers.Codec(),
         configuration=configuration.Source(objects=store),
         endpoint_source=endpoints.Source(objects=store),
@@ -42,7 +43,7 @@
         functools.partial(
             program.run,
             settings=settings,
-            adapter=adapter,
+            adapter=brought,
             metrics=metrics.create_local(instance=settings.instance),
         )
     )
--- a/marigoldramp/platform/pages.py
+++ b/marigoldramp/platform/pages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from ..gateway import adapter
 from ..gateway import inbound
 from ..gateway import program
 
@@ -24,7 +25,7 @@
     seconds: float
 
 
-def make(running: program.Program) -> program.Pages:
+def make(running: program.Program) -> adapter.Pages:
     """Return the pages of a process."""
 
     async def show_readiness(exchange: inbound.Exchange) -> None:
@@ -50,4 +51,4 @@
         )
         await exchange.respond(status=200, headers=JSON, body=body)
 
-    return program.Pages(readiness=show_readiness, addresses=show_addresses)
+    return adapter.Pages(readiness=show_readiness, addresses=show_addresses)
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -8,6 +8,7 @@
 import h11
 import msgspec
 
+from marigoldramp.gateway import adapter as adapter_module
 from marigoldramp.gateway import configurations
 from marigoldramp.gateway import deployment
 from marigoldramp.gateway import discovery
@@ -235,7 +236,7 @@
         found.records = [make_record(fake) for fake in fakes]
         objects = FakeStore()
         process = make_settings(**more)
-        adapter = program.Adapter(
+        adapter = adapter_module.Adapter(
             codec=headers.Codec(),
             configuration=config,
             endpoint_source=found,
