Make one codec of the two for marked datagrams

Cause: cache_datagrams and usage_datagrams were one class in two files, each with a mark, a type and a sender's field. They are values of one type now, CACHE_EVENTS and USAGE in marked_datagrams. No behaviour is changed; tests of cache events, usage and peers pass before and after.

--- a/marigoldramp/marked_datagrams.py
+++ b/marigoldramp/marked_datagrams.py
@@ -7,6 +7,7 @@
 
 import collections
 import dataclasses
+import operator
 from typing import Callable
 from typing import Generic
 from typing import TypeVar
@@ -29,20 +30,48 @@
     sequence: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Kind(Generic[T]):
+    """A kind of datagram.
+
+    :ivar mark: one byte that no MessagePack array begins with.
+    :ivar shape: type of the message.
+    :ivar sender: names the instance that sent a message.
+    """
+
+    mark: bytes
+    shape: type[T]
+    sender: Callable[[T], str]
+
+    def matches(self, datagram: bytes) -> bool:
+        """Whether a datagram, genuine or not, says that it is of the kind."""
+        return datagram[_MARKED] == self.mark
+
+
+#: What callers' prompts have left in the caches of endpoints.
+CACHE_EVENTS = Kind(
+    mark=b'\x01',
+    shape=messages.CacheEvents,
+    sender=operator.attrgetter('instance'),
+)
+#: What customers ask of an entry.
+USAGE = Kind(
+    mark=b'\x02',
+    shape=messages.Usage,
+    sender=operator.attrgetter('entry'),
+)
+
+
 class Codec(Generic[T]):
     """Encodes, authenticates and checks datagrams of one kind.
 
-    :param mark: one byte that no MessagePack array begins with.
-    :param shape: type of the message.
-    :param sender: names the instance that sent a message.
     :param sealer: made for the use ``datagram``.
     :param wall: wall clock in seconds.
     :param most_senders: instances whose last sequence is remembered.
     """
 
     __slots__ = (
-        '_mark',
-        '_sender',
+        '_kind',
         '_sealer',
         '_wall',
         '_most',
@@ -54,21 +83,18 @@
     def __init__(
         self,
         *,
-        mark: bytes,
-        shape: type[T],
-        sender: Callable[[T], str],
+        kind: Kind[T],
         sealer: seals.Sealer,
         wall: Callable[[], float],
         most_senders: int,
     ) -> None:
-        self._mark = mark
-        self._sender: Callable[[T], str] = sender
+        self._kind: Kind[T] = kind
         self._sealer = sealer
         self._wall = wall
         self._most = most_senders
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder: msgspec.msgpack.Decoder[T] = msgspec.msgpack.Decoder(
-            shape
+            kind.shape
         )
         self._last: collections.OrderedDict[str, _Last] = (
             collections.OrderedDict()
@@ -76,7 +102,9 @@
 
     def encode(self, message: T) -> bytes:
         """Return the datagram of a message."""
-        return self._sealer.seal(self._mark + self._encoder.encode(message))
+        return self._sealer.seal(
+            self._kind.mark + self._encoder.encode(message)
+        )
 
     def accept(self, datagram: bytes) -> T | heartbeats.Refused:
         """Return the message of a datagram, if it is to be believed."""
@@ -94,7 +122,7 @@
         return self._order(message)
 
     def _order(self, message: T) -> T | heartbeats.Refused:
-        sender = self._sender(message)
+        sender = self._kind.sender(message)
         last = self._last.get(sender)
         if last is not None:
             if message.incarnation < last.incarnation:
@@ -113,10 +141,5 @@
         return message
 
 
-def has_mark(datagram: bytes, mark: bytes) -> bool:
-    """Whether a datagram, genuine or not, says that it is of a kind."""
-    return datagram[_MARKED] == mark
-
-
 def _refuse(reason: heartbeats.Refusal) -> heartbeats.Refused:
     return heartbeats.Refused(reason=reason)
--- a/marigoldramp/peer_datagrams.py
+++ b/marigoldramp/peer_datagrams.py
@@ -2,12 +2,11 @@
 
 from typing import Callable
 
-from . import cache_datagrams
 from . import heartbeats
+from . import marked_datagrams
 from . import messages
 from . import peer_table
 from . import seals
-from . import usage_datagrams
 
 OnCacheEvents = Callable[[messages.CacheEvents], None]
 OnUsage = Callable[[messages.Usage], None]
@@ -42,11 +41,17 @@
         self.usage: list[OnUsage] = []
         self._table = table
         self._transport = transport
-        self._cache_codec = cache_datagrams.Codec(
-            sealer=sealer, wall=wall, most_senders=most_senders
+        self._cache_codec = marked_datagrams.Codec(
+            kind=marked_datagrams.CACHE_EVENTS,
+            sealer=sealer,
+            wall=wall,
+            most_senders=most_senders,
         )
-        self._usage_codec = usage_datagrams.Codec(
-            sealer=sealer, wall=wall, most_senders=most_senders
+        self._usage_codec = marked_datagrams.Codec(
+            kind=marked_datagrams.USAGE,
+            sealer=sealer,
+            wall=wall,
+            most_senders=most_senders,
         )
 
     def send_cache_events(self, events: messages.CacheEvents) -> int:
@@ -66,9 +71,9 @@
 
     def take(self, datagram: bytes) -> bool | heartbeats.Refused:
         """Pass a datagram on; false if it is none of these."""
-        if cache_datagrams.is_cache_events(datagram):
+        if marked_datagrams.CACHE_EVENTS.matches(datagram):
             return self._take_cache_events(datagram)
-        if usage_datagrams.is_usage(datagram):
+        if marked_datagrams.USAGE.matches(datagram):
             return self._take_usage(datagram)
         return False
 
--- a/tests/test_cache_events.py
+++ b/tests/test_cache_events.py
@@ -10,10 +10,10 @@
 import pytest
 import virtual_time
 
-from marigoldramp import cache_datagrams
 from marigoldramp import cache_events
 from marigoldramp import engine_reports
 from marigoldramp import heartbeats
+from marigoldramp import marked_datagrams
 from marigoldramp import messages
 from marigoldramp import prefix_index
 from marigoldramp import seals
@@ -153,8 +153,11 @@
 
 
 def make_codec(now=0.0, most=3):
-    return cache_datagrams.Codec(
-        sealer=SEALER, wall=lambda: now, most_senders=most
+    return marked_datagrams.Codec(
+        kind=marked_datagrams.CACHE_EVENTS,
+        sealer=SEALER,
+        wall=lambda: now,
+        most_senders=most,
     )
 
 
@@ -224,8 +227,14 @@
     ('datagram', 'refusal'),
     [
         (make_codec().encode(make_events())[:-1], 'unauthenticated'),
-        (SEALER.seal(cache_datagrams.MARK + b'\x90'), 'malformed'),
-        (SEALER.seal(cache_datagrams.MARK + b'x' * 1200), 'oversized'),
+        (
+            SEALER.seal(marked_datagrams.CACHE_EVENTS.mark + b'\x90'),
+            'malformed',
+        ),
+        (
+            SEALER.seal(marked_datagrams.CACHE_EVENTS.mark + b'x' * 1200),
+            'oversized',
+        ),
         (make_codec().encode(make_events(sent_at=-31.0)), 'old'),
         (make_codec().encode(make_events(4)), 'replayed'),
         (
@@ -240,7 +249,7 @@
     assert isinstance(
         codec.accept(codec.encode(make_events(5))), messages.CacheEvents
     )
-    assert cache_datagrams.is_cache_events(datagram)
+    assert marked_datagrams.CACHE_EVENTS.matches(datagram)
     refused = codec.accept(datagram)
     assert refused.reason is heartbeats.Refusal(refusal)
 
--- a/tests/test_usage_exchange.py
+++ b/tests/test_usage_exchange.py
@@ -8,10 +8,10 @@
 from marigoldramp import bundle
 from marigoldramp import demands
 from marigoldramp import limits
+from marigoldramp import marked_datagrams
 from marigoldramp import messages
 from marigoldramp import seals
 from marigoldramp import shares
-from marigoldramp import usage_datagrams
 from marigoldramp import usage_exchange
 
 ENTRIES = ('entry-1', 'entry-2')
@@ -90,7 +90,8 @@
 
 
 def make_codec(*, key=b'0123456789abcdef'):
-    return usage_datagrams.Codec(
+    return marked_datagrams.Codec(
+        kind=marked_datagrams.USAGE,
         sealer=seals.Sealer(fleet_key=key, use='datagram'),
         wall=lambda: 100.0,
         most_senders=4,
@@ -112,7 +113,7 @@
 )
 def test_usage_is_not_believed(usage, key, reason):
     datagram = make_codec(key=key).encode(usage)
-    assert usage_datagrams.is_usage(datagram)
+    assert marked_datagrams.USAGE.matches(datagram)
     assert make_codec().accept(datagram).reason == reason
 
 
