Count missed reports, not seconds, where there are many entries

Cause: with more than 16 entries each one reports to another less often (0.2 s at 33, 1.9 s at 300), but silence was counted in seconds: a leader was given up after 0.5 s, which is two and a half reports at 33 entries, and any peer after 1.2 s, less than one period at 300.

Ruled out: reporting ten times a second whatever the number; at 300 entries that is 3,000 datagrams a second in and out of each.

Change: silence is counted in reports that were due; an entry that leads a group reports more often, so that its end is noticed in half a second at 33.

--- a/marigoldramp/gateway/gossip.py
+++ b/marigoldramp/gateway/gossip.py
@@ -12,11 +12,6 @@
 from . import peer_reports
 from . import peers
 
-#: Seconds between two reports to a peer, with few peers.
-PERIOD = 0.1
-#: Peers to which a report goes each period before the period stretches;
-#: reports are then what a node may spend on control.
-PEERS_A_PERIOD = 16
 #: Seconds between two tries of an address where nobody is heard.
 UNHEARD_PERIOD = 1.0
 
@@ -31,6 +26,7 @@
         which only the place is known.
     :param take: takes a report that was not overtaken, and the endpoints
         whose requests in flight may have changed by it.
+    :param leads: whether this entry leads a group of ranks.
     """
 
     __slots__ = (
@@ -38,6 +34,7 @@
         '_seeds',
         '_make',
         '_take',
+        '_leads',
         '_clock',
         '_socket',
         '_tried',
@@ -51,12 +48,14 @@
         seeds: Callable[[], tuple[outbound.Address, ...]],
         make: MakeReport,
         take: OnReport,
+        leads: Callable[[], bool],
         clock: Callable[[], float],
     ) -> None:
         self._table = table
         self._seeds = seeds
         self._make = make
         self._take = take
+        self._leads = leads
         self._clock = clock
         self._socket: anyio.abc.UDPSocket | None = None
         self._tried: dict[outbound.Address, float] = {}
@@ -108,7 +107,7 @@
                     self._make(peer),
                 )
             await self._try_unheard()
-            period = PERIOD * max(1.0, len(live) / PEERS_A_PERIOD)
+            period = peers.find_period(peers=len(live), leads=self._leads())
             self._due = anyio.Event()
             with anyio.move_on_after(period):
                 await self._due.wait()
--- a/marigoldramp/gateway/peers.py
+++ b/marigoldramp/gateway/peers.py
@@ -11,13 +11,22 @@
 from . import outbound
 from . import peer_reports
 
-#: Seconds without a report after which a peer's word counts no more.
+#: Seconds between two reports to a peer, with few peers.
+PERIOD = 0.1
+#: Peers to which a report goes each period before the period stretches;
+#: reports are most of what a node spends on control.  A leader reports to
+#: more of them, so that its end is noticed soon in a larger deployment too.
+PEERS_A_PERIOD = 16
+PEERS_A_PERIOD_OF_LEADER = 64
+#: Seconds without a report after which a peer's word counts no more, and the
+#: reports that must have been missed at least.
 SILENT_AFTER = 1.2
-#: Seconds without a report, of which ten come a second, after which another
-#: entry may lead in a peer's place.  A leader that is killed or suspended can
-#: leave a group of ranks standing, and callers give a stream up after two
-#: seconds; the rest of them is for taking over.
-SUSPECT_AFTER = 0.5
+SILENT_MISSED = 3
+#: Missed reports after which another entry may lead in a peer's place.  A
+#: leader that is killed or suspended can leave a group of ranks standing, and
+#: callers give a stream up after two seconds; the rest of them is for taking
+#: over.
+SUSPECT_MISSED = 5
 #: Seconds without a report after which a peer is taken as gone for good: it
 #: may have been suspended or cut off for shorter.
 GONE_AFTER = 90.0
@@ -40,6 +49,16 @@
     live: bool = False
 
 
+def find_period(*, peers: int, leads: bool) -> float:
+    """Return the seconds between two reports of an entry to a peer.
+
+    :param peers: how many peers it reports to.
+    :param leads: it leads a group of ranks.
+    """
+    usual = PEERS_A_PERIOD_OF_LEADER if leads else PEERS_A_PERIOD
+    return PERIOD * max(1.0, peers / usual)
+
+
 class PeerTable:
     """All entries that may live, but this one.
 
@@ -53,6 +72,7 @@
         '_peers',
         '_in_flight',
         '_random',
+        '_live_count',
     )
 
     def __init__(
@@ -67,6 +87,7 @@
         self._random = random
         self._peers: dict[str, Peer] = {}
         self._in_flight: dict[str, int] = {}
+        self._live_count = 0
 
     def __iter__(self) -> Iterator[Peer]:
         return iter(list(self._peers.values()))
@@ -137,6 +158,7 @@
                 'peer heard',
                 extra=logs.fields(peer=peer.instance, version=report.version),
             )
+        self._live_count += not peer.live
         peer.live = True
         self._count(peer, 1)
         for known in report.known:
@@ -149,9 +171,10 @@
         """Stop believing peers whose reports have stopped."""
         now = self._clock()
         for peer in list(self._peers.values()):
-            if peer.live and now - peer.heard_at > SILENT_AFTER:
+            if peer.live and now - peer.heard_at > self._silence(peer):
                 self._count(peer, -1)
                 peer.live = False
+                self._live_count -= 1
                 logging.info(
                     'peer silent',
                     extra=logs.fields(
@@ -222,7 +245,16 @@
         )
 
     def _is_heard(self, peer: Peer) -> bool:
-        return self._clock() - peer.heard_at <= SUSPECT_AFTER
+        longest = SUSPECT_MISSED * self._period(peer)
+        return self._clock() - peer.heard_at <= longest
+
+    def _silence(self, peer: Peer) -> float:
+        return max(SILENT_AFTER, SILENT_MISSED * self._period(peer))
+
+    def _period(self, peer: Peer) -> float:
+        """Return how often a peer reports to us, if it knows whom we do."""
+        leads = peer.report is not None and bool(peer.report.leads)
+        return find_period(peers=self._live_count, leads=leads)
 
     def _count(self, peer: Peer, sign: int) -> None:
         """Add or take away what a peer has in flight."""
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -132,6 +132,7 @@
             ),
             make=self._report,
             take=self._take,
+            leads=lambda: bool(self.leading.led()),
             clock=clock,
         )
         self.configurations.on_change(self._tell_peers)
--- a/tests/gateway/test_beliefs.py
+++ b/tests/gateway/test_beliefs.py
@@ -338,6 +338,57 @@
     assert set(table.fit_to_lead()) == set(heard_at) - suspects
 
 
+@pytest.mark.parametrize(
+    ('peer_count', 'leads', 'silent', 'suspect'),
+    [
+        (8, True, 1.2, 0.5),
+        (33, False, 1.2, 1.03),
+        (33, True, 1.2, 0.5),
+        (320, True, 1.5, 2.5),
+        (320, False, 6.0, 10.0),
+    ],
+)
+def test_peer_is_given_up_after_reports_that_were_due(
+    peer_count, leads, silent, suspect
+):
+    """Entries of a large deployment take each other for gone by turns.
+
+    Sequence: there are so many entries that each reports to the others less
+    often; the times after which a peer counts as silent stay.
+    Cause: times in seconds where reports are counted.
+    """
+    clock = Clock()
+    table = make_peers(clock)
+    names = [f'p{number}' for number in range(peer_count)]
+    groups = ('g',) if leads else ()
+    for name in names:
+        table.take(make_report(name, leads=groups if name == 'p0' else ()))
+
+    def refresh():
+        for name in names[1:]:
+            table.take(make_report(name, sent=clock.now + 2.0))
+
+    begun = clock.now
+    clock.now = begun + suspect - 0.05
+    refresh()
+    assert not table.is_suspect('p0')
+    clock.now = begun + suspect + 0.05
+    refresh()
+    assert table.is_suspect('p0')
+    table = make_peers(clock)
+    for name in names:
+        table.take(make_report(name, leads=groups if name == 'p0' else ()))
+    begun = clock.now
+    clock.now = begun + silent - 0.05
+    refresh()
+    table.drop_silent()
+    assert len(table.live()) == peer_count
+    clock.now = begun + silent + 0.05
+    refresh()
+    table.drop_silent()
+    assert len(table.live()) == peer_count - 1
+
+
 def test_peers_are_learned_from_peers_and_given_up_at_last():
     clock = Clock()
     table = make_peers(clock)
