Take over at once a lease that an earlier start holds

The lease was held by the earlier start of the same entry, and had to lapse.

Ruled out: the store (it answered; "endpoints listed" within 12 ms of the start), ranks that were not reached (no line), requests that are lost (12 of some 380 failed; the others were late).

Change: a lease that we hold by name and did not write is one of an earlier start; so is one whose holder is heard and says for 0.4 s that it does not lead the group. Ranks refuse the older fencing number all the same.

The test restarts all entries and fails without the change.

--- a/marigoldramp/gateway/group_leading.py
+++ b/marigoldramp/gateway/group_leading.py
@@ -34,6 +34,9 @@
 #: Seconds for which a renewal of a lease lasts, and between two renewals.
 LEASE_SECONDS = 3.0
 RENEW_SECONDS = 1.2
+#: Seconds for which the holder of a lease must say that it does not lead
+#: before its lease counts as one of an earlier start; reports come more often.
+IDLE_SECONDS = 0.4
 #: Seconds without the ranks after which a leader lets another one try, and
 #: for which it does not try again itself.
 UNREACHED_SECONDS = 3.0
@@ -89,6 +92,7 @@
     :param limit: returns how many requests an endpoint of a service may run,
         by its slots.
     :param led_elsewhere: returns the groups that peers say they lead.
+    :param is_idle: whether an entry says that it does not lead a group.
     :param is_gone: whether an entry is taken to have ended; the next leader
         does not wait for the end of its lease then, as ranks check tokens.
     :ivar fit: we may lead; told to peers.
@@ -100,7 +104,9 @@
         '_services',
         '_rivals',
         '_led_elsewhere',
+        '_is_idle',
         '_is_gone',
+        '_idle_since',
         '_pauses',
         '_limit',
         '_api',
@@ -122,6 +128,7 @@
         services: Callable[[], Iterable[deployment.Service]],
         rivals: Callable[[], Iterable[str]],
         led_elsewhere: Callable[[], frozenset[str]],
+        is_idle: Callable[[str, str], bool],
         is_gone: Callable[[str], bool],
         pauses: Callable[[str], float],
         limit: Callable[[str, float], float],
@@ -134,7 +141,9 @@
         self._services = services
         self._rivals = rivals
         self._led_elsewhere = led_elsewhere
+        self._is_idle = is_idle
         self._is_gone = is_gone
+        self._idle_since: dict[str, float] = {}
         self._pauses = pauses
         self._limit = limit
         self._api = api
@@ -291,7 +300,7 @@
             holder=self._instance,
             seconds=LEASE_SECONDS,
             clock=self._clock,
-            is_gone=self._is_gone,
+            is_gone=lambda holder: self._has_ended(group.name, holder),
         )
         transport = rank_transport.RankTransport(
             api=self._api,
@@ -325,6 +334,24 @@
         logging.info('contending', extra=logs.fields(group=group.name))
         tasks.start_soon(self._hold, office)
 
+    def _has_ended(self, group: str, holder: str) -> bool:
+        """Whether the holder of a group's lease no longer leads.
+
+        After a restart of all entries each lease is still held by one that
+        has forgotten it.  Left to lapse, the group would keep its first map
+        for three seconds in which everybody comes back at once.
+        """
+        if holder == self._instance:
+            # An earlier start of ours; our own writes are recognised before.
+            return True
+        if self._is_gone(holder):
+            return True
+        now = self._clock()
+        if not self._is_idle(holder, group):
+            self._idle_since.pop(group, None)
+            return False
+        return now - self._idle_since.setdefault(group, now) >= IDLE_SECONDS
+
     def _agents(self, name: str) -> tuple[str, ...]:
         """Return the endpoints of a group that are still known."""
         return tuple(
--- a/marigoldramp/gateway/peers.py
+++ b/marigoldramp/gateway/peers.py
@@ -225,6 +225,13 @@
         heard = sum(self._is_heard(one) for one in others)
         return 2 * heard > len(others)
 
+    def is_idle(self, instance: str, group: str) -> bool:
+        """Whether a peer is heard and says that it does not lead a group."""
+        peer = self._peers.get(instance)
+        if peer is None or peer.report is None or not self._is_heard(peer):
+            return False
+        return group not in peer.report.leads
+
     def fit_to_lead(self) -> list[str]:
         """Return the live peers that may lead groups of ranks."""
         return [
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -142,6 +142,7 @@
             services=self._services,
             rivals=self.peers.fit_to_lead,
             led_elsewhere=self.peers.led_groups,
+            is_idle=self.peers.is_idle,
             is_gone=self.peers.is_suspect,
             pauses=lambda service: self.dispatcher.pace(service).share,
             limit=lambda service, slots: self.dispatcher.pace(service).limit(
--- a/tests/gateway/test_group_leading.py
+++ b/tests/gateway/test_group_leading.py
@@ -69,6 +69,10 @@
                 if other != name and other not in self.silent
                 for group in entry.led()
             ),
+            is_idle=lambda other, group: (
+                other not in self.silent
+                and group not in self.entries[other].led()
+            ),
             is_gone=lambda other: other in self.silent,
             pauses=lambda service: 0.0,
             limit=lambda service, slots: slots,
@@ -189,6 +193,38 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_group_is_led_soon_after_all_entries_have_restarted():
+    """A group keeps its first map while all callers come back at once.
+
+    Sequence: all entries end at once and start again; the lease is held by
+    the earlier start of one of them; each waits for its end.
+    Cause: who holds a lease was told by a name that the new start has too.
+    """
+    fleet = Fleet()
+    async with anyio.create_task_group() as tasks:
+        fleet.start(tasks)
+        await anyio.sleep(5.0)
+        for scope in fleet.scopes.values():
+            scope.cancel()
+        for leaves_first_out in (False, True):
+            leader = fleet.leaders()[0] if fleet.leaders() else ''
+            names = list(fleet.entries)
+            fleet.entries = {name: fleet.make(name) for name in names}
+            if leaves_first_out and leader:
+                # The first of the others has to notice that it does not lead.
+                fleet.entries[leader]._stopping = True
+            for name in names:
+                tasks.start_soon(fleet.run_entry, name)
+            await anyio.sleep(1.5)
+            assert len(fleet.leaders()) == 1
+            assert (leader in fleet.leaders()) is not leaves_first_out
+            for scope in fleet.scopes.values():
+                scope.cancel()
+            await anyio.sleep(0.1)
+        assert fleet.group.mixed == []
+        tasks.cancel_scope.cancel()
+
+
 async def test_leader_that_stops_gives_its_lease_up():
     fleet = Fleet()
     async with anyio.create_task_group() as tasks:
