Tell peers which endpoints break requests

Each entry left it alone after its own loss; the next one lost the next call.

Ruled out: idle connections (such calls get fresh ones); a dead endpoint (it served others meanwhile).

Change: what is told to peers as slowness counts requests without a whole answer too. Answers that tell of a failure do not count, as some requests fail on every endpoint.

--- a/marigoldramp/gateway/forwarding.py
+++ b/marigoldramp/gateway/forwarding.py
@@ -187,7 +187,7 @@
                 gate.note_failure()
             case attempts.Unreached() | attempts.Broken():
                 endpoint.note_failure(now=now)
-                endpoint.quality.note_error(now=now)
+                endpoint.quality.note_break(now=now)
                 gate.note_failure()
                 call.avoid(endpoint.identity)
         logging.info(
--- a/marigoldramp/gateway/peer_reports.py
+++ b/marigoldramp/gateway/peer_reports.py
@@ -38,7 +38,8 @@
     :ivar revision_age: seconds since it was in touch with the store about
         endpoints; negative if it never was.
     :ivar in_flight: requests of the sender by endpoint.
-    :ivar slow: endpoints that the sender finds slow, and how many times.
+    :ivar slow: endpoints that the sender finds slow or failing, and how many
+        times worse than usual.
     :ivar fit: the sender may lead groups of ranks.
     :ivar leads: groups that it leads.
     :ivar paces: slow ranks of groups that it leads, see
--- a/marigoldramp/gateway/quality.py
+++ b/marigoldramp/gateway/quality.py
@@ -14,6 +14,9 @@
 #: Times longer than usual from which on an endpoint counts as slow; below it
 #: requests of unlike size tell nothing.
 SLOW_FROM = 1.8
+#: Times slower for which an endpoint counts at peers that fails everything,
+#: by our own outcomes; one failure among successes makes it 2.5 times.
+FAILING_WEIGHT = 6.0
 #: Largest factor of slowness.
 MOST_SLOWNESS = 20.0
 #: Seconds for which the pace that a rank reports is believed; the leader of
@@ -34,6 +37,8 @@
         'seconds',
         '_errors',
         '_at',
+        '_breaks',
+        '_broke_at',
         '_told',
         '_told_at',
         '_pace',
@@ -45,6 +50,8 @@
     def __init__(self) -> None:
         self.seconds = 0.0
         self._errors = 0.0
+        self._breaks = 0.0
+        self._broke_at = float('-inf')
         self._at = float('-inf')
         self._told = 1.0
         self._told_at = float('-inf')
@@ -64,6 +71,8 @@
     def note_success(self, *, now: float) -> None:
         """Learn of a good answer whose time tells nothing."""
         self._errors = self.errors(now=now) * (1.0 - SMOOTHING)
+        self._breaks = self.breaks(now=now) * (1.0 - SMOOTHING)
+        self._broke_at = now
         self._at = now
 
     def note_error(self, *, now: float) -> None:
@@ -72,6 +81,13 @@
         self._errors = errors + SMOOTHING * (1.0 - errors)
         self._at = now
 
+    def note_break(self, *, now: float) -> None:
+        """Learn of a request to which there was no whole answer."""
+        self.note_error(now=now)
+        breaks = self.breaks(now=now)
+        self._breaks = breaks + SMOOTHING * (1.0 - breaks)
+        self._broke_at = now
+
     def note_told(self, *, slowness: float, now: float) -> None:
         """Learn how slow a peer finds the endpoint."""
         self._told = slowness
@@ -101,6 +117,14 @@
         """Return the part of its requests that it fails, 0 to 1."""
         return self._errors * _fade(now - self._at)
 
+    def breaks(self, *, now: float) -> float:
+        """Return the part of its requests that got no whole answer.
+
+        Answers that tell of a failure do not count: some requests fail on
+        every endpoint.
+        """
+        return self._breaks * _fade(now - self._broke_at)
+
     def own_slowness(self, *, usual: float, now: float) -> float:
         """Return how many times longer than usual it takes, 1 for usual.
 
@@ -114,6 +138,15 @@
         over = min(MOST_SLOWNESS, ratio) - 1.0
         return 1.0 + over * _fade(now - self._at)
 
+    def own_trouble(self, *, usual: float, now: float) -> float:
+        """Return how many times worse than usual it does, to tell peers.
+
+        Without failures in it each entry has to lose a request of its own to
+        an endpoint that fails some, and many of them cannot be repeated.
+        """
+        failing = 1.0 + FAILING_WEIGHT * self.breaks(now=now)
+        return failing * self.own_slowness(usual=usual, now=now)
+
     def slowness(self, *, usual: float, now: float) -> float:
         """Return its slowness by our own outcomes or by peers' word."""
         told = 1.0 + (self._told - 1.0) * _fade(now - self._told_at)
--- a/marigoldramp/gateway/reporting.py
+++ b/marigoldramp/gateway/reporting.py
@@ -192,14 +192,14 @@
         }
 
     def _list_slow(self, now: float) -> dict[str, float]:
-        """Return the endpoints that we find slow ourselves."""
+        """Return the endpoints that we find slow or failing ourselves."""
         table = self._parts.table
         usual = {
             service: table.usual_seconds(service)
             for service in {one.record.service for one in table}
         }
         found = {
-            one.identity: one.quality.own_slowness(
+            one.identity: one.quality.own_trouble(
                 usual=usual[one.record.service], now=now
             )
             for one in table
--- a/tests/gateway/test_quality.py
+++ b/tests/gateway/test_quality.py
@@ -94,3 +94,37 @@
         one.note_answer(seconds=0.015, now=10.0)
     one.note_answer(seconds=0.03, now=10.0)
     assert one.own_slowness(usual=0.015, now=10.0) == 1.0
+
+
+@pytest.mark.parametrize(
+    ('events', 'told'),
+    [
+        ('', False),
+        ('b', True),
+        ('bs', True),
+        ('bsss', False),
+        ('bbs', True),
+        ('bbsssss', False),
+        # Some requests fail on every endpoint.
+        ('ee', False),
+    ],
+)
+def test_peers_learn_of_an_endpoint_that_breaks_requests(events, told):
+    """Each entry loses a call of its own to the same endpoint.
+
+    Sequence: an endpoint resets connections with requests on them; the entry
+    that has lost one avoids it; the next entry sends it the next call.
+    Cause: entries told each other who is slow, not who fails.
+    """
+    one = quality.Quality()
+    for event in events:
+        match event:
+            case 'b':
+                one.note_break(now=0.0)
+            case 's':
+                one.note_success(now=0.0)
+            case 'e':
+                one.note_error(now=0.0)
+    trouble = one.own_trouble(usual=0.02, now=0.0)
+    assert (trouble > quality.SLOW_FROM) is told
+    assert one.own_trouble(usual=0.02, now=30.0) < quality.SLOW_FROM
