Take what an attempt says out of the delivery of a call

No behaviour is changed; tests of deliveries, silent agents, calls, hedging and entries pass before and after. The gateway does not use either module.

--- a/marigoldramp/calls.py
+++ b/marigoldramp/calls.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from . import admitted_calls
 from . import asgi
 from . import bundle
 from . import callers
@@ -324,7 +325,7 @@
                 share=service.retry_share, clock=self._tools.clock
             )
             self._budgets[service.name] = budget
-        admitted = deliveries.Admitted(
+        admitted = admitted_calls.Admitted(
             call=intake.call,
             customer=intake.customer,
             service=service,
--- a/marigoldramp/deliveries.py
+++ b/marigoldramp/deliveries.py
@@ -9,16 +9,14 @@
 
 import anyio
 
+from . import admitted_calls
 from . import asgi
 from . import attempts
-from . import bundle
 from . import caller_answers
-from . import callers
 from . import connections
 from . import heads
 from . import keys
 from . import membership
-from . import messages
 from . import outcomes
 from . import resumes
 from . import retries
@@ -78,31 +76,6 @@
     silence: float
 
 
-@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
-class Admitted:
-    """A call that has been admitted.
-
-    :ivar key: bound key of a non-idempotent call, else empty.
-    :ivar binding: what the key is bound to.
-    :ivar first: no attempt with this key was made before.
-    :ivar deadline: end of the call by the entry's clock.
-    """
-
-    call: str
-    customer: bundle.Customer
-    service: bundle.Service
-    route: bundle.Route
-    wishes: callers.Wishes
-    facts: routing.CallFacts
-    request: asgi.Request
-    body: bytes
-    deadline: float
-    bundle_number: int
-    key: str = ''
-    binding: messages.Binding | None = None
-    first: bool = True
-
-
 class Delivery:
     """One call on its way.
 
@@ -128,7 +101,7 @@
         self,
         *,
         tools: Tools,
-        admitted: Admitted,
+        admitted: admitted_calls.Admitted,
         send: asgi.Send,
         budget: retries.Budget,
     ) -> None:
@@ -363,16 +336,6 @@
             self.maybe = before and not self.admitted.key
             self.barred = bool(self.admitted.key)
 
-    def _can_run(self, target: routing.Candidate) -> bool:
-        """Whether that process may run the call; only one may run a key."""
-        binding = self.admitted.binding
-        if binding is None:
-            return True
-        return (
-            binding.agent == target.instance
-            and binding.incarnation == target.incarnation
-        )
-
     async def _attempt(
         self,
         target: routing.Candidate,
@@ -390,7 +353,7 @@
             unreached = await attempt.open()
             if unreached is not None:
                 return unreached
-            self.maybe = self.maybe or self._can_run(target)
+            self.maybe = self.maybe or self.admitted.may_run_at(target)
             await steps.reach(steps.Step.CALL_SENT, self.admitted.call)
             result = await attempt.send()
             if not isinstance(result, attempts.Answering):
@@ -408,37 +371,24 @@
     def _build(
         self, target: routing.Candidate, settle: bool, silence: float
     ) -> attempts.Outgoing:
-        admitted = self.admitted
         self.attempt += 1
-        remaining = admitted.deadline - self._tools.clock()
-        head = messages.CallHead(
-            call=admitted.call,
-            attempt=self.attempt,
-            entry=self._tools.instance,
-            agent=target.instance,
-            incarnation=target.incarnation,
-            customer=admitted.customer.name,
-            service=admitted.service.name,
-            idempotent=not admitted.key,
-            priority=admitted.wishes.priority,
-            deadline_at=self._tools.wall() + remaining,
-            remaining=remaining,
-            key=admitted.key,
-            settle=settle,
-            resume_from=self.answer.relayed,
-            weight=admitted.customer.weight,
-            bundle=admitted.bundle_number,
-            tokens=admitted.facts.tokens,
-        )
-        return attempts.Outgoing(
-            head=head,
-            method=admitted.request.method,
-            target=admitted.request.target,
-            headers=_keep_headers(admitted.request.headers),
-            body=admitted.body,
-            silence=silence,
+        return admitted_calls.build_attempt(
+            self.admitted,
+            target=target,
+            sending=admitted_calls.Sending(
+                entry=self._tools.instance,
+                number=self.attempt,
+                settle=settle,
+                resume_from=self.answer.relayed,
+                remaining=self._remaining(),
+                wall=self._tools.wall(),
+                silence=silence,
+            ),
         )
 
+    def _remaining(self) -> float:
+        return self.admitted.deadline - self._tools.clock()
+
     def _should_leave(self, target: routing.Candidate) -> bool:
         """Whether to look elsewhere instead of waiting for an agent.
 
@@ -464,8 +414,9 @@
         )
 
     def _renew_facts(self) -> routing.CallFacts:
-        remaining = self.admitted.deadline - self._tools.clock()
-        return dataclasses.replace(self.admitted.facts, remaining=remaining)
+        return dataclasses.replace(
+            self.admitted.facts, remaining=self._remaining()
+        )
 
     def _make_resume(self, target: routing.Candidate) -> bytes:
         return self._tools.resumes.make(
@@ -477,13 +428,3 @@
                 incarnation=target.incarnation,
             )
         )
-
-
-def _keep_headers(headers: asgi.Headers) -> asgi.Headers:
-    """Return the caller's headers that its endpoint gets."""
-    return [
-        pair
-        for pair in asgi.keep_end_to_end(headers)
-        if pair[0] not in (b'authorization', b'host', b'content-length')
-        and not pair[0].startswith(heads.OWN_PREFIX)
-    ]
--- a/tests/test_silent_agents.py
+++ b/tests/test_silent_agents.py
@@ -7,6 +7,7 @@
 import httpcore
 import pytest
 
+from marigoldramp import admitted_calls
 from marigoldramp import asgi
 from marigoldramp import bundle
 from marigoldramp import callers
@@ -98,7 +99,7 @@
             wall=lambda: 0.0,
             silence=0.05,
         ),
-        admitted=deliveries.Admitted(
+        admitted=admitted_calls.Admitted(
             call='call',
             customer=bundle.Customer(
                 name='c', key_digests=(), services=('s',)
