Read settings files beside the settings, not in them

Cause: settings read its file by settings_checks, which needs the types of settings and, by its plug-ins, modules that import settings: a circle that stood only because the types were imported for the type checker alone.

Change: settings has the values; settings_files reads, checks and places faults; settings_checks imports settings as any module does.

--- a/marigoldramp/settings_checks.py
+++ b/marigoldramp/settings_checks.py
@@ -3,18 +3,15 @@
 import collections
 import ipaddress
 import re
-import typing
 import urllib.parse
 
 from . import credentials
 from . import documents
 from . import findings
 from . import plugins
+from . import settings as settings_module
 from . import store
 
-if typing.TYPE_CHECKING:
-    from . import settings as _settings
-
 PUBLIC_KEY = re.compile(r'[0-9a-f]{64}')
 #: Names of instances, data centres and operators become part of object
 #: names in the platform's store and of addresses of its HTTP API.
@@ -36,8 +33,8 @@
     def __init__(
         self,
         *,
-        settings: '_settings.Settings',
-        loaded: 'documents.Loaded[_settings.Settings]',
+        settings: settings_module.Settings,
+        loaded: documents.Loaded[settings_module.Settings],
     ) -> None:
         self._settings = settings
         self._loaded = loaded
@@ -180,8 +177,8 @@
 
 
 def check_form(
-    settings: '_settings.Settings',
-    loaded: 'documents.Loaded[_settings.Settings]',
+    settings: settings_module.Settings,
+    loaded: documents.Loaded[settings_module.Settings],
 ) -> Findings:
     """Report values that are wrong in whatever role they are used."""
     checks = _Checks(settings=settings, loaded=loaded)
@@ -197,9 +194,9 @@
 
 
 def check_role(
-    settings: '_settings.Settings',
-    role: '_settings.Role',
-    loaded: 'documents.Loaded[_settings.Settings]',
+    settings: settings_module.Settings,
+    role: settings_module.Role,
+    loaded: documents.Loaded[settings_module.Settings],
 ) -> Findings:
     """Report what the role needs and the settings lack."""
     checks = _Checks(settings=settings, loaded=loaded)
--- a/marigoldramp/ui/readers.py
+++ b/marigoldramp/ui/readers.py
@@ -2,6 +2,7 @@
 
 from .. import bundle
 from .. import settings as settings_module
+from .. import settings_files
 from . import commands
 from . import output as output_module
 
@@ -10,10 +11,10 @@
     path: str, role: settings_module.Role, output: commands.OutputForm
 ) -> settings_module.Settings | None:
     """Return settings that suffice for a role, or print the findings."""
-    loaded = settings_module.read(path=path)
+    loaded = settings_files.read(path=path)
     found = loaded.findings
     if loaded.value is not None:
-        found = settings_module.check_role(loaded.value, role, loaded)
+        found = settings_files.check_role(loaded.value, role, loaded)
     if found:
         output_module.report_findings(found, output)
         return None
--- a/marigoldramp/ui/settings_show.py
+++ b/marigoldramp/ui/settings_show.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from .. import settings as settings_module
+from .. import settings_files
 from . import commands
 from . import exits
 from . import output as output_module
@@ -18,7 +18,7 @@
     import msgspec
     import yaml
 
-    loaded = settings_module.read(path=file)
+    loaded = settings_files.read(path=file)
     if loaded.value is None:
         output_module.report_findings(loaded.findings, output)
         return exits.BAD_INPUT
--- a/marigoldramp_measure/instances.py
+++ b/marigoldramp_measure/instances.py
@@ -25,6 +25,7 @@
 from marigoldramp import peers
 from marigoldramp import seals
 from marigoldramp import settings
+from marigoldramp import settings_files
 from marigoldramp import signatures
 from marigoldramp import store
 from marigoldramp_standins import memory
@@ -288,7 +289,7 @@
     with tempfile.TemporaryDirectory() as directory:
         path = pathlib.Path(directory, 'settings.yaml')
         path.write_bytes(msgspec.json.encode(document))
-        loaded = settings.read(path=str(path))
+        loaded = settings_files.read(path=str(path))
     if loaded.value is None:
         raise ValueError(str(loaded.findings))
     return loaded.value
--- a/marigoldramp_measure/site.py
+++ b/marigoldramp_measure/site.py
@@ -26,6 +26,7 @@
 from marigoldramp import messages
 from marigoldramp import runtime as runtime_module
 from marigoldramp import settings as settings_module
+from marigoldramp import settings_files
 from marigoldramp import store
 from marigoldramp_standins import answers
 from marigoldramp_standins import batching
@@ -335,7 +336,7 @@
     with tempfile.TemporaryDirectory(prefix='marigoldramp-') as folder:
         path = pathlib.Path(folder) / 'settings.yaml'
         path.write_text(yaml.safe_dump(document))
-        loaded = settings_module.read(path=str(path))
+        loaded = settings_files.read(path=str(path))
     if loaded.value is None:
         raise ValueError(loaded.findings)
     return loaded.value
--- a/tests/runtime_site.py
+++ b/tests/runtime_site.py
@@ -15,7 +15,7 @@
 from marigoldramp import heartbeats
 from marigoldramp import peers
 from marigoldramp import runtime
-from marigoldramp import settings
+from marigoldramp import settings_files
 from marigoldramp import steps
 from marigoldramp_standins import memory
 
@@ -29,7 +29,7 @@
     """
 
     def __init__(self, *, path, site):
-        loaded = settings.read(path=str(path))
+        loaded = settings_files.read(path=str(path))
         assert loaded.value is not None, loaded.findings
         role = loaded.value.instance.split('-')[0]
         self.program = PROGRAMS[role](settings=loaded.value)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -12,6 +12,7 @@
 from marigoldramp import bundle
 from marigoldramp import bundle_checks
 from marigoldramp import settings
+from marigoldramp import settings_files
 from marigoldramp.ui import exits
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -37,7 +38,7 @@
 
 def list_settings():
     """Return name, default and type of every setting."""
-    loaded = settings.read(path=str(EXAMPLES / 'console.yaml'))
+    loaded = settings_files.read(path=str(EXAMPLES / 'console.yaml'))
     hints = typing.get_type_hints(settings.Settings, include_extras=True)
     for field in dataclasses.fields(settings.Settings):
         value = getattr(loaded.value, field.name)
@@ -120,9 +121,9 @@
 @pytest.mark.parametrize('role', ['entry', 'agent', 'operator'])
 def test_example_settings_suffice(role):
     name = 'console' if role == 'operator' else role
-    loaded = settings.read(path=str(EXAMPLES / f'{name}.yaml'))
+    loaded = settings_files.read(path=str(EXAMPLES / f'{name}.yaml'))
     assert not loaded.findings
-    assert not settings.check_role(loaded.value, role, loaded)
+    assert not settings_files.check_role(loaded.value, role, loaded)
 
 
 def test_example_bundle_is_accepted():
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -3,6 +3,7 @@
 import pytest
 
 from marigoldramp import settings
+from marigoldramp import settings_files
 
 KEY = 'ab' * 32
 OTHER = 'cd' * 32
@@ -20,7 +21,7 @@
 def read(tmp_path, text):
     path = tmp_path / 'settings.yaml'
     path.write_text(text)
-    return settings.read(path=str(path))
+    return settings_files.read(path=str(path))
 
 
 def fields(findings):
@@ -95,7 +96,7 @@
 @pytest.mark.parametrize('role', list(settings.Role))
 def test_whole_settings_suffice(tmp_path, role):
     loaded = read(tmp_path, WHOLE)
-    assert settings.check_role(loaded.value, role, loaded) == ()
+    assert settings_files.check_role(loaded.value, role, loaded) == ()
 
 
 @pytest.mark.parametrize(
@@ -107,7 +108,7 @@
 )
 def test_unknown_plugins_are_found(tmp_path, role, text, field):
     loaded = read(tmp_path, f'platform: {text}')
-    found = settings.check_role(loaded.value, role, loaded)
+    found = settings_files.check_role(loaded.value, role, loaded)
     named = [item for item in found if item.field == field]
     assert 'there is no such plug-in; known: ' in named[0].message
 
@@ -142,5 +143,5 @@
 )
 def test_role_lacks_settings(tmp_path, role, expected):
     loaded = read(tmp_path, '')
-    found = settings.check_role(loaded.value, role)
+    found = settings_files.check_role(loaded.value, role)
     assert [item.field for item in found] == expected
--- a/tests/test_ui.py
+++ b/tests/test_ui.py
@@ -12,7 +12,7 @@
 import msgspec
 import pytest
 
-from marigoldramp import settings
+from marigoldramp import settings_files
 from marigoldramp import status
 from marigoldramp import store
 from marigoldramp import store_retries
@@ -405,7 +405,7 @@
 
     path = tmp_path / 'settings.yaml'
     path.write_text('')
-    known = settings.read(path=str(path)).value
+    known = settings_files.read(path=str(path)).value
     listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     async with anyio.create_task_group() as group:
@@ -450,9 +450,10 @@
 LOADED = """
 import sys
 from marigoldramp import settings
+from marigoldramp import settings_files
 from marigoldramp import ui
 ui.make_application()
-settings.read(path=sys.argv[1])
+settings_files.read(path=sys.argv[1])
 print(*sorted(name for name in sys.argv[2:] if name in sys.modules))
 """
 
