--- a/marigoldramp/settings_files.py
+++ b/marigoldramp/settings_files.py
@@ -21,7 +21,7 @@
         text=text,
         source=path,
         shape=settings_module.Settings,
-        under=_read_defaults(),
+        under=read_defaults(),
     )
     value = loaded.value or _repair(loaded)
     if value is None:
@@ -51,7 +51,7 @@
     sound = loaded.tree
     for one in loaded.findings:
         sound = _drop(sound, one.field.split('.'))
-    whole = documents.merge(under=_read_defaults(), over=sound)
+    whole = documents.merge(under=read_defaults(), over=sound)
     return documents.convert(whole, settings_module.Settings)
 
 
@@ -90,7 +90,8 @@
 
 
 @functools.cache
-def _read_defaults() -> nodes.Node:
+def read_defaults() -> nodes.Node:
+    """Return the tree of ``settings_default.yaml``."""
     name = 'settings_default.yaml'
     package = importlib.resources.files(__package__)
     text = package.joinpath(name).read_text(encoding='utf-8')
--- a/tests/fake_endpoint.py
+++ b/tests/fake_endpoint.py
@@ -10,6 +10,7 @@
 
 from marigoldramp import endpoint_kinds
 from marigoldramp import settings
+from marigoldramp import settings_files
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -116,7 +117,7 @@
 
 
 def make_settings(**changes):
-    defaults = settings._read_defaults().plain()['agent']
+    defaults = settings_files.read_defaults().plain()['agent']
     return settings.Agent(**{**defaults, 'ranks': (), **changes})
 
 
