Call what was there for headers and addresses, and share a test's site

Assertions and behaviour are as before.

Ruled out: one read loop for the soak's callers and the tests' (one has to record a broken answer, the other headers too); dropping what answers say of load and requests of tokens, which nothing uses yet but tests assert.

--- a/marigoldramp/asgi.py
+++ b/marigoldramp/asgi.py
@@ -74,15 +74,21 @@
     )
 
 
+def list_connection_options(headers: Headers) -> set[bytes]:
+    """Return what the ``connection`` headers name, in lower case."""
+    named: set[bytes] = set()
+    for key, value in headers:
+        if key == b'connection':
+            named.update(part.strip().lower() for part in value.split(b','))
+    return named
+
+
 def keep_end_to_end(headers: Headers) -> Headers:
     """Return the headers that a relay passes on.
 
     The headers that ``Connection`` lists concern one connection too.
     """
-    dropped = set(HOP_BY_HOP)
-    for key, value in headers:
-        if key == b'connection':
-            dropped.update(part.strip().lower() for part in value.split(b','))
+    dropped = HOP_BY_HOP | list_connection_options(headers)
     return [pair for pair in headers if pair[0] not in dropped]
 
 
--- a/marigoldramp/gateway/attempts.py
+++ b/marigoldramp/gateway/attempts.py
@@ -7,6 +7,7 @@
 import dataclasses
 from typing import Callable
 
+from .. import asgi
 from .. import tcp_streams
 from . import ages
 from . import calls
@@ -185,7 +186,7 @@
             return Broken(detail=fault)
         headers = [
             pair
-            for pair in codecs.drop_hop_by_hop(head.headers)
+            for pair in asgi.keep_end_to_end(head.headers)
             if pair[0] != b'content-length'
         ]
         if head.status == 200 and _is_stream(headers):
--- a/marigoldramp/gateway/codecs.py
+++ b/marigoldramp/gateway/codecs.py
@@ -91,18 +91,3 @@
     @abc.abstractmethod
     def read_answer(self, status: int, headers: Headers) -> AnswerFacts:
         """Return what the head of an endpoint's answer says."""
-
-
-def list_connection_options(headers: Headers) -> set[bytes]:
-    """Return what the ``connection`` headers name, in lower case."""
-    named: set[bytes] = set()
-    for name, value in headers:
-        if name == b'connection':
-            named.update(part.strip().lower() for part in value.split(b','))
-    return named
-
-
-def drop_hop_by_hop(headers: Headers) -> Headers:
-    """Return the headers that may go on to the next connection."""
-    dropped = asgi.HOP_BY_HOP | list_connection_options(headers)
-    return [pair for pair in headers if pair[0] not in dropped]
--- a/marigoldramp/gateway/outbound.py
+++ b/marigoldramp/gateway/outbound.py
@@ -13,6 +13,7 @@
 import h11
 import httpcore
 
+from .. import asgi
 from .. import tcp_streams
 from . import ages
 from . import codecs
@@ -168,7 +169,7 @@
                     self._idle_seconds = min(
                         MOST_IDLE_SECONDS, stated * IDLE_SHARE
                     )
-        if b'close' in codecs.list_connection_options(headers):
+        if b'close' in asgi.list_connection_options(headers):
             self._closing = True
 
 
--- a/marigoldramp/platform/headers.py
+++ b/marigoldramp/platform/headers.py
@@ -1,5 +1,6 @@
 """Names and forms of the platform's headers."""
 
+from .. import asgi
 from ..gateway import codecs
 
 #: Identifier of one attempt of a caller's; endpoints echo it.
@@ -61,7 +62,7 @@
     ) -> codecs.Headers:
         written = [
             pair
-            for pair in codecs.drop_hop_by_hop(headers)
+            for pair in asgi.keep_end_to_end(headers)
             if pair[0] not in _REPLACED
         ]
         left = max(1, int(sending.seconds * MILLISECONDS))
--- a/marigoldramp/ui/gateway_status.py
+++ b/marigoldramp/ui/gateway_status.py
@@ -41,8 +41,10 @@
     """Print configuration, load, queues and leadership of gateways."""
     import anyio
 
+    from ..platform import settings_file
+
     try:
-        places = [_parse(text) for text in addresses]
+        places = [settings_file.parse_address(text) for text in addresses]
     except ValueError as error:
         output_module.report_fault('bad_input', str(error), output)
         return exits.BAD_INPUT
@@ -52,15 +54,6 @@
     return exits.REFUSED if None in answers else exits.DONE
 
 
-def _parse(text: str) -> 'outbound.Address':
-    from ..gateway import outbound
-
-    host, colon, port = text.rpartition(':')
-    if not colon or not host or not port.isdigit():
-        raise ValueError(f'{text!r} is not an address and a port')
-    return outbound.Address(host=host, port=int(port))
-
-
 async def _ask(
     places: 'list[outbound.Address]',
 ) -> 'list[status_module.Status | None]':
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -103,12 +103,12 @@
         assert not heard[-1].leaving
 
 
-@pytest.mark.anyio
-async def test_end_of_a_link_is_told():
-    """An entry no longer chooses an agent, as another one suits it better.
+@contextlib.asynccontextmanager
+async def open_choosy_entry():
+    """Yield a site, an entry with one peer of a kind, and six agents.
 
-    Nothing would tell it of the old one's death, and its load report would
-    stand still.
+    Two other entries use the agents, so that these do not introduce
+    themselves.
     """
     async with open_site() as site:
         entry = site.start('entry-1', changes={'peers': 1})
@@ -120,6 +120,17 @@
         await anyio.sleep(0)
         site.seed(*users, rows=[agent.row() for agent in agents])
         await anyio.sleep(2)
+        yield site, entry, agents
+
+
+@pytest.mark.anyio
+async def test_end_of_a_link_is_told():
+    """An entry no longer chooses an agent, as another one suits it better.
+
+    Nothing would tell it of the old one's death, and its load report would
+    stand still.
+    """
+    async with open_choosy_entry() as (_, entry, agents):
         ended = []
         entry.membership.on_unlinked(lambda peer: ended.append(peer.instance))
         for number in range(6):
@@ -137,26 +148,6 @@
     return heard
 
 
-@contextlib.asynccontextmanager
-async def open_choosy_entry():
-    """Yield a site, an entry with one peer of a kind, and six agents.
-
-    Two other entries use the agents, so that these do not introduce
-    themselves.
-    """
-    async with open_site() as site:
-        entry = site.start('entry-1', changes={'peers': 1})
-        users = [site.start(f'entry-{number}') for number in (2, 3)]
-        agents = [
-            site.start(f'agent-{number}', role=AGENT, service='s')
-            for number in range(6)
-        ]
-        await anyio.sleep(0)
-        site.seed(*users, rows=[agent.row() for agent in agents])
-        await anyio.sleep(2)
-        yield site, entry, agents
-
-
 @pytest.mark.anyio
 async def test_heartbeats_without_a_link_are_not_passed_on():
     """An agent shows a new bundle to an entry that has not chosen it.
