Read entries of other writers one by one, and tell starts apart

One object that could not be decoded lost its whole page or watch, an unknown state counted as ready, and belief, leaving and connections of an earlier start were kept for the next one.

Of an earlier start everything is forgotten, whether the list, a watch or a peer tells.

Ruled out: decoding a page again as a whole after a failure; it hides which entry was the one.

--- a/marigoldramp/gateway/deployment.py
+++ b/marigoldramp/gateway/deployment.py
@@ -139,8 +139,9 @@
 class EndpointRecord:
     """An endpoint as discovery shows it.
 
-    :ivar identity: names one start of one endpoint, never used again.
+    :ivar identity: names one endpoint, which may start again under it.
     :ivar leaving: it must be given no new requests.
+    :ivar born: tells its starts apart and grows with them; 0 if unknown.
     """
 
     identity: str
@@ -150,3 +151,4 @@
     data_centre: str
     slots: int
     leaving: bool
+    born: int = 0
--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -267,6 +267,12 @@
 
     def _put(self, record: deployment.EndpointRecord) -> None:
         identity = record.identity
+        known = self._table.find(identity)
+        if known is not None and record.born != known.record.born:
+            if record.born < known.record.born:
+                # A list that lags tells of a start that is over.
+                return
+            self._note_restart(known.record, record)
         if record.leaving:
             if identity not in self._leaving:
                 logging.info(
@@ -292,6 +298,24 @@
             )
         self._table.put(record)
 
+    def _note_restart(
+        self,
+        old: deployment.EndpointRecord,
+        new: deployment.EndpointRecord,
+    ) -> None:
+        """Forget a start of an endpoint that is over.
+
+        Its connections lead nowhere, and it is not the one that left.
+        """
+        logging.info(
+            'endpoint restarted',
+            extra=logs.fields(
+                endpoint=old.identity, before=old.born, born=new.born
+            ),
+        )
+        self._leaving.discard(old.identity)
+        self._on_gone(old.identity)
+
     def _note_vanished(self, identity: str) -> None:
         now = self._clock()
         if now < self._disturbed_until and identity not in self._leaving:
--- a/marigoldramp/gateway/endpoints.py
+++ b/marigoldramp/gateway/endpoints.py
@@ -135,8 +135,16 @@
         return list(self._by_service.get(service, {}).values())
 
     def put(self, record: deployment.EndpointRecord) -> None:
-        """Add an endpoint or change what is known of it."""
+        """Add an endpoint or change what is known of it.
+
+        Nothing that is believed of one start holds for the next one.  Its
+        requests that still run here give their places back to the old one.
+        """
         known = self._by_identity.get(record.identity)
+        if known is not None and record.born > known.record.born:
+            if known.record.born:
+                self.remove(record.identity)
+                known = None
         if known is None:
             known = Endpoint(record=record)
             self._by_identity[record.identity] = known
--- a/marigoldramp/gateway/ranks.py
+++ b/marigoldramp/gateway/ranks.py
@@ -26,6 +26,7 @@
     :ivar prepared: the map whose experts are all copied, if any.
     :ivar held: the step that does not begin before a release.
     :ivar pace: times longer than usual that its work takes.
+    :ivar born: tells starts of the endpoint apart; 0 if unknown.
     """
 
     group: str
@@ -39,6 +40,7 @@
     armed: Armed | None
     held: int | None
     pace: float = 1.0
+    born: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -46,11 +48,13 @@
     """How often each expert was chosen since the rank started.
 
     :ivar counts: experts of all layers behind one another.
+    :ivar born: tells starts of the endpoint apart; 0 if unknown.
     """
 
     epoch: int
     step: int
     counts: tuple[int, ...]
+    born: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
--- a/marigoldramp/platform/endpoints.py
+++ b/marigoldramp/platform/endpoints.py
@@ -11,6 +11,7 @@
 from . import settings_file
 
 KIND = 'servers'
+_READY = 'ready'
 _DRAINING = 'draining'
 
 
@@ -25,13 +26,17 @@
         'state': 'State',
     },
 ):
-    """An endpoint; the object's name is its identity."""
+    """An endpoint; the object's name is its identity.
+
+    :ivar born: Unix millisecond of its start.
+    """
 
     service: str
     address: str
-    data_centre: str = ''
-    slots: int = 0
-    state: str = 'ready'
+    data_centre: str
+    slots: int
+    state: str
+    born: int = 0
 
 
 class Source(discovery.EndpointSource):
@@ -65,13 +70,17 @@
 
 
 def _read_events(found: objects.Events) -> discovery.Changes:
-    """Return the last state of each endpoint that the events touch."""
+    """Return the last state of each endpoint that the events touch.
+
+    One whose entry can no longer be understood counts as removed.
+    """
     last = {event.changed.meta.name: event for event in found.events}
     kept = [event.changed for event in last.values() if not event.deleted]
-    removed = [name for name, event in last.items() if event.deleted]
+    records = _read_all(kept)
+    known = {record.identity for record in records}
     return discovery.Changes(
-        records=_read_all(kept),
-        removed=tuple(removed),
+        records=records,
+        removed=tuple(name for name in last if name not in known),
         revision=found.revision,
         newest=_newest([event.changed for event in found.events]),
     )
@@ -98,6 +107,10 @@
 
 def _read(found: objects.Object) -> deployment.EndpointRecord:
     server = msgspec.json.decode(found.spec, type=_Server)
+    if server.state not in (_READY, _DRAINING):
+        raise ValueError(f'{server.state!r} is no state of an endpoint')
+    if not server.service:
+        raise ValueError('it names no service')
     address = settings_file.parse_address(server.address)
     return deployment.EndpointRecord(
         identity=found.meta.name,
@@ -107,4 +120,5 @@
         data_centre=server.data_centre,
         slots=server.slots,
         leaving=server.state == _DRAINING,
+        born=server.born,
     )
--- a/marigoldramp/platform/objects.py
+++ b/marigoldramp/platform/objects.py
@@ -1,12 +1,15 @@
 """Client of the platform's object store."""
 
+import dataclasses
 import http
 from typing import TypeVar
 import urllib.parse
 
+from absl import logging
 import msgspec
 
 from .. import api_client
+from .. import logs
 from .. import store
 from .. import tcp_streams
 from ..gateway import settings
@@ -49,41 +52,70 @@
     spec: msgspec.Raw = msgspec.Raw(b'null')
 
 
-class Page(
+class _Named(msgspec.Struct, kw_only=True, rename={'name': 'Name'}):
+    name: str
+
+
+class _NamedObject(msgspec.Struct, kw_only=True, rename={'meta': 'Metadata'}):
+    """What is left of an object that is not as it should be."""
+
+    meta: _Named
+
+
+class _Page(
     msgspec.Struct,
     kw_only=True,
     rename={'items': 'Items', 'more': 'More', 'revision': 'AtRev'},
 ):
-    """A part of a list.
-
-    :ivar more: it goes on after the last item's name.
-    """
-
-    items: list[Object]
+    items: list[msgspec.Raw]
     more: bool = False
     revision: int = 0
 
 
-class Event(
+class _Event(
     msgspec.Struct,
     kw_only=True,
     rename={'deleted': 'Deleted', 'changed': 'Object'},
 ):
-    """A change of one object."""
-
-    changed: Object
+    changed: msgspec.Raw
     deleted: bool = False
 
 
-class Events(
+class _Events(
     msgspec.Struct,
     kw_only=True,
     rename={'events': 'events', 'revision': 'AtRev'},
 ):
+    events: list[_Event]
+    revision: int = 0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Page:
+    """A part of a list.
+
+    :ivar more: it goes on after the last item's name.
+    """
+
+    items: list[Object]
+    more: bool
+    revision: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Event:
+    """A change of one object."""
+
+    changed: Object
+    deleted: bool
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Events:
     """What a watch has shown, and where the next one goes on."""
 
     events: list[Event]
-    revision: int = 0
+    revision: int
 
 
 class _Written(
@@ -185,12 +217,14 @@
         A change between two pages is seen again by a watch from there.
         """
         path = _kind_path(kind)
-        whole = _decode(await self._call('GET', path), Page)
+        whole = _read_page(await self._call('GET', path))
         page = whole
-        while isinstance(page, Page) and page.more and page.items:
+        while isinstance(page, Page) and page.more:
+            if not page.items:
+                return store.Unavailable(detail='a page names no object')
             last = urllib.parse.quote(page.items[-1].meta.name, safe='')
             reply = await self._call('GET', f'{path}?After={last}')
-            page = _decode(reply, Page)
+            page = _read_page(reply)
             if isinstance(page, Page) and isinstance(whole, Page):
                 whole.items.extend(page.items)
         return page if isinstance(page, store.Unavailable) else whole
@@ -204,7 +238,7 @@
         reply = await self._call('GET', path, longer=seconds)
         if isinstance(reply, Reply) and reply.status == http.HTTPStatus.GONE:
             return Gone()
-        return _decode(reply, Events)
+        return _read_events(reply)
 
     async def _call(
         self,
@@ -247,11 +281,61 @@
     if reply.status != http.HTTPStatus.OK:
         return store.Unavailable(detail=f'status {reply.status}')
     try:
-        return msgspec.json.decode(reply.body, type=shape)
+        return msgspec.json.decode(_repair(reply.body), type=shape)
     except msgspec.MsgspecError as error:
         return store.Unavailable(detail=f'the answer is broken: {error}')
 
 
+def _repair(body: bytes) -> bytes:
+    """Return text with marks in the place of bytes that are none."""
+    return body.decode(errors='replace').encode()
+
+
+def _read_page(reply: Reply | Failure) -> Page | store.Unavailable:
+    found = _decode(reply, _Page)
+    if isinstance(found, store.Unavailable):
+        return found
+    read = [_read_object(raw) for raw in found.items]
+    return Page(
+        items=[one for one in read if one is not None],
+        more=found.more,
+        revision=found.revision,
+    )
+
+
+def _read_events(reply: Reply | Failure) -> Events | store.Unavailable:
+    found = _decode(reply, _Events)
+    if isinstance(found, store.Unavailable):
+        return found
+    events = []
+    for event in found.events:
+        changed = _read_object(event.changed)
+        if changed is not None:
+            events.append(Event(changed=changed, deleted=event.deleted))
+    return Events(events=events, revision=found.revision)
+
+
+def _read_object(raw: msgspec.Raw) -> Object | None:
+    """Return an object; without its value if that is all that can be read.
+
+    Objects may come from other writers.  One that is not as it should be
+    must not hide the others of its page, seen as endpoints that all entries
+    stop using at once.
+    """
+    try:
+        return msgspec.json.decode(raw, type=Object)
+    except msgspec.MsgspecError as error:
+        logging.warning(
+            'object not understood', extra=logs.fields(detail=str(error))
+        )
+    try:
+        named = msgspec.json.decode(raw, type=_NamedObject)
+    except msgspec.MsgspecError:
+        # Nothing names what it is of; the line above tells of it.
+        return None
+    return Object(meta=Metadata(name=named.meta.name))
+
+
 def _read_change(
     reply: Reply | Failure, key: store.Key
 ) -> store.Written | store.Conflict | store.Unavailable | store.Uncertain:
--- a/tests/adapter/test_platform.py
+++ b/tests/adapter/test_platform.py
@@ -381,6 +381,85 @@
     assert [one.identity for one in found.records] == ['i-2']
 
 
+def break_server(**more):
+    """Return an entry of an endpoint in which fields are other ones."""
+    made = make_server('i-1')
+    made['Spec'] = {
+        name: value
+        for name, value in (made['Spec'] | more).items()
+        if value is not None
+    }
+    return made
+
+
+BROKEN = [
+    pytest.param(break_server(Service=None), id='no service'),
+    pytest.param(break_server(Service=4), id='service of another type'),
+    pytest.param(break_server(Service=''), id='service without a name'),
+    pytest.param(break_server(Address=None), id='no address'),
+    pytest.param(break_server(Address='nowhere'), id='address without port'),
+    pytest.param(break_server(Zone=None), id='no data centre'),
+    pytest.param(break_server(Slots=None), id='no slots'),
+    pytest.param(break_server(Slots='six'), id='slots of another type'),
+    pytest.param(break_server(State=None), id='no state'),
+    pytest.param(break_server(State='resting'), id='unknown state'),
+    pytest.param(break_server(State=True), id='state of another type'),
+    pytest.param(break_server(born='today'), id='start of another type'),
+    pytest.param(
+        {'Metadata': {'Name': 'i-1', 'Revision': 3}, 'Spec': 'x'},
+        id='a value that is text',
+    ),
+    pytest.param({'Metadata': {'Name': 'i-1'}}, id='no value'),
+    pytest.param(
+        {'Metadata': {'Name': 'i-1', 'Revision': 'x'}, 'Spec': {}},
+        id='revision of another type',
+    ),
+    pytest.param({'Metadata': {'Revision': 3}, 'Spec': {}}, id='no name'),
+    pytest.param({'Spec': {}}, id='nothing that names it'),
+    pytest.param('text', id='no object'),
+]
+
+
+@pytest.mark.parametrize('broken', BROKEN)
+async def test_entry_of_another_writer_hides_no_other(broken):
+    """All entries lose all endpoints, or use one that is none.
+
+    Sequence: another writer puts an entry among those of endpoints that
+    lacks a field, has one of another type, or no form at all.
+    Cause: the list was decoded as a whole, and an unknown state as ready.
+    """
+    page = {'Items': [broken, make_server('i-2')], 'AtRev': 3}
+    events = {
+        'events': [
+            {'Object': broken, 'Deleted': False},
+            {'Object': make_server('i-2'), 'Deleted': False},
+        ],
+        'AtRev': 12,
+    }
+    made, _ = make_store(reply(200, page), reply(200, events))
+    source = endpoints.Source(objects=made)
+    listed = await source.list_all()
+    changed = await source.watch(after=5, seconds=2.0)
+    assert [one.identity for one in listed.records] == ['i-2']
+    assert [one.identity for one in changed.records] == ['i-2']
+    assert set(changed.removed) <= {'i-1'}
+
+
+async def test_bytes_that_are_no_text_hide_no_other():
+    page = {'Items': [break_server(State='???'), make_server('i-2')]}
+    body = msgspec.json.encode(page).replace(b'???', b'\xff\xfe')
+    made, _ = make_store(api_client.Reply(status=200, headers=[], body=body))
+    listed = await endpoints.Source(objects=made).list_all()
+    assert [one.identity for one in listed.records] == ['i-2']
+
+
+async def test_list_without_a_name_to_go_on_from_is_no_list():
+    page = {'Items': ['text'], 'More': True, 'AtRev': 3}
+    made, _ = make_store(reply(200, page))
+    found = await endpoints.Source(objects=made).list_all()
+    assert isinstance(found, store.Unavailable)
+
+
 @pytest.mark.parametrize(
     ('body', 'expected'),
     [
--- a/tests/gateway/test_beliefs.py
+++ b/tests/gateway/test_beliefs.py
@@ -481,6 +481,37 @@
     assert not table.find('i-1').is_open(now=0.0)
 
 
+@pytest.mark.parametrize('heard_by', ['list', 'watch', 'peer'])
+def test_nothing_is_believed_of_a_start_that_is_over(heard_by):
+    """An endpoint that has started again gets no requests, or fails them.
+
+    Sequence: an endpoint fails and leaves; it starts again under the name
+    that it had; what was believed of it and its connections are still used.
+    Cause: a name was taken for that of one start.
+    """
+    follower, table, gone = make_follower(Clock())
+    old = site.make_record(Fake('i-1'), leaving=True, born=1000)
+    new = site.make_record(Fake('i-1'), born=2000)
+    follower.take_listing(listing(old))
+    table.find('i-1').note_failure(now=0.0)
+    match heard_by:
+        case 'list':
+            follower.take_listing(listing(new, revision=2))
+        case 'watch':
+            follower.take_changes(
+                discovery.Changes(records=(new,), removed=(), revision=2)
+            )
+        case 'peer':
+            follower.take_peer_listing(listing(new, revision=2))
+    assert gone == ['i-1']
+    assert table.find('i-1').is_open(now=0.0)
+    assert table.find('i-1').failures == 0
+    # A list that lags does not bring the old start back.
+    follower.take_listing(listing(old, revision=3))
+    assert table.find('i-1').is_open(now=0.0)
+    assert gone == ['i-1']
+
+
 def test_vanished_endpoint_is_gone_at_once_when_the_store_is_well():
     follower, table, gone = make_follower(Clock())
     follower.take_listing(listing(site.make_record(Fake('i-1'))))
