Notice a shift within one window of one rank, and change maps sooner

A change took 0.75 to 1.25 s: a rank copied up to eight experts of 0.11 s each, reports 0.2 s old were waited for twice, and the hold was placed eight passes ahead.

Now one rank is read each quarter of a second; when its window differs by more than chance, six are counted anew for 0.2 s and the plan made from these alone. A change copies for 0.36 s at most on any rank (replayed on measured profiles: skew 2.3 to 3.8 down to 1.12 to 1.2 with three copies a rank, 1.04 to 1.09 with up to eight, the rest follows). Loads are timed by the published figures; a rank that is not ready refuses to arm. The hold is placed by trying steps until one has not begun.

Tried first: how fresh reports, counts and lists are (counts at once, reports 0.2 s late; four copies ready after 0.52 to 0.56 s).

--- a/marigoldramp/gateway/expert_planner.py
+++ b/marigoldramp/gateway/expert_planner.py
@@ -1,11 +1,10 @@
 """Decides when the expert map of a group is changed, and to what.
 
-Counts are read from a few ranks in turn, as each read is paid for and makes
-the group pause.  Requests are spread over ranks evenly, so a few ranks show
-the popularity of experts for all.
+Counts are paid for and make the group pause, and a shift of what requests ask
+for shows in those of any rank.  So one rank is read often, and a few more
+when it shows a shift, whose counts of the next moment the plan is made from.
 """
 
-import dataclasses
 import math
 from typing import Callable
 from typing import Sequence
@@ -20,22 +19,31 @@
 from .. import map_changes
 from .. import map_conversation
 from .. import placement
-from .. import popularity
 from . import endpoints
+from . import expert_demand
 from . import ranks
 
-#: Seconds between two reads of counts.
+#: Seconds for which one look for a shift lasts; then the leader looks at the
+#: group again.
 SAMPLE_SECONDS = 1.0
-#: Ranks whose counts are read each time, when endpoints are little used and
+#: Seconds between two reads of the one rank that is watched, when endpoints
+#: are little used and when they are full.
+WATCH_IDLE = 1.0
+WATCH_FULL = 0.25
+#: Ranks whose counts a plan is made from, when endpoints are little used and
 #: when they are full.
-SAMPLED_IDLE = 2
-SAMPLED_FULL = 4
-#: Seconds after which an old count weighs half in the slow estimate.
-HALF_LIFE = 2.5
-#: Distance between the fast and the slow estimate from which on the requests
-#: count as changed.  The counts of four ranks in a second differ by 0.10 to
-#: 0.14 when nothing has changed, and by 0.17 to 0.20 when half of it has.
-SUDDEN = 0.15
+MEASURED_IDLE = 2
+MEASURED_FULL = 6
+#: Seconds after a shift for which counts are taken before the first plan.
+MEASURE_SECONDS = 0.2
+#: Seconds after a first plan from which on more counts make a better one, and
+#: seconds between two plans while nothing shifts.
+REFINE_SECONDS = 0.8
+DRIFT_SECONDS = 3.0
+#: Seconds that the copies of one change may take on any rank.  With three
+#: copies of 0.11 s a rank a group of 16 comes from a skew of 2.3 to 3.8 down
+#: to 1.12 to 1.2, with five to eight to 1.04 to 1.09; the rest can follow.
+COPY_SECONDS = 0.36
 #: Least fall of the mean skew for which a map is changed; a change costs some
 #: forty orders.
 LEAST_GAIN_IDLE = 0.35
@@ -59,27 +67,19 @@
 #: more than 6 other ranks lead nowhere else.
 MOVES_A_RANK = 1.5
 MOST_OTHERS = 6
-#: Layers of all ranks for which a search each sample costs little (16% of a
-#: core for 864); with more, samples are taken less often.
-LAYERS_A_SAMPLE = 1024
+#: What copies take over what the size and the link say: four copies of 0.111 s
+#: were ready after 0.52 to 0.56 s.
+COPY_MARGIN = 1.25
 #: Seconds after which a preparation is given up.
 PREPARE_SECONDS = 4.0
 
 
-@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
-class _Seen:
-    """Counts of a rank at its last read."""
-
-    epoch: int
-    at: float
-    counts: tuple[int, ...]
-
-
 class ExpertPlanner:
     """Plans for one group, see :class:`.map_leader.Planner`.
 
     :param find: returns the endpoint of a name.
     :param spare: new experts that a rank can copy in each layer.
+    :param seconds_a_copy: time in which a rank copies one expert.
     :param use: returns the use of the group, see :data:`IDLE_USE`.
     :param slow_ranks: returns the pace of ranks that are slow.
     """
@@ -92,10 +92,10 @@
         '_use',
         '_slow_ranks',
         '_clock',
-        '_estimator',
-        '_seen',
-        '_sequence',
-        '_sampled_at',
+        '_seconds_a_copy',
+        '_demand',
+        '_planned_at',
+        '_refined',
     )
 
     def __init__(
@@ -108,24 +108,21 @@
         use: Callable[[], float],
         slow_ranks: Callable[[], dict[int, float]],
         clock: Callable[[], float],
+        seconds_a_copy: float = 0.0,
     ) -> None:
         self._api = api
         self._use = use
         self._slow_ranks = slow_ranks
         self._shape = shape
         self._spare = spare
+        self._seconds_a_copy = seconds_a_copy
         self._find = find
         self._clock = clock
-        self._estimator = popularity.Estimator(
-            layers=shape.layers,
-            experts=shape.experts,
-            agents=SAMPLED_FULL,
-            half_life=HALF_LIFE,
-            sudden=SUDDEN,
+        self._demand = expert_demand.ExpertDemand(
+            layers=shape.layers, experts=shape.experts
         )
-        self._seen: dict[str, _Seen] = {}
-        self._sequence = 0
-        self._sampled_at = float('-inf')
+        self._planned_at = float('-inf')
+        self._refined = True
 
     async def plan(
         self,
@@ -133,66 +130,98 @@
         expert_map: expert_maps.ExpertMap,
         conversation: map_conversation.Conversation,
     ) -> map_changes.Plan | None:
-        """Return the change to make now, if any."""
-        now = self._clock()
-        size = self._shape.ranks * self._shape.layers
-        pause = SAMPLE_SECONDS * max(1.0, size / LAYERS_A_SAMPLE)
-        if now - self._sampled_at < pause:
-            return None
-        self._sampled_at = now
-        if not await self._sample(conversation.agents()):
-            return None
-        return await self._search(expert_map)
+        """Return the change to make now, if any; watch for a while."""
+        until = self._clock() + SAMPLE_SECONDS
+        while True:
+            use = self._use()
+            names = self._choose(conversation, use)
+            if await self._is_due(names):
+                self._planned_at = self._clock()
+                return await self._search(expert_map)
+            pause = _weigh(use, WATCH_IDLE, WATCH_FULL)
+            if self._clock() + pause > until:
+                return None
+            await anyio.sleep(pause)
 
     def ended(self, *, plan: map_changes.Plan, done: bool) -> None:
         """Learn whether a change took place."""
         logging.info('map change ended', extra=logs.fields(done=done))
 
-    async def _sample(self, names: tuple[str, ...]) -> bool:
-        """Read counts; return whether there is something new."""
-        most = SAMPLED_IDLE if self._use() < IDLE_USE else SAMPLED_FULL
-        chosen = sorted(names)[:most]
-        self._estimator.agents = len(chosen)
-        news = 0
-        async with anyio.create_task_group() as tasks:
+    def _choose(
+        self, talk: map_conversation.Conversation, use: float
+    ) -> list[str]:
+        """Return the ranks to read; the first one is watched."""
+        # A slow rank gets no requests, so it counts nothing.
+        slow = {talk.find_agent(rank) for rank in self._slow_ranks()}
+        names = sorted(talk.agents())
+        known = [name for name in names if name not in slow] or names
+        part = _weigh(use, MEASURED_IDLE, MEASURED_FULL)
+        return known[: math.ceil(part)]
 
-            async def read(name: str) -> None:
-                nonlocal news
-                news += await self._read(name)
+    async def _is_due(self, names: list[str]) -> bool:
+        """Read counts; say whether to look for a better map now."""
+        windows = await self._read(names[:1])
+        if any(self._demand.is_shift(one) for one in windows):
+            await self._measure(names)
+            self._refined = False
+            return True
+        self._add(windows)
+        age = self._clock() - self._planned_at
+        if age < (DRIFT_SECONDS if self._refined else REFINE_SECONDS):
+            return False
+        windows = await self._read(names[1:])
+        if any(self._demand.is_shift(one) for one in windows):
+            await self._measure(names)
+            self._refined = False
+            return True
+        self._add(windows)
+        self._refined = True
+        return self._demand.is_known()
 
-            for name in chosen:
-                tasks.start_soon(read, name)
-        return news > 0
+    async def _measure(self, names: list[str]) -> None:
+        """Count anew, from now on."""
+        await self._read(names)
+        await anyio.sleep(MEASURE_SECONDS)
+        windows = await self._read(names)
+        if windows:
+            self._demand.restart()
+            self._add(windows)
 
-    async def _read(self, name: str) -> bool:
-        endpoint = self._find(name)
-        if endpoint is None:
-            return False
-        found = await self._api.counts(address=endpoint.address, identity=name)
-        if isinstance(found, ranks.NoReply):
-            return False
+    def _add(self, windows: Sequence[expert_demand.Window]) -> None:
         now = self._clock()
-        last = self._seen.get(name)
-        self._seen[name] = _Seen(
-            epoch=found.epoch, at=now, counts=found.counts
-        )
-        if len(found.counts) != self._shape.layers * self._shape.experts:
-            return False
-        if last is None or last.epoch != found.epoch:
-            return False
-        fresh = [
-            max(0, new - old) for new, old in zip(found.counts, last.counts)
-        ]
-        self._sequence += 1
-        return self._estimator.take(
-            agent=name,
-            report=popularity.Report(
-                series=found.epoch,
-                sequence=self._sequence,
-                seconds=now - last.at,
-                layers=_scale_layers(fresh, self._shape.experts),
-            ),
-        )
+        for window in windows:
+            self._demand.add(window, now=now)
+
+    async def _read(self, names: list[str]) -> list[expert_demand.Window]:
+        """Return what ranks have counted since they were last read."""
+        windows = []
+
+        async def read(name: str) -> None:
+            endpoint = self._find(name)
+            if endpoint is None:
+                return
+            found = await self._api.counts(
+                address=endpoint.address, identity=name
+            )
+            if isinstance(found, ranks.NoReply):
+                return
+            window = self._demand.read(
+                name=name, found=found, now=self._clock()
+            )
+            if window is not None:
+                windows.append(window)
+
+        async with anyio.create_task_group() as tasks:
+            for name in names:
+                tasks.start_soon(read, name)
+        return windows
+
+    def _count_copies(self) -> list[int]:
+        """Return how many experts each rank may copy in one change."""
+        most = self._spare * self._shape.layers
+        if self._seconds_a_copy:
+            most = max(1, int(COPY_SECONDS / self._seconds_a_copy))
+        return [most] * self._shape.ranks
 
     def _evacuate(
         self,
@@ -216,26 +245,37 @@
     ) -> map_changes.Plan | None:
         """Look for moves that are worth their copies."""
         before = after = 0.0
-        layers = []
         use = self._use()
         gain_a_copy = _weigh(use, GAIN_A_COPY_IDLE, GAIN_A_COPY_FULL)
         gain_a_copy *= self._shape.layers / self._shape.ranks
         most_moves = math.ceil(MOVES_A_RANK * self._shape.ranks)
         slow = self._slow_ranks()
-        for number, layer in enumerate(expert_map.layers):
-            popular = self._estimator.estimate(number)
+        left = self._count_copies()
+        layers = list(expert_map.layers)
+        skews = [
+            _weigh_skew(layer, self._demand.estimate(number), slow)
+            for number, layer in enumerate(layers)
+        ]
+        # The most uneven layers first, as copies are shared by all layers.
+        for number in sorted(
+            range(len(layers)), key=skews.__getitem__, reverse=True
+        ):
+            layer = layers[number]
+            popular = self._demand.estimate(number)
             search = layer_moves.LayerSearch(
                 layer=self._evacuate(layer, popular, slow),
                 popularity=popular,
                 slots=self._shape.slots,
-                most_new=self._spare,
+                most_new=[min(self._spare, one) for one in left],
                 most_others=MOST_OTHERS,
                 first=layer,
                 closed=slow,
             )
             best = await _improve(search, gain_a_copy, most_moves)
-            layers.append(best)
-            before += _weigh_skew(layer, popular, slow)
+            layers[number] = best
+            for rank, held in enumerate(best):
+                left[rank] -= len(set(held) - set(layer[rank]))
+            before += skews[number]
             after += _weigh_skew(best, popular, slow)
         new = tuple(layers)
         before /= self._shape.layers
@@ -253,20 +293,33 @@
                 copies=copies,
                 use=round(use, 3),
                 slow_ranks=len(slow),
-                distance=round(
-                    sum(
-                        self._estimator.distance(number)
-                        for number in range(self._shape.layers)
-                    )
-                    / self._shape.layers,
-                    3,
-                ),
                 changes=changes,
             ),
         )
         if not changes:
             return None
-        return map_changes.Plan(layers=new, load_limit=PREPARE_SECONDS)
+        return map_changes.Plan(
+            layers=new,
+            load_limit=PREPARE_SECONDS,
+            load_seconds=self._time_copies(expert_map.layers, new),
+        )
+
+    def _time_copies(
+        self,
+        old: Sequence[expert_maps.Layer],
+        new: Sequence[expert_maps.Layer],
+    ) -> float | None:
+        """Return the seconds after which all ranks should have copied."""
+        if not self._seconds_a_copy:
+            return None
+        most = max(
+            sum(
+                len(set(after[rank]) - set(before[rank]))
+                for before, after in zip(old, new)
+            )
+            for rank in range(self._shape.ranks)
+        )
+        return most * self._seconds_a_copy * COPY_MARGIN
 
 
 def _weigh_skew(
@@ -283,15 +336,6 @@
     return max(times) * (len(loads) - len(slow)) / total
 
 
-def _scale_layers(
-    counts: list[int], experts: int
-) -> tuple[popularity.LayerCounts, ...]:
-    return tuple(
-        popularity.scale(counts[start : start + experts])
-        for start in range(0, len(counts), experts)
-    )
-
-
 def _weigh(use: float, idle: float, full: float) -> float:
     """Return the value between two that fits the use of a group."""
     part = min(1.0, max(0.0, (use - IDLE_USE) / (FULL_USE - IDLE_USE)))
--- a/marigoldramp/gateway/group_leading.py
+++ b/marigoldramp/gateway/group_leading.py
@@ -42,9 +42,9 @@
 #: for which it does not try again itself.
 UNREACHED_SECONDS = 3.0
 UNFIT_SECONDS = 10.0
-#: Times of a leader, see :class:`.map_settling.Pace`.
+#: Times of a leader, see :class:`.map_settling.Pace`; the planner waits too.
 PACE = map_settling.Pace(
-    poll=1.0,
+    poll=0.1,
     retry=0.15,
     contend=0.5,
     lead_steps=8,
@@ -329,6 +329,7 @@
                 api=self._api,
                 shape=shape,
                 spare=engine.spare,
+                seconds_a_copy=_time_copy(engine),
                 find=self._table.find,
                 use=lambda: self._use(group.name),
                 slow_ranks=transport.slow_ranks,
@@ -395,3 +396,10 @@
                 'no longer contending',
                 extra=logs.fields(group=office.group.name),
             )
+
+
+def _time_copy(engine: deployment.Engine) -> float:
+    """Return the seconds in which a rank copies an expert, 0 if unknown."""
+    if not engine.link_rate:
+        return 0.0
+    return engine.expert_bytes / engine.link_rate
--- a/marigoldramp/gateway/rank_transport.py
+++ b/marigoldramp/gateway/rank_transport.py
@@ -32,7 +32,7 @@
 #: Maps that one leader can name under one fence.
 MAPS_A_FENCE = 10_000
 #: Copies of an order that are sent before its reply counts as lost.
-TRIES = 6
+TRIES = 10
 #: Seconds between two copies of an order.
 RETRY_SECONDS = 0.02
 #: Seconds after an order from which on a report shows its effect; ranks
@@ -162,6 +162,14 @@
             return _refuse(order, Refusal.OTHER_GROUP)
         if not found.whole:
             return _refuse(order, Refusal.ENGINE_FAILED)
+        last = link.report
+        if last is not None and (
+            (last.epoch, last.born) != (found.epoch, found.born)
+        ):
+            # A start that is over had armed and dropped what this one never
+            # had.
+            link.armed = None
+            link.dropped = 0
         link.report = found
         endpoint.quality.note_pace(pace=found.pace, now=self._clock())
         if found.version == link.armed:
--- a/marigoldramp/layer_moves.py
+++ b/marigoldramp/layer_moves.py
@@ -49,7 +49,7 @@
         one; ``None`` for all.  With many ranks nearly all of the time goes
         into those that are hardly better than others.
     :param most_new: experts that a rank may hold at the end that it did not
-        hold at the start; ``None`` for any number.
+        hold at the start, for all ranks or for each; ``None`` for any number.
     :param first: the layer at the start, if ``layer`` is not it.
     :param closed: ranks that take no part: slow ones that were emptied.
     """
@@ -74,7 +74,7 @@
         layer: expert_maps.Layer,
         popularity: Sequence[float],
         slots: int,
-        most_new: int | None = None,
+        most_new: int | Sequence[int] | None = None,
         most_others: int | None = None,
         first: expert_maps.Layer | None = None,
         closed: Collection[int] = (),
@@ -82,7 +82,9 @@
         self._most_others = most_others
         self._open = [one for one in range(len(layer)) if one not in closed]
         self._slots = slots
-        self._most_new = most_new
+        self._most_new = (
+            [most_new] * len(layer) if isinstance(most_new, int) else most_new
+        )
         self._first = [frozenset(held) for held in first or layer]
         self._new = [
             len(set(held) - before) for held, before in zip(layer, self._first)
@@ -276,7 +278,10 @@
 
     def _has_room(self, rank: int, expert: int) -> bool:
         assert self._most_new is not None
-        return expert in self._first[rank] or self._new[rank] < self._most_new
+        return (
+            expert in self._first[rank]
+            or self._new[rank] < self._most_new[rank]
+        )
 
     def _give(self, rank: int, expert: int) -> None:
         self._new[rank] += expert not in self._first[rank]
--- a/marigoldramp/map_changes.py
+++ b/marigoldramp/map_changes.py
@@ -26,6 +26,21 @@
 #: The rank that is held during a change; any one does.
 HELD_RANK = 0
 
+#: Steps by which a held step is ahead of the last one that was reported, where
+#: loads are timed: a report is 0.2 s old, about three steps.  One that has
+#: begun is refused, and the next one tried.
+FIRST_LEAD = 3
+MOST_LEAD = 16
+#: Steps that are added while orders to arm go unanswered, and seconds for
+#: which one that did counts.  The group would stand for every one of them.
+SLOW_LEAD = 3
+SLOW_SECONDS = 6.0
+#: Seconds from which on arming all ranks counts as slow; usual is 0.02.
+SLOW_ARMING = 0.06
+#: Seconds for which ranks that still load are told to arm again and again.
+ARM_PATIENCE = 0.4
+ARM_RETRY = 0.02
+
 #: Seconds for which a loaded change waits until calls in flight can wait.
 #: Loaded weights take memory, so they are dropped after that.
 SLACK_PATIENCE = 10.0
@@ -37,12 +52,16 @@
 
     :ivar layers: the new map.
     :ivar load_limit: seconds after which unfinished loads are given up.
+    :ivar load_seconds: time that loads take, if it is known.  The change goes
+        on after it without waiting for all ranks to report, which takes
+        0.3 s longer; a rank that is not ready refuses to arm.
     :ivar stall_seconds: how long the group may have to wait; the change is
         not armed while a call in flight cannot wait so long.
     """
 
     layers: tuple[expert_maps.Layer, ...]
     load_limit: float
+    load_seconds: float | None = None
     stall_seconds: float = 0.0
 
 
@@ -60,6 +79,7 @@
         '_sleep',
         '_may_go_on',
         '_fenced',
+        '_slow_until',
     )
 
     def __init__(
@@ -77,6 +97,7 @@
         self._clock = clock
         self._may_go_on = may_go_on
         self._fenced = fenced
+        self._slow_until = float('-inf')
         self._sleep = sleep
 
     async def change(
@@ -91,26 +112,100 @@
         """
         version = talk.name_map()
         new = expert_maps.ExpertMap(version=version, layers=plan.layers)
-        if not await self._prepare(talk, new, plan.load_limit):
-            return False
-        states = await self._await_slack(talk, plan.stall_seconds)
-        if isinstance(states, Trouble) or not self._may_go_on():
-            return False
-        held = await self._hold(talk, states)
+        if plan.load_seconds is None:
+            held = await self._hold_loaded(talk, new, plan)
+            patience = 0.0
+        else:
+            held = await self._hold_timed(talk, new, plan.load_seconds)
+            patience = ARM_PATIENCE
         if held is None:
             return False
         await steps.reach(steps.Step.MAP_ARM_SENT, self._instance)
-        trouble = await talk.send_all(
-            map_orders.Arm(version=version, from_step=held + 1)
-        )
-        if trouble is not None:
+        order = map_orders.Arm(version=version, from_step=held + 1)
+        if not await self._arm(talk, order, patience):
             return False
         await steps.reach(steps.Step.MAP_ARMED, self._instance)
         await map_settling.release(
-            talk, (self._choose_held(talk, states),), self._instance
+            talk, (self._choose_held(talk),), self._instance
         )
         return True
 
+    async def _hold_loaded(
+        self,
+        talk: map_conversation.Conversation,
+        new: expert_maps.ExpertMap,
+        plan: Plan,
+    ) -> int | None:
+        """Hold a rank once all have reported that they have loaded."""
+        if not await self._prepare(talk, new, plan.load_limit):
+            return None
+        states = await self._await_slack(talk, plan.stall_seconds)
+        if isinstance(states, Trouble) or not self._may_go_on():
+            return None
+        if _is_held(states):
+            return None
+        agent = talk.find_agent(self._choose_held(talk))
+        if agent is None:
+            return None
+        entered = max((state.entered for state in states), default=0)
+        held = await self._hold(talk, agent, entered + self._pace.lead_steps)
+        return held if isinstance(held, int) else None
+
+    async def _hold_timed(
+        self,
+        talk: map_conversation.Conversation,
+        new: expert_maps.ExpertMap,
+        seconds: float,
+    ) -> int | None:
+        """Hold a rank after the time in which all should have loaded."""
+        await steps.reach(steps.Step.MAP_PREPARE_SENT, self._instance)
+        trouble = await talk.send_all(map_orders.Prepare(expert_map=new))
+        if trouble is not None:
+            return None
+        await self._sleep(seconds)
+        agent = talk.find_agent(self._choose_held(talk))
+        if agent is None:
+            return None
+        answer = await talk.send(agent, map_orders.Confirm())
+        if isinstance(answer, Trouble) or not self._may_go_on():
+            return None
+        if _is_held(answer.states):
+            return None
+        first = answer.states[0].entered + FIRST_LEAD
+        if self._clock() < self._slow_until:
+            first += SLOW_LEAD
+        for step in range(first, first + MOST_LEAD):
+            held = await self._hold(talk, agent, step)
+            if held != Trouble.REFUSED:
+                return held if isinstance(held, int) else None
+        return None
+
+    async def _arm(
+        self,
+        talk: map_conversation.Conversation,
+        order: map_orders.Arm,
+        patience: float,
+    ) -> bool:
+        """Have all ranks arm a map; return whether all of them have."""
+        began = self._clock()
+        left = tuple(talk.agents())
+        while left:
+            answers = await talk.ask_each({agent: order for agent in left})
+            if self._clock() - began > SLOW_ARMING:
+                self._slow_until = self._clock() + SLOW_SECONDS
+            left = tuple(
+                agent
+                for agent, answer in answers.items()
+                if isinstance(answer, Trouble)
+            )
+            if any(answers[one] != Trouble.REFUSED for one in left):
+                return False
+            if left and self._clock() - began >= patience:
+                return False
+            if left:
+                await self._sleep(ARM_RETRY)
+        return True
+
     async def _prepare(
         self,
         talk: map_conversation.Conversation,
@@ -152,46 +247,32 @@
             await self._sleep(self._pace.retry)
 
     async def _hold(
-        self,
-        talk: map_conversation.Conversation,
-        states: Sequence[map_orders.RankState],
-    ) -> int | None:
-        """Hold one rank; return the step before which it holds.
-
-        A step that is held already is another leader's, who may release it
-        at any moment.
-        """
-        if any(state.hold_before is not None for state in states):
-            return None
-        entered = max((state.entered for state in states), default=0)
-        rank = self._choose_held(talk, states)
-        agent = talk.find_agent(rank)
-        if agent is None:
-            return None
+        self, talk: map_conversation.Conversation, agent: str, step: int
+    ) -> int | Trouble:
+        """Hold one rank; return the step before which it holds."""
+        rank = self._choose_held(talk)
         await steps.reach(steps.Step.MAP_HOLD_SENT, self._instance)
         answer = await talk.send(
-            agent,
-            map_orders.Hold(
-                rank=rank, before_step=entered + self._pace.lead_steps
-            ),
+            agent, map_orders.Hold(rank=rank, before_step=step)
         )
         if isinstance(answer, Trouble):
-            return None
+            return answer
         for state in answer.states:
             if state.rank == rank and state.hold_before is not None:
                 await steps.reach(steps.Step.MAP_HELD, self._instance)
                 return state.hold_before
-        return None
+        return Trouble.REFUSED
 
-    def _choose_held(
-        self,
-        talk: map_conversation.Conversation,
-        states: Sequence[map_orders.RankState],
-    ) -> int:
+    def _choose_held(self, talk: map_conversation.Conversation) -> int:
         """Return the rank that is held during a change; any one does.
 
         Without fences, leaders that follow each other hold different ranks,
         so that a late copy of an order to release, from the one before, ends
         nothing of ours.
         """
-        return HELD_RANK if self._fenced else talk.fence % len(states)
+        return HELD_RANK if self._fenced else talk.fence % len(talk.agents())
+
+
+def _is_held(states: Sequence[map_orders.RankState]) -> bool:
+    """Whether a step is held already, by a leader who may release it."""
+    return any(state.hold_before is not None for state in states)
--- a/marigoldramp/map_conversation.py
+++ b/marigoldramp/map_conversation.py
@@ -164,20 +164,25 @@
         self, bodies: Mapping[str, map_orders.Body]
     ) -> Trouble | None:
         """Give each agent its order; return what went wrong, if anything."""
-        troubles: set[Trouble] = set()
+        answers = await self.ask_each(bodies)
+        for trouble in Trouble:
+            if trouble in answers.values():
+                return trouble
+        return None
+
+    async def ask_each(
+        self, bodies: Mapping[str, map_orders.Body]
+    ) -> dict[str, map_orders.Reply | Trouble]:
+        """Give each agent its order; return what became of each."""
+        answers: dict[str, map_orders.Reply | Trouble] = {}
 
         async def send(agent: str, body: map_orders.Body) -> None:
-            answer = await self.send(agent, body)
-            if isinstance(answer, Trouble):
-                troubles.add(answer)
+            answers[agent] = await self.send(agent, body)
 
         async with anyio.create_task_group() as tasks:
             for agent, body in bodies.items():
                 tasks.start_soon(send, agent, body)
-        for trouble in Trouble:
-            if trouble in troubles:
-                return trouble
-        return None
+        return answers
 
     async def send(
         self, agent: str, body: map_orders.Body
--- a/marigoldramp/platform/ranks.py
+++ b/marigoldramp/platform/ranks.py
@@ -17,7 +17,7 @@
 #: milliseconds or not at all, and while one leaves an order unanswered the
 #: group may be held.
 QUESTION_SECONDS = 0.5
-ORDER_SECONDS = 0.15
+ORDER_SECONDS = 0.08
 #: Exchanges at once.  With 72 ranks, all at once take longer on one processor
 #: than a rank is given to answer.
 MOST_AT_ONCE = 12
@@ -62,6 +62,7 @@
     armed: _Armed | None = None
     held: int | None = None
     pace: float = 1.0
+    born: int = 0
 
 
 class _Counts(msgspec.Struct, kw_only=True, rename={'counts': 'Counts'}):
@@ -70,6 +71,7 @@
     step: int
     epoch: int
     counts: list[int]
+    born: int = 0
 
 
 class _Experts(
@@ -121,6 +123,7 @@
             ),
             held=found.held,
             pace=found.pace,
+            born=found.born,
         )
 
     async def counts(
@@ -134,7 +137,10 @@
         except msgspec.MsgspecError as error:
             return ranks.NoReply(detail=str(error))
         return ranks.RankCounts(
-            epoch=found.epoch, step=found.step, counts=tuple(found.counts)
+            epoch=found.epoch,
+            step=found.step,
+            counts=tuple(found.counts),
+            born=found.born,
         )
 
     async def experts(
--- /dev/null
+++ b/tests/gateway/test_expert_demand.py
@@ -0,0 +1,132 @@
+"""Tests of how a shift of what requests ask for is told from chance."""
+
+import random
+
+import pytest
+
+from marigoldramp.gateway import expert_demand
+from marigoldramp.gateway import ranks
+
+LAYERS = 4
+EXPERTS = 64
+#: Requests whose tokens a rank counts in one window, and tokens of each.
+REQUESTS = 6
+TOKENS = 400
+
+
+def make_profile(draw):
+    """Return how popular experts are: few take most of the tokens."""
+    order = list(range(EXPERTS))
+    draw.shuffle(order)
+    weights = [0.0] * EXPERTS
+    for place, expert in enumerate(order):
+        weights[expert] = 1.0 / (1 + place) ** 1.1
+    return weights
+
+
+def shift(draw, profile, part):
+    """Return a profile in which a part of the experts has other places."""
+    moved = draw.sample(range(EXPERTS), round(part * EXPERTS))
+    values = [profile[expert] for expert in moved]
+    draw.shuffle(values)
+    found = list(profile)
+    for expert, value in zip(moved, values):
+        found[expert] = value
+    return found
+
+
+def count(draw, profiles):
+    """Return what one rank counts of some requests, a topic each."""
+    counts = []
+    topics = [make_profile(random.Random(number)) for number in range(9)]
+    chosen = [draw.choice(topics) for _ in range(REQUESTS)]
+    for profile in profiles:
+        total = sum(profile)
+        mixed = [0.75 * one / total for one in profile]
+        for topic in chosen:
+            for expert, weight in enumerate(topic):
+                mixed[expert] += 0.25 * weight / sum(topic) / REQUESTS
+        counts.extend(round(REQUESTS * TOKENS * one) for one in mixed)
+    return counts
+
+
+class Rank:
+    """One rank that counts since its start."""
+
+    def __init__(self):
+        self.counts = [0] * (LAYERS * EXPERTS)
+        self.epoch = 1
+        self.born = 1
+
+    def add(self, counts):
+        self.counts = [old + new for old, new in zip(self.counts, counts)]
+
+    def answer(self):
+        return ranks.RankCounts(
+            epoch=self.epoch,
+            step=1,
+            counts=tuple(self.counts),
+            born=self.born,
+        )
+
+
+def make_demand():
+    return expert_demand.ExpertDemand(layers=LAYERS, experts=EXPERTS)
+
+
+@pytest.mark.parametrize('part', [0.0, 0.5, 0.7])
+@pytest.mark.parametrize('seed', range(4))
+def test_shift_is_seen_in_one_window_and_chance_is_not(seed, part):
+    """An uneven map is kept for seconds, or copied for nothing.
+
+    Sequence: requests of nine topics are counted on one rank in windows of a
+    quarter of a second; then half of the experts change places at once.
+    Cause: windows before and after were averaged, or chance taken for more.
+    """
+    draw = random.Random(seed)
+    profiles = [make_profile(draw) for _ in range(LAYERS)]
+    demand, rank = make_demand(), Rank()
+    demand.read(name='r', found=rank.answer(), now=0.0)
+    for number in range(1, 9):
+        rank.add(count(draw, profiles))
+        window = demand.read(name='r', found=rank.answer(), now=0.25 * number)
+        assert not demand.is_shift(window)
+        demand.add(window, now=0.25 * number)
+    shifted = [shift(draw, profile, part) for profile in profiles]
+    rank.add(count(draw, shifted))
+    window = demand.read(name='r', found=rank.answer(), now=2.5)
+    assert demand.is_shift(window) is (part > 0.0)
+
+
+def test_counts_before_a_shift_are_forgotten():
+    draw = random.Random(1)
+    demand, rank = make_demand(), Rank()
+    for number in range(6):
+        window = demand.read(name='r', found=rank.answer(), now=number)
+        if window is not None:
+            demand.add(window, now=number)
+        profile = make_profile(draw)
+        rank.add([round(1e4 * one) for one in profile * LAYERS])
+    window = demand.read(name='r', found=rank.answer(), now=7.0)
+    demand.restart()
+    demand.add(window, now=7.0)
+    popular = demand.estimate(0)
+    assert popular.index(max(popular)) == profile.index(max(profile))
+
+
+@pytest.mark.parametrize(
+    ('epoch', 'born', 'counts'),
+    [
+        pytest.param(2, 1, 1, id='the group formed anew'),
+        pytest.param(1, 2, 1, id='the rank started again'),
+        pytest.param(1, 1, -1, id='it counts from zero'),
+        pytest.param(1, 1, 0, id='it had no requests'),
+    ],
+)
+def test_counts_of_two_starts_are_not_compared(epoch, born, counts):
+    demand, rank = make_demand(), Rank()
+    rank.add([1000] * LAYERS * EXPERTS)
+    demand.read(name='r', found=rank.answer(), now=0.0)
+    rank.epoch, rank.born = epoch, born
+    rank.add([100 * counts] * LAYERS * EXPERTS)
+    assert demand.read(name='r', found=rank.answer(), now=1.0) is None
--- a/tests/gateway/test_expert_planner.py
+++ b/tests/gateway/test_expert_planner.py
@@ -32,8 +32,11 @@
     def agents(self):
         return self.names
 
+    def find_agent(self, rank):
+        return self.names[rank]
 
-def make_planner(use, slow=None):
+
+def make_planner(use, slow=None, **more):
     group = fake_ranks.FakeGroup(
         size=SHAPE.ranks,
         experts=SHAPE.experts,
@@ -48,6 +51,7 @@
         use=lambda: use,
         slow_ranks=lambda: slow or {},
         clock=virtual_time.now,
+        **more,
     )
     return planner, group
 
@@ -116,6 +120,35 @@
             assert len(set(wanted) - set(held)) <= SPARE
 
 
+@pytest.mark.parametrize(('seconds', 'most'), [(0.0, 4), (0.11, 3), (0.3, 1)])
+async def test_no_rank_copies_for_longer_than_the_others_wait(seconds, most):
+    """A group stays uneven for a second after a plan was made.
+
+    Sequence: requests ask for other experts; the plan gives one rank eight
+    of them, and the change waits until that rank has copied them all.
+    Cause: copies were bounded by layer, and all ranks wait for the slowest.
+    """
+    draw = random.Random(3)
+    weights = [int(3000 / (1 + draw.randrange(40))) for _ in EVEN]
+    planner, group = make_planner(1.0, seconds_a_copy=seconds)
+    plan = await decide(planner, group, weights)
+    old = rank_transport.first_map(shape=SHAPE)
+    copies = [
+        sum(
+            len(set(after[rank]) - set(before[rank]))
+            for before, after in zip(old.layers, plan.layers)
+        )
+        for rank in range(SHAPE.ranks)
+    ]
+    assert 0 < max(copies) <= most
+    if seconds:
+        assert plan.load_seconds == pytest.approx(
+            max(copies) * seconds * expert_planner.COPY_MARGIN
+        )
+    else:
+        assert plan.load_seconds is None
+
+
 async def test_counts_of_a_new_epoch_are_not_compared_with_old_ones():
     planner, group = make_planner(1.0)
     await decide(planner, group, ONE_HOT, times=2)
--- a/tests/gateway/test_rank_transport.py
+++ b/tests/gateway/test_rank_transport.py
@@ -62,9 +62,13 @@
 
 
 class Planner:
-    """Wants another map whenever it is asked."""
+    """Wants another map whenever it is asked.
 
-    def __init__(self):
+    :ivar load_seconds: the fake ranks take 0.1 s.
+    """
+
+    def __init__(self, load_seconds=None):
+        self.load_seconds = load_seconds
         self.done = 0
         self.wanted = 0
 
@@ -80,14 +84,16 @@
             )
             for _ in range(SHAPE.layers)
         )
-        return map_changes.Plan(layers=layers, load_limit=4.0)
+        return map_changes.Plan(
+            layers=layers, load_limit=4.0, load_seconds=self.load_seconds
+        )
 
     def ended(self, *, plan, done):
         self.done += done
 
 
-def make_leader(group, board, name):
-    planner = Planner()
+def make_leader(group, board, name, load_seconds=None):
+    planner = Planner(load_seconds)
     transport = rank_transport.RankTransport(
         api=group,
         group='g',
@@ -122,10 +128,11 @@
     )
 
 
+@pytest.mark.parametrize('load_seconds', [None, 0.05, 0.12])
 @pytest.mark.parametrize('fenced', [True, False])
-async def test_maps_change_one_after_the_other(fenced):
+async def test_maps_change_one_after_the_other(fenced, load_seconds):
     group = make_group(checks_token=fenced)
-    leader, planner = make_leader(group, Board(), 'one')
+    leader, planner = make_leader(group, Board(), 'one', load_seconds)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(group.run)
         tasks.start_soon(leader.run)
@@ -152,10 +159,13 @@
     return fate
 
 
+@pytest.mark.parametrize('load_seconds', [None, 0.05])
 @pytest.mark.parametrize('fenced', [True, False])
 @pytest.mark.parametrize('share', [0.1, 0.35, 0.6])
 @pytest.mark.parametrize('seed', range(6))
-async def test_lost_and_late_orders_never_mix_maps(seed, share, fenced):
+async def test_lost_and_late_orders_never_mix_maps(
+    seed, share, fenced, load_seconds
+):
     """Two ranks use different maps in one pass.
 
     Sequence: an order to arm gets no reply; the leader gives the change up
@@ -164,7 +174,7 @@
     """
     group = make_group(checks_token=fenced)
     group.fate = make_fate(seed, share)
-    leader, planner = make_leader(group, Board(), 'one')
+    leader, planner = make_leader(group, Board(), 'one', load_seconds)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(group.run)
         tasks.start_soon(leader.run)
@@ -179,10 +189,13 @@
     assert planner.done > 0
 
 
+@pytest.mark.parametrize('load_seconds', [None, 0.05])
 @pytest.mark.parametrize('fenced', [True, False])
 @pytest.mark.parametrize('idles', [False, True])
 @pytest.mark.parametrize('seed', range(8))
-async def test_changing_leaders_never_mix_maps(seed, idles, fenced):
+async def test_changing_leaders_never_mix_maps(
+    seed, idles, fenced, load_seconds
+):
     """Two ranks use different maps in one pass, or the group stands.
 
     Sequence: a leader is cut short at any moment of a change while orders
@@ -194,7 +207,9 @@
     group = make_group(checks_token=fenced)
     group.fate = make_fate(seed, 0.25)
     board = Board()
-    leaders = [make_leader(group, board, name)[0] for name in ('a', 'b')]
+    leaders = [
+        make_leader(group, board, name, load_seconds)[0] for name in ('a', 'b')
+    ]
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(group.run)
         for leader in leaders:
