Order requests in time by their arrival again

Hypothesis: under load the newest of the requests that can still be in time should go first, as the oldest get their place when it is too late.

--- a/marigoldramp/gateway/dispatch.py
+++ b/marigoldramp/gateway/dispatch.py
@@ -64,22 +64,14 @@
         self.event = anyio.Event()
         self.endpoint: endpoints.Endpoint | None = None
 
-    def is_late(self, now: float) -> bool:
-        """Whether a place would no longer let the answer count in full."""
-        return now > self.demand.in_time_until
-
     def rank(self, now: float) -> tuple[int, bool, float]:
         """Return by what requests are ordered.
 
-        Under more load than can be served, order of arrival makes every
-        answer late: each request gets its place when its time for it has
-        just run out.  Those that can still be in time go first, and of these
-        the newest, which has most of its time left.  Those that cannot go in
-        order of arrival, as their callers leave one after the other.
+        Under more load than can be served, strict order of arrival makes
+        every answer late.  Those that can still be in time go first.
         """
-        if self.is_late(now):
-            return self.demand.priority, True, self.arrived
-        return self.demand.priority, False, -self.arrived
+        is_late = now > self.demand.in_time_until
+        return self.demand.priority, is_late, self.arrived
 
 
 class Dispatcher:
