Give the reading of counts and the finding of ranks modules of their own

When counts are read is now demand_watch, which endpoints carry which ranks is group_members; the planner decides on moves, group_leading on who leads. No behaviour is changed; tests name the new homes of two things.

--- /dev/null
+++ b/marigoldramp/gateway/demand_watch.py
@@ -0,0 +1,168 @@
+"""Reads the counts of a group's ranks when they tell most.
+
+Counts are paid for and make the group pause.  So those of one rank are read
+now and then, and those of a few when passes take longer or that one shows a
+shift: twice, a moment apart, so that they are of after the shift alone.
+"""
+
+from typing import Callable
+from typing import Sequence
+
+from absl import logging
+import anyio
+
+from .. import logs
+from . import endpoints
+from . import expert_demand
+from . import passes as pass_times
+from . import ranks
+
+#: Seconds after a shift for which counts are taken before the first plan.
+MEASURE_SECONDS = 0.2
+#: Seconds after a first plan from which on more counts make a better one, and
+#: seconds between two plans while nothing shifts.
+REFINE_SECONDS = 0.8
+DRIFT_SECONDS = 3.0
+#: Seconds after one look that showed no shift in which it is not looked again.
+QUIET_SECONDS = 0.5
+
+
+class DemandWatch:
+    """Follows what the requests of one group ask for.
+
+    :param find: returns the endpoint of a name.
+    :param passes: how long the passes of the group last.
+    :ivar demand: what is known of it.
+    """
+
+    __slots__ = (
+        '_api',
+        '_find',
+        '_passes',
+        '_clock',
+        '_planned_at',
+        '_refined',
+        '_read_at',
+        '_quiet_until',
+        'demand',
+    )
+
+    def __init__(
+        self,
+        *,
+        api: ranks.RankApi,
+        demand: expert_demand.ExpertDemand,
+        find: Callable[[str], endpoints.Endpoint | None],
+        passes: pass_times.PassTimes,
+        clock: Callable[[], float],
+    ) -> None:
+        self._api = api
+        self._find = find
+        self._passes = passes
+        self._clock = clock
+        self._planned_at = float('-inf')
+        self._refined = True
+        self._read_at = float('-inf')
+        self._quiet_until = float('-inf')
+        self.demand = demand
+
+    def note_planned(self) -> None:
+        """A plan was looked for, by what is known now."""
+        self._planned_at = self._clock()
+
+    def are_passes_longer(self) -> bool:
+        """Whether passes take longer, for a reason not yet looked for."""
+        if self._clock() < self._quiet_until or not self.demand.is_known():
+            return False
+        return self._passes.are_longer()
+
+    async def measure_first(self, names: list[str], pause: float) -> bool:
+        """Count what a group does that we begin to lead; say if we do now.
+
+        All callers come back at once to a group that has lost its leader,
+        and find the map of some seconds ago; waiting for the next reading of
+        one rank would leave it to them for a second more.
+        """
+        if self.demand.is_known() or not self._may_read(pause):
+            return False
+        self._read_at = self._clock()
+        self._add(await self._read(names))
+        if not self.demand.is_known():
+            await anyio.sleep(MEASURE_SECONDS)
+            self._add(await self._read(names))
+        self._refined = False
+        return self.demand.is_known()
+
+    async def measure(self, names: list[str]) -> bool:
+        """Count anew, from now on; return whether demand has shifted."""
+        await self._read(names)
+        await anyio.sleep(MEASURE_SECONDS)
+        windows = await self._read(names)
+        self._passes.accept()
+        distances = [self.demand.distance(one) for one in windows]
+        shifted = sum(self.demand.is_shift(one) for one in windows)
+        logging.info(
+            'demand measured',
+            extra=logs.fields(
+                ranks=len(windows),
+                shifted=shifted,
+                least=round(min(distances, default=0.0), 3),
+                most=round(max(distances, default=0.0), 3),
+            ),
+        )
+        if 2 * shifted <= len(windows):
+            self._add(windows)
+            self._quiet_until = self._clock() + QUIET_SECONDS
+            return False
+        self.demand.restart()
+        self._add(windows)
+        self._refined = False
+        return True
+
+    async def is_due(self, names: list[str], pause: float) -> bool:
+        """Read counts if it is time; say whether to look for a better map."""
+        if not self._may_read(pause):
+            return False
+        now = self._clock()
+        self._read_at = now
+        age = now - self._planned_at
+        due = age >= (DRIFT_SECONDS if self._refined else REFINE_SECONDS)
+        windows = await self._read(names if due else names[:1])
+        if any(self.demand.is_shift(one) for one in windows):
+            return await self.measure(names)
+        self._add(windows)
+        self._refined = self._refined or due
+        return due and self.demand.is_known()
+
+    def _may_read(self, pause: float) -> bool:
+        """Whether it is time to read counts without any other reason."""
+        return self._clock() - self._read_at >= pause
+
+    def _add(self, windows: Sequence[expert_demand.Window]) -> None:
+        now = self._clock()
+        for window in windows:
+            self.demand.add(window, now=now)
+
+    async def _read(self, names: list[str]) -> list[expert_demand.Window]:
+        """Return what ranks have counted since they were last read."""
+        windows = []
+
+        async def read(name: str) -> None:
+            endpoint = self._find(name)
+            if endpoint is None:
+                return
+            found = await self._api.counts(
+                address=endpoint.address, identity=name
+            )
+            if isinstance(found, ranks.NoReply):
+                return
+            window = self.demand.read(
+                name=name, found=found, now=self._clock()
+            )
+            if window is not None:
+                windows.append(window)
+
+        async with anyio.create_task_group() as tasks:
+            for name in names:
+                tasks.start_soon(read, name)
+        return windows
--- a/marigoldramp/gateway/expert_planner.py
+++ b/marigoldramp/gateway/expert_planner.py
@@ -19,6 +19,7 @@
 from .. import map_changes
 from .. import map_conversation
 from .. import placement
+from . import demand_watch
 from . import endpoints
 from . import expert_demand
 from . import passes as pass_times
@@ -31,20 +32,12 @@
 #: are little used and when they are full.
 WATCH_IDLE = 2.0
 WATCH_FULL = 1.0
-#: Seconds between two looks at how long passes last, which cost nothing, and
-#: seconds after one that showed no shift in which it is not looked again.
+#: Seconds between two looks at how long passes last, which cost nothing.
 LOOK_SECONDS = 0.05
-QUIET_SECONDS = 0.5
 #: Ranks whose counts a plan is made from, when endpoints are little used and
 #: when they are full.
 MEASURED_IDLE = 2
 MEASURED_FULL = 6
-#: Seconds after a shift for which counts are taken before the first plan.
-MEASURE_SECONDS = 0.2
-#: Seconds after a first plan from which on more counts make a better one, and
-#: seconds between two plans while nothing shifts.
-REFINE_SECONDS = 0.8
-DRIFT_SECONDS = 3.0
 #: Seconds that the copies of one change may take on any rank.  With three
 #: copies of 0.11 s a rank a group of 16 comes from a skew of 2.3 to 3.8 down
 #: to 1.12 to 1.2, with five to eight to 1.04 to 1.09; the rest can follow.
@@ -91,20 +84,13 @@
     """
 
     __slots__ = (
-        '_api',
         '_shape',
         '_spare',
-        '_find',
         '_use',
-        '_passes',
         '_slow_ranks',
         '_clock',
         '_seconds_a_copy',
-        '_demand',
-        '_planned_at',
-        '_refined',
-        '_watched_at',
-        '_quiet_until',
+        '_watch',
         '_slow_planned',
     )
 
@@ -121,22 +107,21 @@
         clock: Callable[[], float],
         seconds_a_copy: float = 0.0,
     ) -> None:
-        self._api = api
         self._use = use
-        self._passes = passes
         self._slow_ranks = slow_ranks
         self._shape = shape
         self._spare = spare
         self._seconds_a_copy = seconds_a_copy
-        self._find = find
         self._clock = clock
-        self._demand = expert_demand.ExpertDemand(
-            layers=shape.layers, experts=shape.experts
+        self._watch = demand_watch.DemandWatch(
+            api=api,
+            demand=expert_demand.ExpertDemand(
+                layers=shape.layers, experts=shape.experts
+            ),
+            find=find,
+            passes=passes,
+            clock=clock,
         )
-        self._planned_at = float('-inf')
-        self._refined = True
-        self._watched_at = float('-inf')
-        self._quiet_until = float('-inf')
         self._slow_planned: frozenset[int] = frozenset()
 
     async def plan(
@@ -152,14 +137,15 @@
             names = self._choose(conversation, use)
             if self._are_newly_slow():
                 return await self._search(expert_map)
-            if use and await self._measure_first(names, use):
+            pause = _weigh(use, WATCH_IDLE, WATCH_FULL)
+            if use and await self._watch.measure_first(names, pause):
                 return await self._search(expert_map)
-            if self._seem_longer():
-                if not await self._measure(names):
+            if self._watch.are_passes_longer():
+                if not await self._watch.measure(names):
                     # A rank may have turned slow; its report says so.
                     return None
                 return await self._search(expert_map)
-            if await self._is_due(names, use):
+            if await self._watch.is_due(names, pause):
                 return await self._search(expert_map)
             if self._clock() + LOOK_SECONDS > until:
                 return None
@@ -183,105 +169,7 @@
     def _are_newly_slow(self) -> bool:
         """Whether ranks have turned slow that the last plan used."""
         slow = frozenset(self._slow_ranks())
-        return self._demand.is_known() and not slow <= self._slow_planned
-
-    def _seem_longer(self) -> bool:
-        """Whether passes take longer, for a reason not yet looked for."""
-        if self._clock() < self._quiet_until or not self._demand.is_known():
-            return False
-        return self._passes.are_longer()
-
-    async def _measure_first(self, names: list[str], use: float) -> bool:
-        """Count what a group does that we begin to lead; say if we do now.
-
-        All callers come back at once to a group that has lost its leader,
-        and find the map of some seconds ago; waiting for the next reading of
-        one rank would leave it to them for a second more.
-        """
-        if self._demand.is_known() or not self._may_watch(use):
-            return False
-        self._watched_at = self._clock()
-        self._add(await self._read(names))
-        if not self._demand.is_known():
-            await anyio.sleep(MEASURE_SECONDS)
-            self._add(await self._read(names))
-        self._refined = False
-        return self._demand.is_known()
-
-    def _may_watch(self, use: float) -> bool:
-        """Whether it is time to read counts without any other reason."""
-        pause = _weigh(use, WATCH_IDLE, WATCH_FULL)
-        return self._clock() - self._watched_at >= pause
-
-    async def _measure(self, names: list[str]) -> bool:
-        """Count anew, from now on; return whether demand has shifted."""
-        await self._read(names)
-        await anyio.sleep(MEASURE_SECONDS)
-        windows = await self._read(names)
-        self._passes.accept()
-        distances = [self._demand.distance(one) for one in windows]
-        shifted = sum(self._demand.is_shift(one) for one in windows)
-        logging.info(
-            'demand measured',
-            extra=logs.fields(
-                ranks=len(windows),
-                shifted=shifted,
-                least=round(min(distances, default=0.0), 3),
-                most=round(max(distances, default=0.0), 3),
-            ),
-        )
-        if 2 * shifted <= len(windows):
-            self._add(windows)
-            self._quiet_until = self._clock() + QUIET_SECONDS
-            return False
-        self._demand.restart()
-        self._add(windows)
-        self._refined = False
-        return True
-
-    async def _is_due(self, names: list[str], use: float) -> bool:
-        """Read counts if it is time; say whether to look for a better map."""
-        if not self._may_watch(use):
-            return False
-        now = self._clock()
-        self._watched_at = now
-        age = now - self._planned_at
-        due = age >= (DRIFT_SECONDS if self._refined else REFINE_SECONDS)
-        windows = await self._read(names if due else names[:1])
-        if any(self._demand.is_shift(one) for one in windows):
-            return await self._measure(names)
-        self._add(windows)
-        self._refined = self._refined or due
-        return due and self._demand.is_known()
-
-    def _add(self, windows: Sequence[expert_demand.Window]) -> None:
-        now = self._clock()
-        for window in windows:
-            self._demand.add(window, now=now)
-
-    async def _read(self, names: list[str]) -> list[expert_demand.Window]:
-        """Return what ranks have counted since they were last read."""
-        windows = []
-
-        async def read(name: str) -> None:
-            endpoint = self._find(name)
-            if endpoint is None:
-                return
-            found = await self._api.counts(
-                address=endpoint.address, identity=name
-            )
-            if isinstance(found, ranks.NoReply):
-                return
-            window = self._demand.read(
-                name=name, found=found, now=self._clock()
-            )
-            if window is not None:
-                windows.append(window)
-
-        async with anyio.create_task_group() as tasks:
-            for name in names:
-                tasks.start_soon(read, name)
-        return windows
+        return self._watch.demand.is_known() and not slow <= self._slow_planned
 
     def _count_copies(self) -> list[int]:
         """Return how many experts each rank may copy in one change."""
@@ -311,7 +199,7 @@
         self, expert_map: expert_maps.ExpertMap
     ) -> map_changes.Plan | None:
         """Look for moves that are worth their copies."""
-        self._planned_at = self._clock()
+        self._watch.note_planned()
         before = after = 0.0
         use = self._use()
         gain_a_copy = _weigh(use, GAIN_A_COPY_IDLE, GAIN_A_COPY_FULL)
@@ -322,7 +210,7 @@
         left = self._count_copies()
         layers = list(expert_map.layers)
         skews = [
-            _weigh_skew(layer, self._demand.estimate(number), slow)
+            _weigh_skew(layer, self._watch.demand.estimate(number), slow)
             for number, layer in enumerate(layers)
         ]
         # The most uneven layers first, as copies are shared by all layers.
@@ -330,7 +218,7 @@
             range(len(layers)), key=skews.__getitem__, reverse=True
         ):
             layer = layers[number]
-            popular = self._demand.estimate(number)
+            popular = self._watch.demand.estimate(number)
             search = layer_moves.LayerSearch(
                 layer=self._evacuate(layer, popular, slow),
                 popularity=popular,
--- a/marigoldramp/gateway/group_leading.py
+++ b/marigoldramp/gateway/group_leading.py
@@ -8,7 +8,6 @@
 Where entries disagree about who that is, the lease decides.
 """
 
-import dataclasses
 from typing import Callable
 from typing import Iterable
 
@@ -27,8 +26,8 @@
 from . import deployment
 from . import endpoints
 from . import expert_planner
+from . import group_members
 from . import offices
-from . import outbound
 from . import passes as pass_times
 from . import rank_transport
 from . import ranks
@@ -54,19 +53,6 @@
 )
 
 
-@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
-class Group:
-    """A group of ranks, as reports show it.
-
-    :ivar members: names of the endpoints that carry its ranks.
-    """
-
-    name: str
-    service: str
-    size: int
-    members: tuple[str, ...]
-
-
 class _Office:
     """The leadership of one group, held or contended for by us."""
 
@@ -75,7 +61,7 @@
     def __init__(
         self,
         *,
-        group: Group,
+        group: group_members.Group,
         leader: map_leader.Leader,
         lease: offices.Tenure,
     ) -> None:
@@ -124,9 +110,7 @@
         '_has_store',
         '_clock',
         '_offices',
-        '_members',
         '_groups',
-        '_first_seen',
         '_unfit_until',
         '_looked_at',
         '_stopping',
@@ -168,9 +152,7 @@
         self._has_store = has_store
         self._clock = clock
         self._offices: dict[str, _Office] = {}
-        self._members: dict[str, frozenset[str]] = {}
-        self._groups: dict[str, Group] = {}
-        self._first_seen: dict[str, int] = {}
+        self._groups = group_members.GroupMembers(api=api, table=table)
         self._unfit_until = float('-inf')
         self._looked_at = float('-inf')
         self._stopping = False
@@ -231,11 +213,11 @@
         if is_first or self._leads_in(service):
             # Endpoints come and go for a leader too, also when another entry
             # has come that would be the first now.
-            await self._find_groups(service)
+            await self._groups.look(service)
         if not is_first:
             return
         elsewhere = self._led_elsewhere()
-        for group in self._groups.values():
+        for group in self._groups:
             if group.service != service or group.name in self._offices:
                 continue
             if group.name not in elsewhere:
@@ -276,67 +258,9 @@
                 self._unfit_until = now + UNFIT_SECONDS
                 office.scope.cancel()
 
-    async def _find_groups(self, service: str) -> None:
-        """Ask endpoints for their groups when there are other ones."""
-        known = self._drop_replaced(self._table.of_service(service))
-        names = frozenset(one.identity for one in known)
-        if names == self._members.get(service):
-            return
-        found: dict[str, list[str]] = {}
-        sizes: dict[str, int] = {}
-        missing = False
-
-        async def ask(endpoint: endpoints.Endpoint) -> None:
-            nonlocal missing
-            report = await self._api.report(
-                address=endpoint.address, identity=endpoint.identity
-            )
-            if isinstance(report, ranks.NoReply):
-                missing = True
-                return
-            found.setdefault(report.group, []).append(endpoint.identity)
-            sizes[report.group] = report.size
-
-        async with anyio.create_task_group() as tasks:
-            for endpoint in known:
-                tasks.start_soon(ask, endpoint)
-        if not missing:
-            self._members[service] = names
-        for name, members in found.items():
-            if name:
-                self._groups[name] = Group(
-                    name=name,
-                    service=service,
-                    size=sizes[name],
-                    members=tuple(sorted(members)),
-                )
-
-    def _drop_replaced(
-        self, known: list[endpoints.Endpoint]
-    ) -> list[endpoints.Endpoint]:
-        """Return the newest endpoint at each address.
-
-        The entry of one that has crashed stays for some seconds.  Another
-        start at its address answers for both, seen as two endpoints that
-        carry one rank, and a group that is not led until the entry lapses.
-        """
-        newest: dict[outbound.Address, endpoints.Endpoint] = {}
-        for endpoint in known:
-            name = endpoint.identity
-            self._first_seen.setdefault(name, len(self._first_seen))
-            other = newest.setdefault(endpoint.address, endpoint)
-            if self._order_of(other) < self._order_of(endpoint):
-                newest[endpoint.address] = endpoint
-        return list(newest.values())
-
-    def _order_of(self, endpoint: endpoints.Endpoint) -> tuple[int, int]:
-        """Return by what starts at one address are ordered."""
-        first_seen = self._first_seen[endpoint.identity]
-        return endpoint.record.born, first_seen
-
     def _begin(
         self,
-        group: Group,
+        group: group_members.Group,
         engine: deployment.Engine,
         tasks: anyio.abc.TaskGroup,
     ) -> None:
@@ -380,7 +304,7 @@
                 spare=engine.spare,
                 seconds_a_copy=_time_copy(engine),
                 find=self._table.find,
-                use=lambda: self._use(group.name),
+                use=lambda: self._use(group),
                 passes=self._passes(group.service),
                 slow_ranks=transport.slow_ranks,
                 clock=self._clock,
@@ -414,20 +338,12 @@
 
     def _agents(self, name: str) -> tuple[str, ...]:
         """Return the endpoints of a group that are still known."""
-        return tuple(
-            member
-            for member in self._groups[name].members
-            if self._table.find(member) is not None
-        )
+        return tuple(one.identity for one in self._groups.list_known(name))
 
-    def _use(self, name: str) -> float:
+    def _use(self, group: group_members.Group) -> float:
         """Return the use of a group, by its slots and by its pauses."""
-        members = [
-            endpoint
-            for member in self._groups[name].members
-            if (endpoint := self._table.find(member)) is not None
-        ]
-        service = self._groups[name].service
+        members = self._groups.list_known(group.name)
+        service = group.service
         room = sum(
             self._limit(service, endpoint.record.slots) for endpoint in members
         )
--- a/tests/gateway/test_expert_planner.py
+++ b/tests/gateway/test_expert_planner.py
@@ -7,6 +7,7 @@
 import virtual_time
 
 from marigoldramp import expert_maps
+from marigoldramp.gateway import demand_watch
 from marigoldramp.gateway import expert_planner
 from marigoldramp.gateway import passes
 from marigoldramp.gateway import rank_transport
@@ -127,7 +128,7 @@
         )
         tasks.cancel_scope.cancel()
     assert plan is not None
-    assert virtual_time.now() - began < 2 * expert_planner.MEASURE_SECONDS
+    assert virtual_time.now() - began < 2 * demand_watch.MEASURE_SECONDS
 
 
 @pytest.mark.parametrize('turned', [frozenset(), frozenset({2})])
@@ -205,13 +206,13 @@
 async def test_counts_of_a_new_epoch_are_not_compared_with_old_ones():
     planner, group = make_planner(1.0)
     await decide(planner, group, ONE_HOT, times=2)
-    known = list(planner._demand.estimate(0))
+    known = list(planner._watch.demand.estimate(0))
     group.reform()
     for counts in group.counts_now:
         counts[:] = [0] * len(counts)
     # What was known stays known: requests ask for what they did.
     await decide(planner, group, EVEN, times=1)
-    assert list(planner._demand.estimate(0)) == known
+    assert list(planner._watch.demand.estimate(0)) == known
 
 
 @pytest.mark.parametrize('most', [0, 1, 2])
--- a/tests/gateway/test_group_leading.py
+++ b/tests/gateway/test_group_leading.py
@@ -316,8 +316,10 @@
         table.remove(old.identity)
         table.put(old)
         await anyio.sleep(3.0)
-        assert 'again-1' in fleet.entries['a']._groups['g'].members
-        assert 'rank-1' not in fleet.entries['a']._groups['g'].members
+        (group,) = fleet.entries['a']._groups
+        members = group.members
+        assert 'again-1' in members
+        assert 'rank-1' not in members
         leader = fleet.entries['a']._offices['g'].leader
         assert isinstance(leader.decision, map_recovery.Settled)
         tasks.cancel_scope.cancel()
