Void orders to arm before a held step is released with nothing armed

Found by the explorer once it followed loads by time (one leader, two late orders, ranks that check fences): an order to arm gets no reply; its next copy is refused, as the rank still copies, and a refused order raises no token; the change is given up; no rank shows anything of it, as none has copied yet, so the held step is released; the first copy is carried out after the copy and before its step, on one rank alone: two maps in one pass. Before loads were timed all ranks had shown the map first, and were told to forget it.

Now a leader gives every rank an order that is obeyed, and disarms what its own orders may have armed, before it releases.

Not explored, as it is too large: two leaders, a late order and timed loads without fences.

--- a/marigoldramp/map_recovery.py
+++ b/marigoldramp/map_recovery.py
@@ -48,9 +48,16 @@
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Release:
-    """All ranks agree; those that hold are to be released."""
+    """All ranks agree; those that hold are to be released.
+
+    :ivar unarmed: nothing is armed, so an order to arm that is still on its
+        way must be made void first.  A rank that loads yet shows nothing of
+        the change; released at once, the group could reach the step while
+        such an order is carried out on one rank alone.
+    """
 
     ranks: tuple[int, ...]
+    unarmed: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -112,7 +119,7 @@
         schedule = expert_maps.Schedule(in_force=version)
         return Admit(schedule=schedule, states=without)
     if holders:
-        return Release(ranks=holders)
+        return Release(ranks=holders, unarmed=True)
     entered = max(one.entered for one in states)
     return Settled(version=version, entered=entered)
 
--- a/marigoldramp/map_settling.py
+++ b/marigoldramp/map_settling.py
@@ -135,7 +135,11 @@
                 return await talk.send_all(map_orders.Undo())
             case map_recovery.Admit(schedule=schedule, states=states):
                 return await self._admit(talk, schedule, states)
-            case map_recovery.Release(ranks=ranks):
+            case map_recovery.Release(ranks=ranks, unarmed=unarmed):
+                if unarmed:
+                    trouble = await talk.send_all(map_orders.Undo())
+                    if trouble is not None:
+                        return trouble
                 return await release(talk, ranks, self._instance)
             case map_completion.Complete():
                 return await self._complete(talk, decision)
--- a/tests/map_model.py
+++ b/tests/map_model.py
@@ -93,6 +93,8 @@
     """What is explored, and which of the guards are left out.
 
     :ivar fenced: ranks check fences.
+    :ivar timed: a rank is held after the time of the loads, whether all have
+        loaded or not.
     :ivar without: the guard that is left out, see the tests.
     """
 
@@ -102,6 +104,7 @@
     changes: int = 1
     most_step: int = 4
     losses: int = 1
+    timed: bool = False
     without: str = ''
 
     def start(self) -> State:
@@ -345,9 +348,13 @@
 
     def _hold(self, state, number, leader, version):
         view = leader.view
-        if any(one.prepared != version for one in view):
+        rank = self._choose_held(number)
+        if self.timed:
+            # The one rank that is looked at is the one that is to be held.
+            view = (view[rank],)
+        elif any(one.prepared != version for one in view):
             return self._look(state, number, leader)
-        if not all(one.ready for one in view):
+        elif not all(one.ready for one in view):
             return _lead(
                 state, number, leader._replace(view=(None,) * self.ranks)
             )
@@ -358,7 +365,7 @@
             state,
             number,
             leader,
-            [(self._choose_held(number), Order('hold', 0, step))],
+            [(rank, Order('hold', 0, step))],
             ('held', version, step),
         )
 
@@ -393,6 +400,18 @@
                 return self._prepare(state, number, leader)
             case map_recovery.Undo():
                 return self._undo(state, number, leader)
+            case map_recovery.Release(unarmed=True) if self.without != 'void':
+                return self._order(
+                    state,
+                    number,
+                    leader,
+                    # A leader disarms what its own orders may have armed.
+                    [
+                        (rank, Order('disarm', self._name(number, leader) - 1))
+                        for rank in range(self.ranks)
+                    ],
+                    ('sealed', holders),
+                )
             case map_recovery.Release():
                 return self._release(state, number, leader, holders)
             case map_completion.Complete() if self.without == 'complete':
--- a/tests/test_map_model.py
+++ b/tests/test_map_model.py
@@ -17,9 +17,21 @@
             map_model.Rules(fenced=False, leaders=1, losses=3, changes=2),
             id='one leader, three orders are late',
         ),
+        pytest.param(
+            map_model.Rules(fenced=False, leaders=1, losses=2, timed=True),
+            id='loads are timed, two orders are late',
+        ),
         pytest.param(
             map_model.Rules(fenced=True, most_step=3), id='fenced, one late'
         ),
+        pytest.param(
+            map_model.Rules(fenced=False, losses=0, most_step=1, timed=True),
+            id='loads are timed, late by leaders only',
+        ),
+        pytest.param(
+            map_model.Rules(fenced=True, leaders=1, losses=2, timed=True),
+            id='fenced, loads are timed, two orders are late',
+        ),
         pytest.param(
             map_model.Rules(fenced=True, leaders=1, losses=3),
             id='fenced, one leader, three late',
@@ -60,6 +72,16 @@
             ),
             id='ranks prepare while a map is armed',
         ),
+        pytest.param(
+            map_model.Rules(
+                fenced=True,
+                leaders=1,
+                losses=2,
+                timed=True,
+                without='void',
+            ),
+            id='a held step is released with an order to arm on its way',
+        ),
         pytest.param(
             map_model.Rules(fenced=True, most_step=2, without='tokens'),
             id='ranks obey older tokens of a fence',
