Tell the exit code of a process that ended just before it was stopped

Cause: a process ends; before the event loop has its exit status the stand-in asks it to stop by Popen.send_signal, which polls first and takes the status; the loop then finds no such child and tells 255. Ruled out: the program under test, as its log was told whole. The signal is now sent by the process's number.

The new test makes that order of events for certain; it fails before.

--- a/marigoldramp_standins/processes.py
+++ b/marigoldramp_standins/processes.py
@@ -56,8 +56,16 @@
         return self._process.returncode is not None
 
     def send_signal(self, number: signal.Signals) -> None:
-        """Send it a signal."""
-        self._process.send_signal(number)
+        """Send it a signal, if it still runs.
+
+        The library's own way looks first whether the process has ended, and
+        so takes its exit status from the event loop, which then tells 255.
+        """
+        try:
+            os.kill(self.id, number)
+        except ProcessLookupError:
+            # It has ended, which waiting for it tells.
+            return
 
     async def wait(self) -> int:
         """Wait for its end and return its exit code."""
@@ -85,7 +93,7 @@
         """Ask it to end and wait; kill it after the limit."""
         begun = anyio.current_time()
         if not self.has_ended():
-            self._process.send_signal(signal.SIGTERM)
+            self.send_signal(signal.SIGTERM)
         killed = True
         with anyio.move_on_after(seconds):
             await self._process.wait()
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -1,5 +1,9 @@
 """Tests of the demonstration's parts that need no fleet."""
 
+import os
+import subprocess
+import sys
+
 import pytest
 
 from marigoldramp_standins import demo_calls
@@ -94,6 +98,46 @@
     assert (await process.stop(seconds=60)).code == 2
 
 
+class EndedChild:
+    """A child that has ended, which the event loop has not noticed yet."""
+
+    def __init__(self):
+        self.child = subprocess.Popen([sys.executable, '-c', 'exit(2)'])
+        self.pid = self.child.pid
+        self.returncode = None
+        os.waitid(os.P_PID, self.pid, os.WEXITED | os.WNOWAIT)
+
+    def send_signal(self, number):
+        self.child.send_signal(number)
+
+    async def wait(self):
+        try:
+            status = os.waitpid(self.pid, 0)[1]
+        except ChildProcessError:
+            self.returncode = 255
+        else:
+            self.returncode = os.waitstatus_to_exitcode(status)
+        # Seen as ended, so that nobody waits for it again.
+        self.child.returncode = self.returncode
+        return self.returncode
+
+
+@pytest.mark.anyio
+async def test_exit_code_is_told_though_a_stop_came_just_after_the_end(
+    tmp_path,
+):
+    """A process that ended with 2 is told to have ended with 255.
+
+    Sequence: the process ends; before the event loop has its exit status, it
+    is asked to stop, which looks whether it has ended and takes the status.
+    Cause: a signal sent by a way that polls the process first.
+    """
+    process = processes.Process(
+        name='ledger', log=tmp_path / 'log', process=EndedChild()
+    )
+    assert (await process.stop(seconds=60)).code == 2
+
+
 @pytest.mark.anyio
 async def test_command_that_fails_is_told_with_its_output():
     with pytest.raises(processes.Failed, match='required: --name'):
