Give a map to prepare the time of its bytes

Cause: an order to prepare carries the whole map, 25 KB for 192 ranks, and was given the 0.08 s of a small order. Twelve at once need 0.12 s of a link of 20 Mbit/s, so none was answered in time; each was sent again ten times.

Ruled out: ranks that refuse (no refusal but of older leaders' tokens), and the search (the plan was there after 0.2 s).

The order is encoded once for all ranks. Sending more maps at once (32) goes with it, as the link of a rank is the narrow one.

Conclusion: needed, not enough; who leads comes next.

--- a/marigoldramp/gateway/ranks.py
+++ b/marigoldramp/gateway/ranks.py
@@ -65,12 +65,16 @@
     layers: tuple[tuple[int, ...], ...]
 
 
+#: Experts by layer and rank.
+Layers = tuple[tuple[tuple[int, ...], ...], ...]
+
+
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Prepare:
     """Copy the experts that a map needs."""
 
     version: int
-    layers: tuple[tuple[tuple[int, ...], ...], ...]
+    layers: Layers
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
--- a/marigoldramp/gateway/settings.py
+++ b/marigoldramp/gateway/settings.py
@@ -47,6 +47,9 @@
     :ivar seeds: peers that may live; they may be stale.
     :ivar store: the platform's store.
     :ivar descriptors: sockets that the process may open.
+    :ivar cores: processor time that the process may use in a second, in
+        seconds of a usual core.
+    :ivar link_rate: bytes a second of the instance's link.
     """
 
     instance: str
@@ -60,4 +63,6 @@
     seeds: tuple[Address, ...]
     store: Address
     descriptors: int
+    cores: float
+    link_rate: float
     bounds: Bounds
--- a/marigoldramp/platform/ranks.py
+++ b/marigoldramp/platform/ranks.py
@@ -21,6 +21,11 @@
 #: Exchanges at once.  With 72 ranks, all at once take longer on one processor
 #: than a rank is given to answer.
 MOST_AT_ONCE = 12
+#: Maps that are sent at once.  A map of 192 ranks has 25 KB and takes longer
+#: on the link of its rank than on ours, so more of them are on their way.
+MOST_MAPS_AT_ONCE = 32
+#: Bytes a second that the link of a rank takes at least.
+RANK_LINK_RATE = 250_000.0
 #: Connections that are kept for each rank.
 MOST_IDLE = 1
 _OPEN = 'open'
@@ -88,13 +93,19 @@
 
 
 class Ranks(ranks.RankApi):
-    """Reaches ranks by HTTP."""
+    """Reaches ranks by HTTP.
 
-    __slots__ = ('_pool', '_limiter')
+    :param link_rate: bytes a second of our own link.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ('_pool', '_limiter', '_map_limiter', '_link_rate', '_encoder')
+
+    def __init__(self, *, link_rate: float) -> None:
         self._pool = outbound.Pool(most_idle=MOST_IDLE)
         self._limiter = anyio.CapacityLimiter(MOST_AT_ONCE)
+        self._map_limiter = anyio.CapacityLimiter(MOST_MAPS_AT_ONCE)
+        self._link_rate = link_rate
+        self._encoder = OrderEncoder()
 
     async def report(
         self, *, address: outbound.Address, identity: str
@@ -160,7 +171,11 @@
     async def order(
         self, *, address: outbound.Address, identity: str, order: ranks.Order
     ) -> ranks.OrderReply:
-        async with self._limiter:
+        limiter = self._limiter
+        if isinstance(order.body, ranks.Prepare):
+            limiter = self._map_limiter
+        async with limiter:
+            body = self._encoder.encode(order)
             reply = await outbound.exchange(
                 pool=self._pool,
                 address=address,
@@ -171,8 +186,10 @@
                     (b'content-type', b'application/json'),
                     (headers.ENDPOINT, identity.encode()),
                 ],
-                body=msgspec.json.encode(_encode(order)),
-                seconds=ORDER_SECONDS,
+                body=body,
+                seconds=find_order_seconds(
+                    size=len(body), link_rate=self._link_rate
+                ),
             )
         if isinstance(reply, outbound.NoReply):
             return ranks.NoReply(detail=reply.detail)
@@ -203,25 +220,58 @@
         return reply.body
 
 
-def _encode(order: ranks.Order) -> dict[str, Any]:
-    """Return the fields of an order's body."""
-    fields: dict[str, Any] = {
-        'FencingToken': order.token,
-        'epoch': order.epoch,
-    }
-    match order.body:
-        case ranks.Prepare(version=version, layers=layers):
-            fields |= {
-                'Operation': 'prepare',
-                'Version': version,
-                'ExpertMap': layers,
-            }
-        case ranks.Arm(version=version, step=step):
-            fields |= {'Operation': 'arm', 'Version': version, 'step': step}
-        case ranks.Disarm(version=version):
-            fields |= {'Operation': 'disarm', 'Version': version}
-        case ranks.Hold(step=step):
-            fields |= {'Operation': 'Hold', 'step': step}
-        case ranks.Release(step=step):
-            fields |= {'Operation': 'go', 'step': step}
-    return fields
+class OrderEncoder:
+    """Encodes orders; a map once for all ranks that it is sent to."""
+
+    __slots__ = ('_layers', '_encoded')
+
+    def __init__(self) -> None:
+        self._layers: ranks.Layers = ()
+        self._encoded = msgspec.Raw(b'[]')
+
+    def encode(self, order: ranks.Order) -> bytes:
+        """Return the body of an order."""
+        fields: dict[str, Any] = {
+            'FencingToken': order.token,
+            'epoch': order.epoch,
+        }
+        match order.body:
+            case ranks.Prepare(version=version, layers=layers):
+                fields |= {
+                    'Operation': 'prepare',
+                    'Version': version,
+                    'ExpertMap': self._encode_map(layers),
+                }
+            case ranks.Arm(version=version, step=step):
+                fields |= {
+                    'Operation': 'arm',
+                    'Version': version,
+                    'step': step,
+                }
+            case ranks.Disarm(version=version):
+                fields |= {'Operation': 'disarm', 'Version': version}
+            case ranks.Hold(step=step):
+                fields |= {'Operation': 'Hold', 'step': step}
+            case ranks.Release(step=step):
+                fields |= {'Operation': 'go', 'step': step}
+        return msgspec.json.encode(fields)
+
+    def _encode_map(self, layers: ranks.Layers) -> msgspec.Raw:
+        if layers is not self._layers:
+            self._layers = layers
+            self._encoded = msgspec.Raw(msgspec.json.encode(layers))
+        return self._encoded
+
+
+def find_order_seconds(*, size: int, link_rate: float) -> float:
+    """Return the seconds for which the reply to an order is waited for.
+
+    A map is large: 25 KB for 192 ranks.  All that are sent at once share our
+    link, and each one passes the link of its rank.  Given up after the time
+    of a small order, every copy of it was sent again ten times, no rank ever
+    answered in time, and the group kept its first map.
+
+    :param size: bytes of the order.
+    """
+    on_its_way = size * MOST_MAPS_AT_ONCE / link_rate
+    return ORDER_SECONDS + on_its_way + size / RANK_LINK_RATE
--- a/marigoldramp/platform/settings_file.py
+++ b/marigoldramp/platform/settings_file.py
@@ -2,6 +2,7 @@
 
 import os
 import tomllib
+from typing import Annotated
 
 import msgspec
 
@@ -13,6 +14,9 @@
 #: Where metrics are served; ``deploy/system.toml`` names the same port.
 METRICS_PORT = 9464
 MILLISECONDS = 1000.0
+BYTES_A_MEGABIT = 125_000.0
+
+Positive = Annotated[float, msgspec.Meta(gt=0)]
 
 
 class _Listen(
@@ -31,8 +35,28 @@
     addresses: str = ''
 
 
-class _Limits(msgspec.Struct, kw_only=True, rename={'descriptors': 'MaxFds'}):
+class _Limits(
+    msgspec.Struct,
+    kw_only=True,
+    rename={
+        'descriptors': 'MaxFds',
+        'core_share': 'CpuShare',
+        'core_speed': 'CpuCores',
+        'link_megabits': 'LinkMbps',
+    },
+):
+    """What the process may use.
+
+    :ivar core_share: part of one core.
+    :ivar core_speed: how many times as fast as a usual one that core is; the
+        name on the wire speaks of cores.
+    :ivar link_megabits: of the instance, a second.
+    """
+
     descriptors: int = 1024
+    core_share: Positive = 1.0
+    core_speed: Positive = 1.0
+    link_megabits: Positive = 1000.0
 
 
 class _Bounds(
@@ -157,6 +181,8 @@
         ),
         store=parse_address(found.store.address),
         descriptors=found.limits.descriptors,
+        cores=found.limits.core_share * found.limits.core_speed,
+        link_rate=found.limits.link_megabits * BYTES_A_MEGABIT,
         bounds=_build_bounds(found.bounds),
     )
 
--- a/tests/adapter/test_platform.py
+++ b/tests/adapter/test_platform.py
@@ -36,6 +36,9 @@
 Directory = "10.1.0.40:8224"
 [Limits]
 MaxFds = 4100
+CpuShare = 0.5
+CpuCores = 2
+LinkMbps = 20.0
 [Bounds]
 DrainMs = 2000
 GraceS = 8
@@ -58,6 +61,8 @@
     assert found.calls == outbound.Address(host='10.1.0.40', port=8227)
     assert found.peers == outbound.Address(host='10.1.0.40', port=7340)
     assert [seed.port for seed in found.seeds] == [7340, 7340]
+    assert found.cores == 1.0
+    assert found.link_rate == 2_500_000.0
     assert found.bounds.revoke == 5.0
     assert found.bounds.retries.extra == 92.0
 
@@ -67,6 +72,7 @@
     [
         ('Ip = "10.1.0.40"\n', '', 'Ip'),
         ('[7340, 7355]', '"x"', 'InternalPorts'),
+        ('LinkMbps = 20.0', 'LinkMbps = 0', 'LinkMbps'),
         ('"10.200.1.7:8223"', '"nowhere"', 'nowhere'),
         ('DrainMs = 2000', 'DrainMs = "soon"', 'DrainMs'),
         ('Region = "bts"', 'Region = ', 'line 4'),
@@ -482,7 +488,7 @@
 )
 def test_orders_to_ranks(body, expected):
     order = rank_types.Order(token=11, epoch=2, body=body)
-    found = msgspec.json.decode(msgspec.json.encode(ranks._encode(order)))
+    found = msgspec.json.decode(ranks.OrderEncoder().encode(order))
     assert found == expected | {'FencingToken': 11, 'epoch': 2}
 
 
--- a/tests/adapter/test_ranks.py
+++ b/tests/adapter/test_ranks.py
@@ -9,6 +9,8 @@
 from marigoldramp.platform import ranks
 
 pytestmark = pytest.mark.anyio
+#: Bytes a second.
+LINK_RATE = 2_500_000.0
 REPORT = {
     'group': {'Name': 'g', 'epoch': 2, 'rank': 3, 'State': 'open'},
     'size': 16,
@@ -31,7 +33,7 @@
     one = fake.FakeEndpoint(identity='i-1', scripts=scripts)
     async with one.serve():
         address = outbound.Address(host=fake.HOST, port=one.port)
-        found = await question(ranks.Ranks(), address)
+        found = await question(ranks.Ranks(link_rate=LINK_RATE), address)
     return found, one.seen
 
 
@@ -152,3 +154,48 @@
         assert isinstance(found, rank_types.NoReply)
     else:
         assert found == expected
+
+
+@pytest.mark.parametrize(
+    ('size', 'link_rate', 'least', 'most'),
+    [
+        (100, 2_500_000.0, 0.08, 0.1),
+        (25_000, 2_500_000.0, 0.4, 0.6),
+        (25_000, 12_500_000.0, 0.2, 0.3),
+    ],
+    ids=['small order', 'map on a narrow link', 'map on a wide link'],
+)
+def test_order_is_given_the_time_of_its_bytes(size, link_rate, least, most):
+    """No map is ever changed in a group of 192 ranks.
+
+    Sequence: a leader sends a map of 25 KB to each rank; all that are sent at
+    once need 0.1 s of its link of 20 Mbit/s; after 0.08 s each order counts as
+    lost and is sent again, ten times, until the leader gives up.
+    Cause: a map was given the time of an order of a hundred bytes.
+    """
+    found = ranks.find_order_seconds(size=size, link_rate=link_rate)
+    assert least <= found <= most
+
+
+async def test_each_rank_is_sent_the_whole_map():
+    layers = (((0, 1), (2, 3)), ((3, 0), (1, 2)))
+    other = (((1, 0), (2, 3)), ((3, 0), (1, 2)))
+
+    async def prepare(api, address):
+        for number, one in enumerate((layers, layers, other)):
+            await api.order(
+                address=address,
+                identity='i-1',
+                order=rank_types.Order(
+                    token=number,
+                    epoch=2,
+                    body=rank_types.Prepare(version=7, layers=one),
+                ),
+            )
+
+    _, seen = await ask(prepare, answer({}, 202))
+    sent = [msgspec.json.decode(one.body)['ExpertMap'] for one in seen]
+    assert sent == [
+        [[list(held) for held in layer] for layer in one]
+        for one in (layers, layers, other)
+    ]
