Let the strongest entries lead

Cause: an entry with 20 Mbit/s needs two seconds to send 4.8 MB of maps, and its reports to peers wait behind them. After 0.75 s another entry takes it for gone and takes the lead, and ranks refuse the first one's orders.

Change: reports say what an instance can do; of those that are fit, the ones about as strong as the strongest lead. Where all are alike nothing changes.

--- a/marigoldramp/gateway/group_leading.py
+++ b/marigoldramp/gateway/group_leading.py
@@ -77,7 +77,9 @@
 
     :param services: returns the services now configured.
     :param fenced: whether ranks refuse orders of older leaders.
-    :param rivals: returns the entries that are heard and fit to lead.
+    :param rivals: returns the entries that are heard and fit to lead, and
+        about as strong as any.
+    :param is_outdone: whether one of them can do much more than we.
     :param pauses: returns the pauses of a service's streams, as a part of
         the accepted ones.
     :param passes: returns how long the passes of a service's group last.
@@ -98,6 +100,7 @@
         '_services',
         '_fenced',
         '_rivals',
+        '_is_outdone',
         '_led_elsewhere',
         '_is_idle',
         '_is_gone',
@@ -134,12 +137,14 @@
         store: store_module.PlatformStore,
         has_store: Callable[[], bool],
         clock: Callable[[], float],
+        is_outdone: Callable[[], bool] = lambda: False,
     ) -> None:
         self._instance = instance
         self._table = table
         self._services = services
         self._fenced = fenced
         self._rivals = rivals
+        self._is_outdone = is_outdone
         self._led_elsewhere = led_elsewhere
         self._is_idle = is_idle
         self._is_gone = is_gone
@@ -225,7 +230,7 @@
 
     def _is_first(self, service: str) -> bool:
         """Whether it falls to us to contend."""
-        if not self.fit:
+        if not self.fit or self._is_outdone():
             return False
         names = {self._instance, *self._rivals()}
         first = rendezvous.choose(key=service, names=names, count=1)
--- a/marigoldramp/gateway/peer_reports.py
+++ b/marigoldramp/gateway/peer_reports.py
@@ -41,6 +41,8 @@
     :ivar slow: endpoints that the sender finds slow or failing, and how many
         times worse than usual.
     :ivar fit: the sender may lead groups of ranks.
+    :ivar strength: how much it can do besides, see
+        :attr:`.settings.Settings.strength`.
     :ivar leads: groups that it leads.
     :ivar paces: slow ranks of groups that it leads, see
         :class:`.ranks.RankReport`.
@@ -67,6 +69,7 @@
     leads: tuple[str, ...] = ()
     known: tuple[KnownPeer, ...] = ()
     paces: dict[str, float] = {}
+    strength: float = 1.0
 
 
 def encode(report: Report) -> bytes:
--- a/marigoldramp/gateway/peers.py
+++ b/marigoldramp/gateway/peers.py
@@ -27,6 +27,9 @@
 #: callers give a stream up after two seconds; the rest of them is for taking
 #: over.
 SUSPECT_MISSED = 5
+#: Part of the strength of the strongest entry from which on another one counts
+#: as equal to it.
+ALIKE = 0.8
 #: Seconds without a report after which a peer is taken as gone for good: it
 #: may have been suspended or cut off for shorter.
 GONE_AFTER = 90.0
@@ -249,15 +252,33 @@
             return False
         return group not in peer.report.leads
 
-    def fit_to_lead(self) -> list[str]:
-        """Return the live peers that may lead groups of ranks."""
-        return [
-            peer.instance
+    def fit_to_lead(self, *, strength: float = 0.0) -> list[str]:
+        """Return the peers that may lead groups of ranks, the strongest ones.
+
+        :param strength: our own.
+        """
+        fit = self._fit_strengths()
+        most = max(fit.values(), default=0.0)
+        least = ALIKE * max(most, strength)
+        return [name for name, one in fit.items() if one >= least]
+
+    def is_outdone(self, *, strength: float) -> bool:
+        """Whether a peer that may lead can do much more than we.
+
+        :param strength: our own.
+        """
+        most = max(self._fit_strengths().values(), default=0.0)
+        return strength < ALIKE * most
+
+    def _fit_strengths(self) -> dict[str, float]:
+        """Return the strength of each live peer that may lead."""
+        return {
+            peer.instance: peer.report.strength
             for peer in self.live()
             if peer.report is not None
             and peer.report.fit
             and not self.is_suspect(peer.instance)
-        ]
+        }
 
     def led_groups(self) -> frozenset[str]:
         """Return the groups that live peers say they lead."""
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -141,7 +141,12 @@
             table=self.table,
             services=self._services,
             fenced=lambda: self.settings.bounds.fenced,
-            rivals=self.peers.fit_to_lead,
+            rivals=lambda: self.peers.fit_to_lead(
+                strength=self.settings.strength
+            ),
+            is_outdone=lambda: self.peers.is_outdone(
+                strength=self.settings.strength
+            ),
             led_elsewhere=self.peers.led_groups,
             is_idle=self.peers.is_idle,
             is_gone=self.peers.is_lost,
--- a/marigoldramp/gateway/reporting.py
+++ b/marigoldramp/gateway/reporting.py
@@ -142,6 +142,7 @@
             paces=self._list_paces(now),
             fit=parts.leading.fit and self._ready(),
             leads=parts.leading.led(),
+            strength=settings.strength,
             known=self._name_peers(now),
         )
 
--- a/marigoldramp/gateway/settings.py
+++ b/marigoldramp/gateway/settings.py
@@ -9,6 +9,9 @@
 from . import retry_budget
 
 Address = outbound.Address
+#: Bytes a second of a link that go with one core.  A leader of 192 ranks writes
+#: 4.8 MB for one change, and a core some 2,000 orders a second.
+LINK_A_CORE = 2_500_000.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -66,3 +69,14 @@
     cores: float
     link_rate: float
     bounds: Bounds
+
+    @property
+    def strength(self) -> float:
+        """How much the instance can do, in cores.
+
+        The leader of a large group tells all ranks of each change while it
+        serves callers.  Where instances are of unlike size, one with two
+        cores and 100 Mbit/s does so in less than half of the time of one with
+        one core and 20 Mbit/s, and the group is even for so much longer.
+        """
+        return min(self.cores, self.link_rate / LINK_A_CORE)
