Keep callers, requests and reports in their data centre

Change: where there are enough of each (eight), callers are sent to entries of their data centre, these choose endpoints there first, and report to each other each 0.12 s, but to others each 2 s, which each report says. A leader reports to all as before, and is left out of what callers are told.

Small deployments have too few of each and go on as they were.

--- a/marigoldramp/gateway/endpoints.py
+++ b/marigoldramp/gateway/endpoints.py
@@ -20,13 +20,18 @@
 LONGEST_PAUSE = 4.0
 #: Seconds for which an endpoint counts as full after it has said so.
 FULL_SECONDS = 0.1
-#: Penalty of an endpoint in another data centre, in requests in flight; it
-#: decides between equals only.
-REMOTE_PENALTY = 0.05
-#: Endpoints that are compared for one request.  What is known of the requests
-#: of other entries is a moment old; were all compared, many entries would
-#: choose the same few at once, seen as endpoints that decline while others
-#: are free.
+#: Penalty of an endpoint in another data centre, in requests in flight.  Where
+#: a data centre has few endpoints it decides between equals only; where it has
+#: many, most requests stay there, which spares bytes between data centres, and
+#: fewer entries compete for each endpoint, whose reports come more often.
+REMOTE_PENALTY_OF_FEW = 0.05
+REMOTE_PENALTY_OF_MANY = 1.0
+#: Endpoints of a service in our own data centre that count as many.
+MANY_NEAR = 8
+#: Endpoints that are compared for one request, in our data centre and in all
+#: others.  What is known of the requests of other entries is a moment old;
+#: were all compared, many entries would choose the same few at once, seen as
+#: endpoints that decline while others are free.
 MOST_COMPARED = 16
 #: Requests in flight for which a part of failures of 1 counts.
 ERROR_PENALTY = 6.0
@@ -190,14 +195,25 @@
             and endpoint.is_open(now=now)
             and endpoint.in_flight < slots(endpoint)
         ]
-        if len(found) > MOST_COMPARED:
-            found = self._random.sample(found, MOST_COMPARED)
+        penalty = REMOTE_PENALTY_OF_FEW
+        compared = self._sample(found)
+        if sum(self._is_near(one) for one in known) >= MANY_NEAR:
+            penalty = REMOTE_PENALTY_OF_MANY
+            compared += self._sample(list(filter(self._is_near, found)))
         return min(
-            found,
-            key=lambda one: self._rank(one, slots(one), usual, now),
+            compared,
+            key=lambda one: self._rank(one, slots(one), usual, now, penalty),
             default=None,
         )
 
+    def _is_near(self, endpoint: Endpoint) -> bool:
+        return endpoint.record.data_centre == self._data_centre
+
+    def _sample(self, found: list[Endpoint]) -> list[Endpoint]:
+        if len(found) <= MOST_COMPARED:
+            return list(found)
+        return self._random.sample(found, MOST_COMPARED)
+
     def of_usual_pace(self, service: str, *, now: float) -> list[Endpoint]:
         """Return the endpoints of a service that do not slow its group.
 
@@ -219,11 +235,18 @@
         return statistics.median_low(known) if known else 0.0
 
     def _rank(
-        self, endpoint: Endpoint, room: float, usual: float, now: float
+        self,
+        endpoint: Endpoint,
+        room: float,
+        usual: float,
+        now: float,
+        remote: float,
     ) -> float:
-        """Return how long a request may take there; the least is best."""
-        remote = endpoint.record.data_centre != self._data_centre
-        penalty = REMOTE_PENALTY if remote else 0.0
+        """Return how long a request may take there; the least is best.
+
+        :param remote: penalty of an endpoint in another data centre.
+        """
+        penalty = 0.0 if self._is_near(endpoint) else remote
         penalty += ERROR_PENALTY * endpoint.quality.errors(now=now)
         penalty += self._random.random() * 0.1
         slowness = endpoint.quality.slowness(usual=usual, now=now)
--- a/marigoldramp/gateway/gossip.py
+++ b/marigoldramp/gateway/gossip.py
@@ -1,5 +1,6 @@
 """Sends reports to peers and takes theirs."""
 
+import random as random_module
 from typing import Callable
 
 from absl import logging
@@ -15,7 +16,7 @@
 #: Seconds between two tries of an address where nobody is heard.
 UNHEARD_PERIOD = 1.0
 
-MakeReport = Callable[[peers.Peer | None], peer_reports.Report]
+MakeReport = Callable[[peers.Peer | None, float], peer_reports.Report]
 OnReport = Callable[[peer_reports.Report, frozenset[str]], None]
 
 
@@ -23,10 +24,11 @@
     """The exchange of reports of one process.
 
     :param make: returns the report for a peer, ``None`` for an address of
-        which only the place is known.
+        which only the place is known, and says when the next one comes.
     :param take: takes a report that was not overtaken, and the endpoints
         whose requests in flight may have changed by it.
     :param leads: whether this entry leads a group of ranks.
+    :param random: spreads reports to many peers over time.
     """
 
     __slots__ = (
@@ -36,9 +38,12 @@
         '_take',
         '_leads',
         '_clock',
+        '_random',
         '_socket',
         '_tried',
         '_due',
+        '_led',
+        '_wake',
     )
 
     def __init__(
@@ -50,6 +55,7 @@
         take: OnReport,
         leads: Callable[[], bool],
         clock: Callable[[], float],
+        random: random_module.Random,
     ) -> None:
         self._table = table
         self._seeds = seeds
@@ -57,9 +63,12 @@
         self._take = take
         self._leads = leads
         self._clock = clock
+        self._random = random
         self._socket: anyio.abc.UDPSocket | None = None
         self._tried: dict[outbound.Address, float] = {}
-        self._due = anyio.Event()
+        self._due: dict[str, float] = {}
+        self._led = False
+        self._wake = anyio.Event()
 
     async def run(
         self,
@@ -81,7 +90,8 @@
 
     def hasten(self) -> None:
         """Send the next reports at once, as something has changed."""
-        self._due.set()
+        self._due.clear()
+        self._wake.set()
 
     async def _receive(self, socket: anyio.abc.UDPSocket) -> None:
         async for data, source in socket:
@@ -95,22 +105,52 @@
                 continue
             touched = self._table.take(report)
             if touched is not None:
+                if not report.echo:
+                    # It has just started and knows nothing of us.
+                    self._due.pop(report.instance, None)
                 self._take(report, touched)
 
     async def _send_all(self) -> None:
         while True:
             self._table.drop_silent()
-            live = self._table.live()
-            for peer in live:
-                await self._send(
-                    outbound.Address(host=peer.host, port=peer.port),
-                    self._make(peer),
-                )
+            leads = self._leads()
+            if leads != self._led:
+                # All are to know at once, and when to expect the next one.
+                self._due.clear()
+                self._led = leads
+            periods = self._find_periods(leads)
+            now = self._clock()
+            for peer in self._table.live():
+                await self._send_if_due(peer, periods, now)
             await self._try_unheard()
-            period = peers.find_period(peers=len(live), leads=self._leads())
-            self._due = anyio.Event()
-            with anyio.move_on_after(period):
-                await self._due.wait()
+            self._wake = anyio.Event()
+            with anyio.move_on_after(min(periods.near, periods.remote)):
+                await self._wake.wait()
+
+    def _find_periods(self, leads: bool) -> peers.Periods:
+        live = self._table.live()
+        near = sum(self._table.is_near(peer) for peer in live)
+        return peers.find_periods(
+            near=near, remote=len(live) - near, leads=leads
+        )
+
+    async def _send_if_due(
+        self, peer: peers.Peer, periods: peers.Periods, now: float
+    ) -> None:
+        """Send a report by the time that the last one has promised."""
+        due = self._due.get(peer.instance)
+        tick = min(periods.near, periods.remote)
+        if due is not None and due >= now + tick:
+            return
+        is_near = self._table.is_near(peer)
+        period = periods.near if is_near else periods.remote
+        await self._send(
+            outbound.Address(host=peer.host, port=peer.port),
+            self._make(peer, period),
+        )
+        # All first reports go out at once; the next ones are spread.
+        part = 1.0 if due is not None else self._random.random()
+        self._due[peer.instance] = now + part * period
 
     async def _try_unheard(self) -> None:
         """Make ourselves known where somebody may live."""
@@ -126,7 +166,7 @@
             if now - self._tried.get(place, float('-inf')) < UNHEARD_PERIOD:
                 continue
             self._tried[place] = now
-            await self._send(place, self._make(None))
+            await self._send(place, self._make(None, UNHEARD_PERIOD))
 
     async def _send(
         self, address: outbound.Address, report: peer_reports.Report
--- a/marigoldramp/gateway/peer_exchange.py
+++ b/marigoldramp/gateway/peer_exchange.py
@@ -4,6 +4,7 @@
 endpoints from a peer whose reports show that it knows more.
 """
 
+import random as random_module
 from typing import Callable
 
 import msgspec
@@ -71,20 +72,34 @@
 class PeerSource:
     """Fetches from peers whose reports show that they know more."""
 
-    __slots__ = ('_peers',)
+    __slots__ = ('_peers', '_random')
 
-    def __init__(self, *, peers: peers.PeerTable) -> None:
+    def __init__(
+        self, *, peers: peers.PeerTable, random: random_module.Random
+    ) -> None:
         self._peers = peers
+        self._random = random
 
     async def fetch_configuration(self, version: int) -> bytes | None:
-        """Return the document of a version or a newer one, if one has it."""
-        for peer in self._peers.live():
-            if peer.report is not None and peer.report.version >= version:
-                found = await fetch(
-                    address=_address(peer), path=CONFIGURATION_PATH
-                )
-                if found is not None:
-                    return found
+        """Return the document of a version or a newer one, if one has it.
+
+        Peers of our data centre are asked first, in an order by chance: were
+        all to ask the first that has it, its link would carry a document of
+        hundreds of kilobytes once for each entry.
+        """
+        known = [
+            peer
+            for peer in self._peers.live()
+            if peer.report is not None and peer.report.version >= version
+        ]
+        self._random.shuffle(known)
+        known.sort(key=self._peers.is_near, reverse=True)
+        for peer in known:
+            found = await fetch(
+                address=_address(peer), path=CONFIGURATION_PATH
+            )
+            if found is not None:
+                return found
         return None
 
     async def fetch_endpoints(
--- a/marigoldramp/gateway/peer_reports.py
+++ b/marigoldramp/gateway/peer_reports.py
@@ -41,6 +41,9 @@
     :ivar slow: endpoints that the sender finds slow or failing, and how many
         times worse than usual.
     :ivar fit: the sender may lead groups of ranks.
+    :ivar data_centre: where the sender is.
+    :ivar period: seconds after which the receiver gets the next report at the
+        latest, 0 if unknown.
     :ivar strength: how much it can do besides, see
         :attr:`.settings.Settings.strength`.
     :ivar leads: groups that it leads.
@@ -70,6 +73,8 @@
     known: tuple[KnownPeer, ...] = ()
     paces: dict[str, float] = {}
     strength: float = 1.0
+    data_centre: str = ''
+    period: float = 0.0
 
 
 def encode(report: Report) -> bytes:
--- a/marigoldramp/gateway/peers.py
+++ b/marigoldramp/gateway/peers.py
@@ -18,6 +18,18 @@
 #: more of them, so that its end is noticed soon in a larger deployment too.
 PEERS_A_PERIOD = 16
 PEERS_A_PERIOD_OF_LEADER = 64
+#: The same for peers in other data centres.  Callers and endpoints of one data
+#: centre are served by its own entries where there are many, so what happens
+#: elsewhere matters less, and bytes between data centres are dear: with 99
+#: entries in five of them reports were most of these bytes.
+REMOTE_PEERS_A_PERIOD = 4
+#: Longest period of a peer on whose word we wait before we ask the store.
+PROMPT_PERIOD = 0.3
+#: Ready entries of one data centre that are enough for its callers.
+ENOUGH_NEAR = 8
+#: Ready entries besides, if there are so many, among which the leaders of
+#: groups are left out.
+ENOUGH_WITHOUT_LEADERS = 10
 #: Seconds without a report after which a peer's word counts no more, and the
 #: reports that must have been missed at least.
 SILENT_AFTER = 1.2
@@ -52,13 +64,35 @@
     live: bool = False
 
 
-def find_period(*, peers: int, leads: bool) -> float:
-    """Return the seconds between two reports of an entry to a peer.
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Periods:
+    """Seconds between two reports of an entry to each of its peers.
 
-    :param peers: how many peers it reports to.
+    :ivar near: to those in its own data centre.
+    :ivar remote: to the others.
+    """
+
+    near: float
+    remote: float
+
+
+def find_periods(*, near: int, remote: int, leads: bool) -> Periods:
+    """Return how often an entry reports to its peers.
+
+    :param near: how many peers are in its own data centre.
+    :param remote: how many are in others.
     :param leads: it leads a group of ranks.
     """
-    usual = PEERS_A_PERIOD_OF_LEADER if leads else PEERS_A_PERIOD
+    if leads:
+        period = _stretch(near + remote, PEERS_A_PERIOD_OF_LEADER)
+        return Periods(near=period, remote=period)
+    return Periods(
+        near=_stretch(near, PEERS_A_PERIOD),
+        remote=_stretch(remote, REMOTE_PEERS_A_PERIOD),
+    )
+
+
+def _stretch(peers: int, usual: int) -> float:
     return PERIOD * max(1.0, peers / usual)
 
 
@@ -66,17 +100,18 @@
     """All entries that may live, but this one.
 
     :param instance: our own name.
+    :param data_centre: our own.
     :param clock: see :func:`.ages.read_clock`.
     """
 
     __slots__ = (
         '_instance',
+        '_data_centre',
         '_clock',
         '_began',
         '_peers',
         '_in_flight',
         '_random',
-        '_live_count',
     )
 
     def __init__(
@@ -85,14 +120,15 @@
         instance: str,
         clock: Callable[[], float],
         random: random_module.Random,
+        data_centre: str = '',
     ) -> None:
         self._instance = instance
+        self._data_centre = data_centre
         self._clock = clock
         self._began = clock()
         self._random = random
         self._peers: dict[str, Peer] = {}
         self._in_flight: dict[str, int] = {}
-        self._live_count = 0
 
     def __iter__(self) -> Iterator[Peer]:
         return iter(list(self._peers.values()))
@@ -104,6 +140,17 @@
         """Return the peers whose reports come."""
         return [peer for peer in self._peers.values() if peer.live]
 
+    def is_near(self, peer: Peer) -> bool:
+        """Whether a peer is in our data centre, as far as is known."""
+        report = peer.report
+        return report is None or report.data_centre == self._data_centre
+
+    def prompt(self) -> list[Peer]:
+        """Return the live peers from which we hear often."""
+        return [
+            peer for peer in self.live() if self._period(peer) <= PROMPT_PERIOD
+        ]
+
     def may_live(self) -> int:
         """Return how many peers may live, heard or not."""
         return len(self._peers)
@@ -163,7 +210,6 @@
                 'peer heard',
                 extra=logs.fields(peer=peer.instance, version=report.version),
             )
-        self._live_count += not peer.live
         peer.live = True
         self._count(peer, 1)
         for known in report.known:
@@ -179,7 +225,6 @@
             if peer.live and now - peer.heard_at > self._silence(peer):
                 self._count(peer, -1)
                 peer.live = False
-                self._live_count -= 1
                 logging.info(
                     'peer silent',
                     extra=logs.fields(
@@ -205,17 +250,28 @@
         )
 
     def ready_addresses(self) -> list[outbound.Address]:
-        """Return where callers can connect, at live peers that are ready."""
-        return [
+        """Return where callers can connect, at live peers that are ready.
+
+        Where there are enough, only those of our data centre, and none that
+        leads a group: a leader that also serves its part of the callers is
+        later with each change of the map, which makes all callers late.
+        """
+        ready = [peer for peer in self.live() if _takes_calls(peer)]
+        near = [peer for peer in ready if self.is_near(peer)]
+        if len(near) >= ENOUGH_NEAR:
+            ready = near
+        idle = [peer for peer in ready if not _leads(peer)]
+        if len(idle) >= ENOUGH_WITHOUT_LEADERS:
+            ready = idle
+        found = [
             outbound.Address(
                 host=peer.report.call_host, port=peer.report.call_port
             )
-            for peer in self.live()
+            for peer in ready
             if peer.report is not None
-            and peer.report.ready
-            and not peer.report.leaving
-            and peer.report.call_host
         ]
+        self._random.shuffle(found)
+        return found
 
     def is_suspect(self, instance: str) -> bool:
         """Whether a peer has fallen silent while most others are heard.
@@ -297,9 +353,9 @@
         return max(SILENT_AFTER, SILENT_MISSED * self._period(peer))
 
     def _period(self, peer: Peer) -> float:
-        """Return how often a peer reports to us, if it knows whom we do."""
-        leads = peer.report is not None and bool(peer.report.leads)
-        return find_period(peers=self._live_count, leads=leads)
+        """Return how often a peer reports to us, by its own word."""
+        period = 0.0 if peer.report is None else peer.report.period
+        return period or PERIOD
 
     def _count(self, peer: Peer, sign: int) -> None:
         """Add or take away what a peer has in flight."""
@@ -311,3 +367,14 @@
                 self._in_flight[identity] = total
             else:
                 self._in_flight.pop(identity, None)
+
+
+def _takes_calls(peer: Peer) -> bool:
+    report = peer.report
+    if report is None or not report.ready or report.leaving:
+        return False
+    return bool(report.call_host)
+
+
+def _leads(peer: Peer) -> bool:
+    return peer.report is not None and bool(peer.report.leads)
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -78,9 +78,14 @@
             data_centre=settings.data_centre, random=random
         )
         self.peers = peers.PeerTable(
-            instance=settings.instance, clock=clock, random=random
+            instance=settings.instance,
+            data_centre=settings.data_centre,
+            clock=clock,
+            random=random,
+        )
+        self._peer_source = peer_exchange.PeerSource(
+            peers=self.peers, random=random
         )
-        self._peer_source = peer_exchange.PeerSource(peers=self.peers)
         self.pool = outbound.Pool(most_idle=MOST_IDLE_PER_ENDPOINT)
         self.dispatcher = dispatch.Dispatcher(
             table=self.table, clock=clock, slots=self._slots
@@ -122,6 +127,7 @@
             from_peers=self._peer_source.fetch_configuration,
             clock=clock,
             position=self._place_among_peers,
+            apply_seconds=lambda: self.settings.bounds.apply,
         )
         self.gossip = gossip.Gossip(
             table=self.peers,
@@ -134,6 +140,7 @@
             take=self._take,
             leads=lambda: bool(self.leading.led()),
             clock=clock,
+            random=random,
         )
         self.configurations.on_change(self._tell_peers)
         self.leading = group_leading.GroupLeading(
@@ -234,7 +241,9 @@
         """Return where callers can connect, here and at peers."""
         found = self.peers.ready_addresses()
         if self.is_ready() and self.settings.calls is not None:
-            found.append(self.settings.calls)
+            leads = bool(self.leading.led())
+            if not leads or len(found) < peers.ENOUGH_WITHOUT_LEADERS:
+                found.insert(0, self.settings.calls)
         return found
 
     def pool_drop(self, identity: str) -> None:
@@ -369,8 +378,10 @@
 
     # Peers
 
-    def _report(self, peer: peers.Peer | None) -> peer_reports.Report:
-        return self._reporter.make(peer)
+    def _report(
+        self, peer: peers.Peer | None, period: float
+    ) -> peer_reports.Report:
+        return self._reporter.make(peer, period)
 
     def _take(
         self, report: peer_reports.Report, touched: frozenset[str]
@@ -383,9 +394,9 @@
         self.gossip.hasten()
 
     def _place_among_peers(self) -> int:
-        """Return how many live peers come before us by name."""
+        """Return how many peers that we hear often come before us by name."""
         own = self.settings.instance
-        return sum(peer.instance < own for peer in self.peers.live())
+        return sum(peer.instance < own for peer in self.peers.prompt())
 
     async def _register(self) -> None:
         """Make ourselves known to entries that start later."""
--- a/marigoldramp/gateway/reporting.py
+++ b/marigoldramp/gateway/reporting.py
@@ -75,8 +75,13 @@
         self._description: peer_reports.Report | None = None
         self._named_at = float('-inf')
 
-    def make(self, peer: peers.Peer | None) -> peer_reports.Report:
-        """Return the report for a peer; all of one moment differ little."""
+    def make(
+        self, peer: peers.Peer | None, period: float = 0.0
+    ) -> peer_reports.Report:
+        """Return the report for a peer; all of one moment differ little.
+
+        :param period: seconds after which the next one comes.
+        """
         now = self._clock()
         known = self._description
         if known is None or now - known.sent > DESCRIPTION_SECONDS:
@@ -84,11 +89,12 @@
             self._description = known
         heard = None if peer is None else peer.report
         if heard is None:
-            return known
+            return msgspec.structs.replace(known, period=period)
         return msgspec.structs.replace(
             known,
             echo=heard.sent,
             echo_incarnation=heard.incarnation,
+            period=period,
         )
 
     def forget(self) -> None:
@@ -143,6 +149,7 @@
             fit=parts.leading.fit and self._ready(),
             leads=parts.leading.led(),
             strength=settings.strength,
+            data_centre=settings.data_centre,
             known=self._name_peers(now),
         )
 
--- a/tests/gateway/test_beliefs.py
+++ b/tests/gateway/test_beliefs.py
@@ -244,6 +244,7 @@
         from_peers=from_peers or nobody,
         clock=virtual_time.now,
         position=lambda: 0,
+        apply_seconds=lambda: 2.0,
     )
 
 
@@ -386,8 +387,19 @@
     table = make_peers(clock)
     names = [f'p{number}' for number in range(peer_count)]
     groups = ('g',) if leads else ()
-    for name in names:
-        table.take(make_report(name, leads=groups if name == 'p0' else ()))
+    period = peers.find_periods(near=peer_count, remote=0, leads=leads).near
+
+    def take_all():
+        for name in names:
+            table.take(
+                make_report(
+                    name,
+                    leads=groups if name == 'p0' else (),
+                    period=period if name == 'p0' else 0.1,
+                )
+            )
+
+    take_all()
 
     def refresh():
         for name in names[1:]:
@@ -401,8 +413,7 @@
     refresh()
     assert table.is_suspect('p0')
     table = make_peers(clock)
-    for name in names:
-        table.take(make_report(name, leads=groups if name == 'p0' else ()))
+    take_all()
     begun = clock.now
     clock.now = begun + silent - 0.05
     refresh()
