Have three entries of a data centre ask the store for the others

Change: the three strongest entries of a data centre watch; the others fetch the list from one of them when its reports show a newer change. What is missing in a peer's list is gone only if that peer's own list was not disturbed. While nobody hears them, or while the store turns them away, others ask for themselves, six at most in each data centre.

Small deployments have no more than three in a data centre and go on as before.

--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -8,6 +8,7 @@
 
 import abc
 import dataclasses
+from typing import Awaitable
 from typing import Callable
 
 from absl import logging
@@ -32,6 +33,9 @@
 #: Seconds between a change and the next watch.  Endpoints that start or leave
 #: together are then one call of the store and not one call each.
 BATCH_SECONDS = 0.5
+#: Seconds between two looks whether peers still follow the store for us, and
+#: until a peer is asked again that could not tell what it knows.
+PEERS_EVERY = 0.2
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -39,11 +43,14 @@
     """All endpoints at a revision.
 
     :ivar newest: revision of the newest change of one of them.
+    :ivar settled: what is missing is gone; it has not lapsed while the store
+        was away.
     """
 
     records: tuple[deployment.EndpointRecord, ...]
     revision: int
     newest: int = 0
+    settled: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -68,6 +75,10 @@
     """The changes since the revision are no longer known; list anew."""
 
 
+#: Fetches the endpoints from a peer that knows of changes after a revision.
+FromPeers = Callable[[int], Awaitable[Listing | None]]
+
+
 class EndpointSource(abc.ABC):
     """Where endpoints register."""
 
@@ -86,6 +97,10 @@
     """Keeps the table of endpoints up to date.
 
     :param on_gone: called with the identity of an endpoint that is removed.
+    :param relies: whether peers follow the store for us and tell us of
+        changes.
+    :param from_peers: returns the endpoints that a peer knows, if it knows of
+        changes after a revision.
     :ivar revision: of the newest change that is known.
     :ivar store: whether the store answers us about endpoints.
     :ivar change_revision: of the newest change of an endpoint.
@@ -97,6 +112,9 @@
         '_clock',
         '_on_gone',
         '_on_change',
+        '_from_peers',
+        '_heard',
+        '_wake',
         '_vanished',
         '_disturbed_until',
         '_behind_since',
@@ -106,6 +124,7 @@
         'listed',
         'revision',
         'change_revision',
+        'relies',
         'store',
     )
 
@@ -117,12 +136,18 @@
         clock: Callable[[], float],
         on_gone: Callable[[str], None],
         on_change: Callable[[], None],
+        relies: Callable[[], bool] = lambda: False,
+        from_peers: FromPeers | None = None,
     ) -> None:
         self._source = source
         self._table = table
         self._clock = clock
         self._on_gone = on_gone
         self._on_change = on_change
+        self.relies = relies
+        self._from_peers = from_peers
+        self._heard = 0
+        self._wake = anyio.Event()
         self._vanished: dict[str, float] = {}
         self._disturbed_until = float('-inf')
         self._behind_since = float('inf')
@@ -157,6 +182,9 @@
         Our own watch may have gone silent, seen as a leaving endpoint that
         this entry alone goes on using.
         """
+        if change_revision > self._heard:
+            self._heard = change_revision
+            self._wake.set()
         known = max(self.revision, self.change_revision, self._acted_on)
         if change_revision <= known:
             self._behind_since = float('inf')
@@ -184,14 +212,20 @@
     def take_peer_listing(self, listing: Listing) -> None:
         """Take what a peer knows, while the store does not answer us.
 
-        Leavings are taken and endpoints added; nothing is removed, as the
-        peer's own view may be disturbed.
+        Leavings are taken and endpoints added; one that is missing is removed
+        only if the peer's own view was not disturbed.
         """
         if listing.newest <= self.change_revision and self.listed:
             return
         for record in listing.records:
             if record.identity not in self._vanished:
                 self._put(record)
+        if listing.settled:
+            listed = {record.identity for record in listing.records}
+            for endpoint in self._table:
+                if endpoint.identity not in listed:
+                    self._note_vanished(endpoint.identity)
+            self.revision = max(self.revision, listing.revision)
         self.change_revision = max(self.change_revision, listing.newest)
         self.listed = True
         self._on_change()
@@ -234,11 +268,18 @@
             records=tuple(endpoint.record for endpoint in self._table),
             revision=self.revision,
             newest=self.change_revision,
+            settled=self._is_settled(),
         )
 
+    def _is_settled(self) -> bool:
+        """Whether what we do not list is gone."""
+        return self.store.reached and self._clock() >= self._disturbed_until
+
     async def _follow(self) -> None:
         """Watch until the history is gone or the store is lost."""
         while True:
+            if self.relies():
+                await self._follow_peers()
             asked_after = self.revision
             found: Changes | HistoryGone | store.Unavailable | None = None
             with anyio.CancelScope() as self._watching:
@@ -265,6 +306,18 @@
                     await anyio.sleep(RETRY_AFTER)
                     return
 
+    async def _follow_peers(self) -> None:
+        """Learn of changes from peers while they follow the store for us."""
+        assert self._from_peers is not None
+        while self.relies():
+            if self._heard > self.change_revision:
+                found = await self._from_peers(self.change_revision)
+                if found is not None:
+                    self.take_peer_listing(found)
+            self._wake = anyio.Event()
+            with anyio.move_on_after(PEERS_EVERY):
+                await self._wake.wait()
+
     def _put(self, record: deployment.EndpointRecord) -> None:
         identity = record.identity
         known = self._table.find(identity)
--- a/marigoldramp/gateway/peer_exchange.py
+++ b/marigoldramp/gateway/peer_exchange.py
@@ -28,6 +28,8 @@
     """Endpoints as one entry knows them."""
 
     newest: int
+    revision: int = 0
+    settled: bool = False
     records: tuple[deployment.EndpointRecord, ...]
 
 
@@ -60,7 +62,12 @@
         elif path == ENDPOINTS_PATH and self._follower.listed:
             listing = self._follower.listing()
             body = msgspec.json.encode(
-                EndpointList(newest=listing.newest, records=listing.records)
+                EndpointList(
+                    newest=listing.newest,
+                    revision=listing.revision,
+                    settled=listing.settled,
+                    records=listing.records,
+                )
             )
         elif path == STATUS_PATH:
             body = msgspec.json.encode(self._describe())
@@ -81,20 +88,13 @@
         self._random = random
 
     async def fetch_configuration(self, version: int) -> bytes | None:
-        """Return the document of a version or a newer one, if one has it.
-
-        Peers of our data centre are asked first, in an order by chance: were
-        all to ask the first that has it, its link would carry a document of
-        hundreds of kilobytes once for each entry.
-        """
+        """Return the document of a version or a newer one, if one has it."""
         known = [
             peer
             for peer in self._peers.live()
             if peer.report is not None and peer.report.version >= version
         ]
-        self._random.shuffle(known)
-        known.sort(key=self._peers.is_near, reverse=True)
-        for peer in known:
+        for peer in self._order(known):
             found = await fetch(
                 address=_address(peer), path=CONFIGURATION_PATH
             )
@@ -102,16 +102,28 @@
                 return found
         return None
 
+    def _order(self, known: list[peers.Peer]) -> list[peers.Peer]:
+        """Return peers in the order in which they are asked.
+
+        Those of our data centre come first, by chance: were all to ask the
+        first that knows more, its link would carry a document of hundreds of
+        kilobytes once for each entry.
+        """
+        self._random.shuffle(known)
+        return sorted(known, key=self._peers.is_near, reverse=True)
+
     async def fetch_endpoints(
         self, *, newer_than: int
     ) -> discovery.Listing | None:
         """Return the endpoints that some peer knows, if it knows more."""
-        for peer in self._peers.live():
-            report = peer.report
-            if report is None or report.revision_age < 0.0:
-                continue
-            if report.revision <= newer_than:
-                continue
+        known = [
+            peer
+            for peer in self._peers.live()
+            if peer.report is not None
+            and peer.report.revision_age >= 0.0
+            and peer.report.revision > newer_than
+        ]
+        for peer in self._order(known):
             found = await fetch_endpoints(address=_address(peer))
             if found is not None:
                 return found
@@ -164,5 +176,8 @@
     except msgspec.MsgspecError:
         return None
     return discovery.Listing(
-        records=found.records, revision=0, newest=found.newest
+        records=found.records,
+        revision=found.revision,
+        newest=found.newest,
+        settled=found.settled,
     )
--- a/marigoldramp/gateway/peers.py
+++ b/marigoldramp/gateway/peers.py
@@ -25,6 +25,12 @@
 REMOTE_PEERS_A_PERIOD = 4
 #: Longest period of a peer on whose word we wait before we ask the store.
 PROMPT_PERIOD = 0.3
+#: Entries of one data centre that ask the store, each for itself, as long as
+#: it answers them; and the most that try while it does not.  Each call of the
+#: store is paid for: with 99 entries that all watched it, calls were the
+#: largest price of a calm day.
+STORE_READERS = 3
+MOST_STORE_READERS = 6
 #: Ready entries of one data centre that are enough for its callers.
 ENOUGH_NEAR = 8
 #: Ready entries besides, if there are so many, among which the leaders of
@@ -151,6 +157,37 @@
             peer for peer in self.live() if self._period(peer) <= PROMPT_PERIOD
         ]
 
+    def ahead(self, *, strength: float) -> list[Peer]:
+        """Return the peers that ask the store before we do.
+
+        Only those that we hear often, as we learn from them what they read;
+        the strongest first, and then by name.
+
+        :param strength: our own.
+        """
+        own = (-strength, self._instance)
+        return [
+            peer
+            for peer in self.prompt()
+            if peer.report is not None
+            and (-peer.report.strength, peer.instance) < own
+        ]
+
+    def read_store_for_us(self, *, strength: float) -> bool:
+        """Whether enough peers of our data centre ask the store.
+
+        :param strength: our own.
+        """
+        near = [
+            peer
+            for peer in self.ahead(strength=strength)
+            if self.is_near(peer) and self._is_heard(peer)
+        ]
+        answered = sum(
+            peer.report is not None and peer.report.fit for peer in near
+        )
+        return answered >= STORE_READERS or len(near) >= MOST_STORE_READERS
+
     def may_live(self) -> int:
         """Return how many peers may live, heard or not."""
         return len(self._peers)
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -119,7 +119,11 @@
             table=self.table,
             clock=clock,
             on_gone=self.pool_drop,
-            on_change=self.dispatcher.serve_all,
+            on_change=self._note_endpoints,
+            relies=lambda: self.peers.read_store_for_us(
+                strength=self.settings.strength
+            ),
+            from_peers=self._fetch_endpoints,
         )
         self.refresher = refresh.Refresher(
             held=self.configurations,
@@ -388,15 +392,26 @@
     ) -> None:
         self._reporter.take(report, touched)
 
+    def _note_endpoints(self) -> None:
+        """Act on a change of the endpoints that are known."""
+        self.dispatcher.serve_all()
+        if not self.follower.relies():
+            # Peers that do not ask the store learn of it from us.
+            self._tell_peers()
+
+    async def _fetch_endpoints(
+        self, newer_than: int
+    ) -> discovery.Listing | None:
+        return await self._peer_source.fetch_endpoints(newer_than=newer_than)
+
     def _tell_peers(self) -> None:
         """Let peers know at once that something has changed."""
         self._reporter.forget()
         self.gossip.hasten()
 
     def _place_among_peers(self) -> int:
-        """Return how many peers that we hear often come before us by name."""
-        own = self.settings.instance
-        return sum(peer.instance < own for peer in self.peers.prompt())
+        """Return how many peers read the configuration before we do."""
+        return len(self.peers.ahead(strength=self.settings.strength))
 
     async def _register(self) -> None:
         """Make ourselves known to entries that start later."""
--- a/marigoldramp/gateway/refresh.py
+++ b/marigoldramp/gateway/refresh.py
@@ -22,8 +22,10 @@
 READ_AFTER = 0.4
 LATER_EACH = 0.15
 READ_LATEST = 0.7
-#: Seconds between two reads while the store does not answer.
+#: Seconds between two reads while the store does not answer, of the first
+#: entry; each next one waits once more as long, up to so many times.
 RETRY_AFTER = 0.4
+MOST_RETRY_FACTOR = 5
 #: Most seconds between two looks at the age.
 LOOK_EVERY = 0.1
 
@@ -120,7 +122,8 @@
                 self._not_before = self._clock() + LOOK_EVERY
             case store.Unavailable(detail=detail):
                 self.store.note_failure(detail)
-                self._not_before = self._clock() + RETRY_AFTER
+                factor = min(MOST_RETRY_FACTOR, 1 + self._position())
+                self._not_before = self._clock() + factor * RETRY_AFTER
 
     def _is_fresh(self) -> bool:
         age = self._clock() - self._configurations.confirmed_at
