Ask each start of an endpoint once for its group

Cause: the entries that may lead asked all endpoints again whenever one more had registered.

Change: what each start has said is kept; only new ones are asked.

--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -258,6 +258,15 @@
             self._note_vanished(identity)
         self.revision = max(self.revision, changes.revision)
         if changes.records or changes.removed:
+            logging.info(
+                'endpoints changed',
+                extra=logs.fields(
+                    changed=len(changes.records),
+                    removed=len(changes.removed),
+                    revision=changes.revision,
+                    newest=changes.newest,
+                ),
+            )
             self.change_revision = max(self.change_revision, changes.newest)
             self._on_change()
         self._behind_since = float('inf')
--- a/marigoldramp/gateway/group_members.py
+++ b/marigoldramp/gateway/group_members.py
@@ -23,17 +23,26 @@
     members: tuple[str, ...]
 
 
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class _Member:
+    """What one start of an endpoint has said of its group."""
+
+    born: int
+    group: str
+    size: int
+
+
 class GroupMembers:
     """The groups of ranks that reports of endpoints show."""
 
-    __slots__ = ('_api', '_table', '_asked', '_groups', '_first_seen')
+    __slots__ = ('_api', '_table', '_members', '_groups', '_first_seen')
 
     def __init__(
         self, *, api: ranks.RankApi, table: endpoints.EndpointTable
     ) -> None:
         self._api = api
         self._table = table
-        self._asked: dict[str, frozenset[str]] = {}
+        self._members: dict[str, dict[str, _Member]] = {}
         self._groups: dict[str, Group] = {}
         self._first_seen: dict[str, int] = {}
 
@@ -49,38 +58,51 @@
         ]
 
     async def look(self, service: str) -> None:
-        """Ask endpoints for their groups when there are other ones."""
+        """Ask the endpoints for their groups that have not said so yet.
+
+        While endpoints start one after the other, asking all of them at each
+        change were half of the questions that a large group gets in a day.
+        """
         known = self._drop_replaced(self._table.of_service(service))
-        names = frozenset(one.identity for one in known)
-        if names == self._asked.get(service):
-            return
-        found: dict[str, list[str]] = {}
-        sizes: dict[str, int] = {}
-        missing = False
+        names = {one.identity for one in known}
+        members = self._members.setdefault(service, {})
+        gone = set(members) - names
+        for name in gone:
+            del members[name]
+        new = [one for one in known if not _is_asked(one, members)]
+        async with anyio.create_task_group() as tasks:
+            for endpoint in new:
+                tasks.start_soon(self._ask, endpoint, members)
+        if new or gone:
+            self._group(service, members)
 
-        async def ask(endpoint: endpoints.Endpoint) -> None:
-            nonlocal missing
-            report = await self._api.report(
-                address=endpoint.address, identity=endpoint.identity
+    async def _ask(
+        self, endpoint: endpoints.Endpoint, members: dict[str, _Member]
+    ) -> None:
+        report = await self._api.report(
+            address=endpoint.address, identity=endpoint.identity
+        )
+        if not isinstance(report, ranks.NoReply):
+            members[endpoint.identity] = _Member(
+                born=endpoint.record.born,
+                group=report.group,
+                size=report.size,
             )
-            if isinstance(report, ranks.NoReply):
-                missing = True
-                return
-            found.setdefault(report.group, []).append(endpoint.identity)
-            sizes[report.group] = report.size
 
-        async with anyio.create_task_group() as tasks:
-            for endpoint in known:
-                tasks.start_soon(ask, endpoint)
-        if not missing:
-            self._asked[service] = names
-        for name, members in found.items():
+    def _group(self, service: str, members: dict[str, _Member]) -> None:
+        """Sort the members of a service by their groups."""
+        found: dict[str, list[str]] = {}
+        sizes: dict[str, int] = {}
+        for identity, member in members.items():
+            found.setdefault(member.group, []).append(identity)
+            sizes[member.group] = member.size
+        for name, identities in found.items():
             if name:
                 self._groups[name] = Group(
                     name=name,
                     service=service,
                     size=sizes[name],
-                    members=tuple(sorted(members)),
+                    members=tuple(sorted(identities)),
                 )
 
     def _drop_replaced(
@@ -105,3 +127,11 @@
         """Return by what starts at one address are ordered."""
         first_seen = self._first_seen[endpoint.identity]
         return endpoint.record.born, first_seen
+
+
+def _is_asked(
+    endpoint: endpoints.Endpoint, members: dict[str, _Member]
+) -> bool:
+    """Whether this start of an endpoint has said which group it is in."""
+    member = members.get(endpoint.identity)
+    return member is not None and member.born == endpoint.record.born
