--- a/marigoldramp/gateway/endpoints.py
+++ b/marigoldramp/gateway/endpoints.py
@@ -25,7 +25,7 @@
 #: many, most requests stay there, which spares bytes between data centres, and
 #: fewer entries compete for each endpoint, whose reports come more often.
 REMOTE_PENALTY_OF_FEW = 0.05
-REMOTE_PENALTY_OF_MANY = 1.0
+REMOTE_PENALTY_OF_MANY = 1.5
 #: Endpoints of a service in our own data centre that count as many.
 MANY_NEAR = 8
 #: Endpoints that are compared for one request, in our data centre and in all
--- a/marigoldramp/gateway/gossip.py
+++ b/marigoldramp/gateway/gossip.py
@@ -95,20 +95,25 @@
 
     async def _receive(self, socket: anyio.abc.UDPSocket) -> None:
         async for data, source in socket:
-            try:
-                report = peer_reports.decode(data)
-            except msgspec.MsgspecError as error:
-                logging.warning(
-                    'report not understood',
-                    extra=logs.fields(source=source[0], detail=str(error)),
-                )
-                continue
-            touched = self._table.take(report)
-            if touched is not None:
-                if not report.echo:
-                    # It has just started and knows nothing of us.
-                    self._due.pop(report.instance, None)
-                self._take(report, touched)
+            self._hear(data, source[0])
+
+    def _hear(self, data: bytes, source: str) -> None:
+        """Take a datagram from a host."""
+        try:
+            report = peer_reports.decode(data)
+        except msgspec.MsgspecError as error:
+            logging.warning(
+                'report not understood',
+                extra=logs.fields(source=source, detail=str(error)),
+            )
+            return
+        touched = self._table.take(report)
+        if touched is None:
+            return
+        if not report.echo:
+            # It has just started and knows nothing of us.
+            self._due.pop(report.instance, None)
+        self._take(report, touched)
 
     async def _send_all(self) -> None:
         while True:
--- a/marigoldramp/gateway/settings.py
+++ b/marigoldramp/gateway/settings.py
@@ -9,7 +9,7 @@
 from . import retry_budget
 
 Address = outbound.Address
-#: Bytes a second of a link that go with one core.  A leader of 192 ranks writes
+#: Bytes a second of a link that go with one core.  A leader of 192 ranks sends
 #: 4.8 MB for one change, and a core some 2,000 orders a second.
 LINK_A_CORE = 2_500_000.0
 
