Tell peers how long passes last

Cause: a leader that is given no callers has no streams, so nothing shows it that passes have become longer, which is how a shift of demand is noticed.

Change: reports tell the last pass that the sender's own streams have shown. What was told is not told on.

--- a/marigoldramp/gateway/dispatch.py
+++ b/marigoldramp/gateway/dispatch.py
@@ -111,6 +111,10 @@
             self._paces[service] = found
         return found
 
+    def paced_services(self) -> list[str]:
+        """Return the services whose pace is known."""
+        return list(self._paces)
+
     def gate(self, service: str) -> gates.Gate:
         """Return the gate of a service."""
         found = self._gates.get(service)
--- a/marigoldramp/gateway/passes.py
+++ b/marigoldramp/gateway/passes.py
@@ -21,6 +21,9 @@
 LONGER = 1.25
 #: Part of a pause within which another one is of the same pass.
 SAME_PASS = 0.5
+#: Seconds for which a pass is told to peers.  A leader of many ranks is given
+#: no callers, so it has no streams that would show it that passes are longer.
+TELL_SECONDS = 0.25
 #: Seconds without events after which older ones say nothing.
 SILENCE = 2.0
 
@@ -28,16 +31,32 @@
 class PassTimes:
     """Lengths of the last passes."""
 
-    __slots__ = ('_clock', '_at', '_recent', '_usual')
+    __slots__ = ('_clock', '_at', '_recent', '_usual', '_own', '_own_at')
 
     def __init__(self, *, clock: Callable[[], float]) -> None:
         self._clock = clock
         self._at = float('-inf')
         self._recent: collections.deque[float] = collections.deque()
         self._usual: collections.deque[float] = collections.deque(maxlen=USUAL)
+        self._own = 0.0
+        self._own_at = float('-inf')
 
     def note(self, seconds: float) -> None:
-        """Learn of the time between two events of one stream."""
+        """Learn of the time between two events of one stream of ours."""
+        self._own = seconds
+        self._own_at = self._clock()
+        self.note_told(seconds)
+
+    def own(self) -> float:
+        """Return the last pass that a stream of ours has shown, 0 if none.
+
+        What peers have told is left out, or it would go round for ever.
+        """
+        is_new = self._clock() - self._own_at <= TELL_SECONDS
+        return self._own if is_new else 0.0
+
+    def note_told(self, seconds: float) -> None:
+        """Learn of a pass that a stream has shown, maybe at a peer."""
         now = self._clock()
         if now - self._at < SAME_PASS * seconds:
             return
--- a/marigoldramp/gateway/peer_reports.py
+++ b/marigoldramp/gateway/peer_reports.py
@@ -44,6 +44,8 @@
     :ivar data_centre: where the sender is.
     :ivar period: seconds after which the receiver gets the next report at the
         latest, 0 if unknown.
+    :ivar passes: how long the last pass of the group of each service lasted,
+        in seconds, as streams of the sender have shown it.
     :ivar strength: how much it can do besides, see
         :attr:`.settings.Settings.strength`.
     :ivar leads: groups that it leads.
@@ -75,6 +77,7 @@
     strength: float = 1.0
     data_centre: str = ''
     period: float = 0.0
+    passes: dict[str, float] = {}
 
 
 def encode(report: Report) -> bytes:
--- a/marigoldramp/gateway/reporting.py
+++ b/marigoldramp/gateway/reporting.py
@@ -112,6 +112,8 @@
         self._parts.follower.hear(change_revision=report.revision)
         self._take_confirmation(report)
         self._take_slow(report)
+        for service, seconds in report.passes.items():
+            self._parts.dispatcher.pace(service).passes.note_told(seconds)
         for identity in touched:
             endpoint = self._parts.table.find(identity)
             if endpoint is not None:
@@ -150,6 +152,7 @@
             leads=parts.leading.led(),
             strength=settings.strength,
             data_centre=settings.data_centre,
+            passes=self._list_passes(),
             known=self._name_peers(now),
         )
 
@@ -187,6 +190,19 @@
             if endpoint is not None:
                 endpoint.quality.note_told_pace(pace=pace, now=self._clock())
 
+    def _list_passes(self) -> dict[str, float]:
+        """Return the last passes that our streams have shown."""
+        dispatcher = self._parts.dispatcher
+        passes = {
+            service: dispatcher.pace(service).passes.own()
+            for service in dispatcher.paced_services()
+        }
+        return {
+            service: round(seconds, 3)
+            for service, seconds in passes.items()
+            if seconds
+        }
+
     def _list_paces(self, now: float) -> dict[str, float]:
         """Return the slow ranks that have told us so."""
         paces = {
--- a/tests/gateway/test_passes.py
+++ b/tests/gateway/test_passes.py
@@ -59,3 +59,34 @@
     assert not times.are_longer()
     times.note(0.2)
     assert not times.are_longer()
+
+
+def test_passes_that_peers_tell_are_not_told_on():
+    """Passes look longer for good.
+
+    Sequence: an entry tells a peer of a long pass; the peer tells it back.
+    Cause: what was told was taken for what own streams had shown.
+    """
+    clock = Clock()
+    times = passes.PassTimes(clock=clock)
+    times.note_told(0.4)
+    assert times.own() == 0.0
+    times.note(0.1)
+    assert times.own() == 0.1
+    clock.now = 0.3
+    assert times.own() == 0.0
+
+
+def test_leader_without_streams_notices_longer_passes():
+    """A shift of demand is noticed by chance, a second after it.
+
+    Sequence: a leader is given no callers, so no stream shows it a pass.
+    Cause: only own streams told how long passes last.
+    """
+    clock = Clock()
+    times = passes.PassTimes(clock=clock)
+    for length in [0.1] * 30 + [0.2] * 3:
+        clock.now += length
+        for _ in range(5):
+            times.note_told(length)
+    assert times.are_longer()
--- a/tests/gateway/test_reporting.py
+++ b/tests/gateway/test_reporting.py
@@ -63,3 +63,22 @@
             other._reporter.forget()
             assert other._reporter.make(None).paces == {}
             assert other._reporter.make(None).slow == {}
+
+
+async def test_passes_are_told_to_peers():
+    one = fake.FakeEndpoint(identity='i-1', scripts=[fake.answer()])
+    async with site.run_site(one) as first:
+        async with site.run_site(one, instance='entry-2') as second:
+            process = first.running
+            process.dispatcher.pace('notes').passes.note(0.12)
+            process._reporter.forget()
+            report = process._reporter.make(None, 0.1)
+            assert report.passes == {'notes': 0.12}
+            other = second.running
+            other._reporter.take(
+                msgspec.structs.replace(report, instance='entry-1'),
+                frozenset(),
+            )
+            assert list(other.dispatcher.paced_services()) == ['notes']
+            other._reporter.forget()
+            assert other._reporter.make(None).passes == {}
