Read as many ranks as run the requests that tell enough

Each rank of 192 reads 1.2 prompts a second, so its window of 0.2 s has too few counts to say anything, and was dropped.

Change: ranks are chosen by the requests that they run together (36, so 12 ranks of three slots, six of six as before), windows are added up, few ranks are read at a time as the group pauses for each, and little that one rank counts is kept for its next window. A copy that takes 2.6 ms needs to gain less than one of 0.11 s, so a little used group becomes even, too.

--- a/marigoldramp/gateway/demand_watch.py
+++ b/marigoldramp/gateway/demand_watch.py
@@ -6,7 +6,6 @@
 """
 
 from typing import Callable
-from typing import Sequence
 
 from absl import logging
 import anyio
@@ -25,6 +24,11 @@
 DRIFT_SECONDS = 3.0
 #: Seconds after one look that showed no shift in which it is not looked again.
 QUIET_SECONDS = 0.5
+#: Ranks that are read at the same time, and seconds until the next ones.  For
+#: each, a group whose ranks count 3,840 numbers pauses for 5 ms, and a pass
+#: that is half as long again makes all its streams late.
+READ_AT_ONCE = 6
+READ_PAUSE = 0.1
 
 
 class DemandWatch:
@@ -97,25 +101,23 @@
         """Count anew, from now on; return whether demand has shifted."""
         await self._read(names)
         await anyio.sleep(MEASURE_SECONDS)
-        windows = await self._read(names)
+        window = await self._read(names)
         self._passes.accept()
-        distances = [self.demand.distance(one) for one in windows]
-        shifted = sum(one > expert_demand.SHIFT for one in distances)
+        distance = 0.0 if window is None else self.demand.distance(window)
         logging.info(
             'demand measured',
             extra=logs.fields(
-                ranks=len(windows),
-                shifted=shifted,
-                least=round(min(distances, default=0.0), 3),
-                most=round(max(distances, default=0.0), 3),
+                ranks=len(names),
+                counted=0 if window is None else sum(window.counts),
+                distance=round(distance, 3),
             ),
         )
-        if 2 * shifted <= len(windows):
-            self._add(windows)
+        if distance <= expert_demand.SHIFT:
+            self._add(window)
             self._quiet_until = self._clock() + QUIET_SECONDS
             return False
         self.demand.restart()
-        self._add(windows)
+        self._add(window)
         self._refined = False
         return True
 
@@ -127,10 +129,13 @@
         self._read_at = now
         age = now - self._planned_at
         due = age >= (DRIFT_SECONDS if self._refined else REFINE_SECONDS)
-        windows = await self._read(names if due else names[:1])
-        if any(self.demand.is_shift(one) for one in windows):
+        if due:
+            window = await self._read(names)
+        else:
+            window = await self._read_one(names[0])
+        if window is not None and self.demand.is_shift(window):
             return await self.measure(names)
-        self._add(windows)
+        self._add(window)
         self._refined = self._refined or due
         return due and self.demand.is_known()
 
@@ -138,31 +143,43 @@
         """Whether it is time to read counts without any other reason."""
         return self._clock() - self._read_at >= pause
 
-    def _add(self, windows: Sequence[expert_demand.Window]) -> None:
-        now = self._clock()
-        for window in windows:
-            self.demand.add(window, now=now)
+    def _add(self, window: expert_demand.Window | None) -> None:
+        if window is not None:
+            self.demand.add(window, now=self._clock())
+
+    async def _read_one(self, name: str) -> expert_demand.Window | None:
+        """Return what one rank has counted since it was last read."""
+        found = await self._ask(name)
+        if found is None:
+            return None
+        return self.demand.read(name=name, found=found)
 
-    async def _read(self, names: list[str]) -> list[expert_demand.Window]:
-        """Return what ranks have counted since they were last read."""
-        windows = []
+    async def _read(self, names: list[str]) -> expert_demand.Window | None:
+        """Return what ranks together have counted since they were last read.
+
+        The group pauses for each answer, so few are read at a time.
+        """
+        windows: list[expert_demand.Window] = []
 
         async def read(name: str) -> None:
-            endpoint = self._find(name)
-            if endpoint is None:
-                return
-            found = await self._api.counts(
-                address=endpoint.address, identity=name
-            )
-            if isinstance(found, ranks.NoReply):
+            found = await self._ask(name)
+            if found is None:
                 return
-            window = self.demand.read(
-                name=name, found=found, now=self._clock()
-            )
+            window = self.demand.read_part(name=name, found=found)
             if window is not None:
                 windows.append(window)
 
-        async with anyio.create_task_group() as tasks:
-            for name in names:
-                tasks.start_soon(read, name)
-        return windows
+        for first in range(0, len(names), READ_AT_ONCE):
+            if first:
+                await anyio.sleep(READ_PAUSE)
+            async with anyio.create_task_group() as tasks:
+                for name in names[first : first + READ_AT_ONCE]:
+                    tasks.start_soon(read, name)
+        return expert_demand.merge(windows)
+
+    async def _ask(self, name: str) -> ranks.RankCounts | None:
+        endpoint = self._find(name)
+        if endpoint is None:
+            return None
+        found = await self._api.counts(address=endpoint.address, identity=name)
+        return None if isinstance(found, ranks.NoReply) else found
--- a/marigoldramp/gateway/expert_demand.py
+++ b/marigoldramp/gateway/expert_demand.py
@@ -8,9 +8,11 @@
 
 Counts of one rank differ from one window to the next by what its own
 requests are about.  That is the error by which a shift is told from chance.
+In a large group one rank has few requests, so windows of several are added up.
 """
 
 import dataclasses
+from typing import Iterable
 from typing import Sequence
 
 from . import ranks
@@ -28,15 +30,17 @@
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class Window:
-    """What one rank counted between two reads.
+    """What ranks counted between two reads.
 
-    :ivar seconds: time between them.
     :ivar counts: experts of all layers behind one another.
     """
 
-    seconds: float
     counts: tuple[int, ...]
 
+    def is_enough(self) -> bool:
+        """Whether there is enough to say what is popular."""
+        return sum(self.counts) >= LEAST_COUNTS * len(self.counts)
+
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
 class _Seen:
@@ -44,7 +48,6 @@
 
     epoch: int
     born: int
-    at: float
     counts: tuple[int, ...]
 
 
@@ -60,31 +63,42 @@
         self._counted = [0.0] * (layers * experts)
         self._added_at = 0.0
 
-    def read(
-        self, *, name: str, found: ranks.RankCounts, now: float
-    ) -> Window | None:
-        """Return what a rank has counted since it was last read.
+    def read(self, *, name: str, found: ranks.RankCounts) -> Window | None:
+        """Return what one rank has counted since it was last read.
 
         :returns: ``None`` if there is nothing to compare, as after a start
-            of the rank, when it counts from zero again.
+            of the rank, when it counts from zero again; or too little, which
+            is then part of the next window.
         """
-        last = self._seen.get(name)
+        window = self._compare(name, found)
+        if window is not None and not window.is_enough():
+            return None
+        self._remember(name, found)
+        return window
+
+    def read_part(
+        self, *, name: str, found: ranks.RankCounts
+    ) -> Window | None:
+        """Return what a rank has counted, however little, to be added up."""
+        window = self._compare(name, found)
+        self._remember(name, found)
+        return window
+
+    def _remember(self, name: str, found: ranks.RankCounts) -> None:
         self._seen[name] = _Seen(
-            epoch=found.epoch,
-            born=found.born,
-            at=now,
-            counts=found.counts,
+            epoch=found.epoch, born=found.born, counts=found.counts
         )
-        if len(found.counts) != self._layers * self._experts:
-            return None
-        if last is None:
+
+    def _compare(self, name: str, found: ranks.RankCounts) -> Window | None:
+        last = self._seen.get(name)
+        if last is None or len(found.counts) != self._layers * self._experts:
             return None
         if (last.epoch, last.born) != (found.epoch, found.born):
             return None
-        fresh = tuple(new - old for new, old in zip(found.counts, last.counts))
-        if min(fresh) < 0 or sum(fresh) < LEAST_COUNTS * len(fresh):
+        if len(last.counts) != len(found.counts):
             return None
-        return Window(seconds=now - last.at, counts=fresh)
+        fresh = tuple(new - old for new, old in zip(found.counts, last.counts))
+        return None if min(fresh) < 0 else Window(counts=fresh)
 
     def restart(self) -> None:
         """Forget what was counted before a shift."""
@@ -125,6 +139,15 @@
         return row[start : start + self._experts]
 
 
+def merge(windows: Iterable[Window]) -> Window | None:
+    """Return the sum of windows, ``None`` if it is not enough."""
+    rows = [window.counts for window in windows]
+    if not rows:
+        return None
+    merged = Window(counts=tuple(map(sum, zip(*rows))))
+    return merged if merged.is_enough() else None
+
+
 def _compare(first: Sequence[float], second: Sequence[float]) -> float:
     """Return half the sum of the differences of two sets of shares."""
     all_first = sum(first) or 1.0
--- a/marigoldramp/gateway/expert_planner.py
+++ b/marigoldramp/gateway/expert_planner.py
@@ -34,10 +34,11 @@
 WATCH_FULL = 1.0
 #: Seconds between two looks at how long passes last, which cost nothing.
 LOOK_SECONDS = 0.05
-#: Ranks whose counts a plan is made from, when endpoints are little used and
-#: when they are full.
-MEASURED_IDLE = 2
-MEASURED_FULL = 6
+#: Requests that the ranks whose counts a plan is made from can run at once,
+#: when endpoints are little used and when they are full.  Ranks of a large
+#: group run fewer requests each, so more of them are read.
+MEASURED_IDLE = 12.0
+MEASURED_FULL = 36.0
 #: Seconds that the copies of one change may take on any rank.  With three
 #: copies of 0.11 s a rank a group of 16 comes from a skew of 2.3 to 3.8 down
 #: to 1.12 to 1.2, with five to eight to 1.04 to 1.09; the rest can follow.
@@ -52,6 +53,11 @@
 #: is full; and in a larger group it costs a smaller part of what is served.
 GAIN_A_COPY_IDLE = 0.4
 GAIN_A_COPY_FULL = 0.0224
+#: Seconds of a copy for which these hold, and the least part of them.  Where a
+#: copy takes 2.6 ms, an even map is as cheap for a little used group, which is
+#: then full of requests in time when demand shifts.
+USUAL_COPY_SECONDS = 0.11
+LEAST_COPY_PART = 0.05
 #: Use up to which a group counts as little used, and from which on it counts
 #: as full: the part in use of what it may run at once, or the pauses of its
 #: streams as a part of the accepted ones, whichever is higher.  What it may
@@ -77,6 +83,7 @@
 
     :param find: returns the endpoint of a name.
     :param spare: new experts that a rank can copy in each layer.
+    :param slots: requests that a rank runs at once.
     :param seconds_a_copy: time in which a rank copies one expert.
     :param use: returns the use of the group, see :data:`IDLE_USE`.
     :param passes: how long the passes of the group last.
@@ -86,6 +93,7 @@
     __slots__ = (
         '_shape',
         '_spare',
+        '_slots',
         '_use',
         '_slow_ranks',
         '_clock',
@@ -100,6 +108,7 @@
         api: ranks.RankApi,
         shape: expert_maps.Shape,
         spare: int,
+        slots: float,
         find: Callable[[str], endpoints.Endpoint | None],
         use: Callable[[], float],
         passes: pass_times.PassTimes,
@@ -111,6 +120,7 @@
         self._slow_ranks = slow_ranks
         self._shape = shape
         self._spare = spare
+        self._slots = slots
         self._seconds_a_copy = seconds_a_copy
         self._clock = clock
         self._watch = demand_watch.DemandWatch(
@@ -163,8 +173,8 @@
         slow = {talk.find_agent(rank) for rank in self._slow_ranks()}
         names = sorted(talk.agents())
         known = [name for name in names if name not in slow] or names
-        part = _weigh(use, MEASURED_IDLE, MEASURED_FULL)
-        return known[: math.ceil(part)]
+        places = _weigh(use, MEASURED_IDLE, MEASURED_FULL)
+        return known[: math.ceil(places / self._slots)]
 
     def _are_newly_slow(self) -> bool:
         """Whether ranks have turned slow that the last plan used."""
@@ -178,6 +188,15 @@
             most = max(1, int(COPY_SECONDS / self._seconds_a_copy))
         return [most] * self._shape.ranks
 
+    def _find_gain_a_copy(self, use: float) -> float:
+        """Return the least fall of a layer's skew for one copy."""
+        gain = _weigh(use, GAIN_A_COPY_IDLE, GAIN_A_COPY_FULL)
+        part = 1.0
+        if self._seconds_a_copy:
+            part = self._seconds_a_copy / USUAL_COPY_SECONDS
+        part = min(1.0, max(LEAST_COPY_PART, part))
+        return gain * part * self._shape.layers / self._shape.ranks
+
     def _evacuate(
         self,
         layer: expert_maps.Layer,
@@ -202,8 +221,7 @@
         self._watch.note_planned()
         before = after = 0.0
         use = self._use()
-        gain_a_copy = _weigh(use, GAIN_A_COPY_IDLE, GAIN_A_COPY_FULL)
-        gain_a_copy *= self._shape.layers / self._shape.ranks
+        gain_a_copy = self._find_gain_a_copy(use)
         most_moves = math.ceil(MOVES_A_RANK * self._shape.ranks)
         slow = self._slow_ranks()
         self._slow_planned = frozenset(slow)
--- a/marigoldramp/gateway/group_leading.py
+++ b/marigoldramp/gateway/group_leading.py
@@ -307,6 +307,7 @@
                 api=self._api,
                 shape=shape,
                 spare=engine.spare,
+                slots=engine.slots,
                 seconds_a_copy=_time_copy(engine),
                 find=self._table.find,
                 use=lambda: self._use(group),
--- a/tests/gateway/test_expert_demand.py
+++ b/tests/gateway/test_expert_demand.py
@@ -86,15 +86,15 @@
     draw = random.Random(seed)
     profiles = [make_profile(draw) for _ in range(LAYERS)]
     demand, rank = make_demand(), Rank()
-    demand.read(name='r', found=rank.answer(), now=0.0)
+    demand.read(name='r', found=rank.answer())
     for number in range(1, 9):
         rank.add(count(draw, profiles))
-        window = demand.read(name='r', found=rank.answer(), now=0.25 * number)
+        window = demand.read(name='r', found=rank.answer())
         assert not demand.is_shift(window)
         demand.add(window, now=0.25 * number)
     shifted = [shift(draw, profile, part) for profile in profiles]
     rank.add(count(draw, shifted))
-    window = demand.read(name='r', found=rank.answer(), now=2.5)
+    window = demand.read(name='r', found=rank.answer())
     assert demand.is_shift(window) is (part > 0.0)
 
 
@@ -102,12 +102,12 @@
     draw = random.Random(1)
     demand, rank = make_demand(), Rank()
     for number in range(6):
-        window = demand.read(name='r', found=rank.answer(), now=number)
+        window = demand.read(name='r', found=rank.answer())
         if window is not None:
             demand.add(window, now=number)
         profile = make_profile(draw)
         rank.add([round(1e4 * one) for one in profile * LAYERS])
-    window = demand.read(name='r', found=rank.answer(), now=7.0)
+    window = demand.read(name='r', found=rank.answer())
     demand.restart()
     demand.add(window, now=7.0)
     popular = demand.estimate(0)
@@ -126,7 +126,43 @@
 def test_counts_of_two_starts_are_not_compared(epoch, born, counts):
     demand, rank = make_demand(), Rank()
     rank.add([1000] * LAYERS * EXPERTS)
-    demand.read(name='r', found=rank.answer(), now=0.0)
+    demand.read(name='r', found=rank.answer())
     rank.epoch, rank.born = epoch, born
     rank.add([100 * counts] * LAYERS * EXPERTS)
-    assert demand.read(name='r', found=rank.answer(), now=1.0) is None
+    assert demand.read(name='r', found=rank.answer()) is None
+
+
+def test_windows_of_ranks_with_few_requests_are_added_up():
+    """A shift of demand in a large group is never noticed.
+
+    Sequence: each of 192 ranks reads a prompt a second; in a window of 0.2 s
+    most ranks count some tokens that are written and nothing else.
+    Cause: each window was to say enough by itself, and else was dropped.
+    """
+    draw = random.Random(3)
+    profiles = [make_profile(draw) for _ in range(LAYERS)]
+    demand = make_demand()
+    windows = []
+    for number in range(12):
+        rank = Rank()
+        demand.read_part(name=str(number), found=rank.answer())
+        rank.add([one // 12 for one in count(draw, profiles)])
+        window = demand.read_part(name=str(number), found=rank.answer())
+        assert not window.is_enough()
+        windows.append(window)
+    merged = expert_demand.merge(windows)
+    assert merged.is_enough()
+    demand.add(merged, now=1.0)
+    assert demand.is_known()
+    assert expert_demand.merge(windows[:1]) is None
+    assert expert_demand.merge([]) is None
+
+
+def test_little_that_one_rank_counts_is_kept_for_its_next_window():
+    demand, rank = make_demand(), Rank()
+    demand.read(name='r', found=rank.answer())
+    size = LAYERS * EXPERTS
+    for _ in range(3):
+        rank.add([3] * size)
+        window = demand.read(name='r', found=rank.answer())
+    assert window.counts == (9,) * size
--- a/tests/gateway/test_expert_planner.py
+++ b/tests/gateway/test_expert_planner.py
@@ -49,6 +49,7 @@
         api=group,
         shape=SHAPE,
         spare=SPARE,
+        slots=6,
         find=group.find,
         use=lambda: use,
         passes=passes.PassTimes(clock=virtual_time.now),
@@ -104,6 +105,25 @@
     assert (plan is not None) is changes
 
 
+@pytest.mark.parametrize(('seconds', 'even'), [(0.11, False), (0.0026, True)])
+async def test_map_is_made_even_where_copies_are_quick(seconds, even):
+    """Streams of a little used group are late after the next shift.
+
+    Sequence: the group is little used, so its map is left with a skew of 1.5;
+    demand shifts while more requests come.
+    Cause: copies of 2.6 ms were weighed like those of 0.11 s.
+    """
+    planner, group = make_planner(0.3, seconds_a_copy=seconds)
+    plan = await decide(planner, group, [100, 400] * (SHAPE.experts // 2))
+    assert plan is not None or not even
+    if plan is not None:
+        loads = expert_maps.rank_loads(
+            layer=plan.layers[0],
+            popularity=[100.0, 400.0] * (SHAPE.experts // 2),
+        )
+        assert (expert_maps.skew(loads) < 1.2) is even
+
+
 async def test_new_leader_plans_from_its_first_counts():
     """All callers come back to a group with an uneven map for 1.3 s.
 
@@ -296,6 +316,7 @@
         api=group,
         shape=shape,
         spare=2,
+        slots=5,
         find=group.find,
         use=lambda: 1.0,
         passes=passes.PassTimes(clock=virtual_time.now),
