--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -131,7 +131,6 @@
             from_peers=self._peer_source.fetch_configuration,
             clock=clock,
             position=self._place_among_peers,
-            apply_seconds=lambda: self.settings.bounds.apply,
         )
         self.gossip = gossip.Gossip(
             table=self.peers,
--- a/marigoldramp/gateway/refresh.py
+++ b/marigoldramp/gateway/refresh.py
@@ -15,13 +15,12 @@
 from . import configurations
 from . import contacts
 
-#: Age of a confirmation at which the first entry reads the store, what each
-#: next one waits longer, and the longest age, as parts of the time in which a
-#: configuration has to be in force.  It takes up to two periods of reports
-#: until the others know of a read.
-READ_AFTER = 0.4
-LATER_EACH = 0.15
-READ_LATEST = 0.7
+#: Age of a confirmation at which the first entry reads the store, in
+#: seconds, what each next one waits longer, and the longest age.  It takes up
+#: to two periods of reports until the others know of a read.
+READ_AFTER = 0.8
+LATER_EACH = 0.3
+READ_LATEST = 1.4
 #: Seconds between two reads while the store does not answer, of the first
 #: entry; each next one waits once more as long, up to so many times.
 RETRY_AFTER = 0.4
@@ -39,8 +38,6 @@
     :param from_peers: used where a peer shows a newer version.
     :param position: returns our place among the entries that hear each
         other often, 0 for the first.
-    :param apply_seconds: returns the time in which a configuration has to be
-        in force.
     :ivar store: whether the store answers us.
     """
 
@@ -50,7 +47,6 @@
         '_from_peers',
         '_clock',
         '_position',
-        '_apply_seconds',
         '_heard',
         '_wake',
         '_not_before',
@@ -65,14 +61,12 @@
         from_peers: FromPeers,
         clock: Callable[[], float],
         position: Callable[[], int],
-        apply_seconds: Callable[[], float],
     ) -> None:
         self._configurations = held
         self._source = source
         self._from_peers = from_peers
         self._clock = clock
         self._position = position
-        self._apply_seconds = apply_seconds
         self._heard = 0
         self._wake = anyio.Event()
         self._not_before = float('-inf')
@@ -103,7 +97,7 @@
             return True
         patience = READ_AFTER + LATER_EACH * self._position()
         age = now - self._configurations.confirmed_at
-        return age > min(READ_LATEST, patience) * self._apply_seconds()
+        return age > min(READ_LATEST, patience)
 
     async def _refresh(self) -> None:
         if self._heard > self._configurations.version:
@@ -127,7 +121,7 @@
 
     def _is_fresh(self) -> bool:
         age = self._clock() - self._configurations.confirmed_at
-        return age < READ_AFTER * self._apply_seconds()
+        return age < READ_AFTER
 
     async def _ask_peers(self) -> None:
         """Take a newer version from a peer that has shown it.
--- a/tests/gateway/test_beliefs.py
+++ b/tests/gateway/test_beliefs.py
@@ -244,7 +244,6 @@
         from_peers=from_peers or nobody,
         clock=virtual_time.now,
         position=lambda: 0,
-        apply_seconds=lambda: 2.0,
     )
 
 
