--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -220,6 +220,15 @@
         for record in listing.records:
             if record.identity not in self._vanished:
                 self._put(record)
+        logging.info(
+            'endpoints told',
+            extra=logs.fields(
+                endpoints=len(listing.records),
+                settled=listing.settled,
+                newest=listing.newest,
+                before=self.change_revision,
+            ),
+        )
         if listing.settled:
             listed = {record.identity for record in listing.records}
             for endpoint in self._table:
