--- a/marigoldramp/gateway/gossip.py
+++ b/marigoldramp/gateway/gossip.py
@@ -10,6 +10,7 @@
 
 from .. import logs
 from . import outbound
+from . import peer_periods
 from . import peer_reports
 from . import peers
 
@@ -132,15 +133,15 @@
             with anyio.move_on_after(min(periods.near, periods.remote)):
                 await self._wake.wait()
 
-    def _find_periods(self, leads: bool) -> peers.Periods:
+    def _find_periods(self, leads: bool) -> peer_periods.Periods:
         live = self._table.live()
         near = sum(self._table.is_near(peer) for peer in live)
-        return peers.find_periods(
+        return peer_periods.find_periods(
             near=near, remote=len(live) - near, leads=leads
         )
 
     async def _send_if_due(
-        self, peer: peers.Peer, periods: peers.Periods, now: float
+        self, peer: peers.Peer, periods: peer_periods.Periods, now: float
     ) -> None:
         """Send a report by the time that the last one has promised."""
         due = self._due.get(peer.instance)
--- a/marigoldramp/gateway/offices.py
+++ b/marigoldramp/gateway/offices.py
@@ -5,7 +5,7 @@
 from .. import leases
 
 
-class Tenure:
+class Tenure(leases.LeaseWrapper):
     """A lease that is kept while the store is away.
 
     A leader that stops when it cannot renew leaves a group with the map that
@@ -18,26 +18,14 @@
     :param led_elsewhere: whether another entry says that it leads.
     """
 
-    __slots__ = ('_lease', '_led_elsewhere')
+    __slots__ = ('_led_elsewhere',)
 
     def __init__(
         self, *, lease: leases.Lease, led_elsewhere: Callable[[], bool]
     ) -> None:
-        self._lease = lease
+        super().__init__(lease=lease)
         self._led_elsewhere = led_elsewhere
 
-    async def acquire(self) -> leases.Held | leases.NotHeld:
-        """Take the lease."""
-        return await self._lease.acquire()
-
-    async def renew(self) -> leases.Held | leases.NotHeld:
-        """Prolong it."""
-        return await self._lease.renew()
-
-    async def release(self) -> None:
-        """Give it up."""
-        await self._lease.release()
-
     def held(self) -> bool:
         """Whether we go on leading."""
         if self._lease.held():
--- a/marigoldramp/gateway/peers.py
+++ b/marigoldramp/gateway/peers.py
@@ -9,20 +9,9 @@
 
 from .. import logs
 from . import outbound
+from . import peer_periods
 from . import peer_reports
 
-#: Seconds between two reports to a peer, with few peers.
-PERIOD = 0.1
-#: Peers to which a report goes each period before the period stretches;
-#: reports are most of what a node spends on control.  A leader reports to
-#: more of them, so that its end is noticed soon in a larger deployment too.
-PEERS_A_PERIOD = 16
-PEERS_A_PERIOD_OF_LEADER = 64
-#: The same for peers in other data centres.  Callers and endpoints of one data
-#: centre are served by its own entries where there are many, so what happens
-#: elsewhere matters less, and bytes between data centres are dear: with 99
-#: entries in five of them reports were most of these bytes.
-REMOTE_PEERS_A_PERIOD = 4
 #: Longest period of a peer on whose word we wait before we ask the store.
 PROMPT_PERIOD = 0.3
 #: Entries of one data centre that ask the store, each for itself, as long as
@@ -70,38 +59,6 @@
     live: bool = False
 
 
-@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
-class Periods:
-    """Seconds between two reports of an entry to each of its peers.
-
-    :ivar near: to those in its own data centre.
-    :ivar remote: to the others.
-    """
-
-    near: float
-    remote: float
-
-
-def find_periods(*, near: int, remote: int, leads: bool) -> Periods:
-    """Return how often an entry reports to its peers.
-
-    :param near: how many peers are in its own data centre.
-    :param remote: how many are in others.
-    :param leads: it leads a group of ranks.
-    """
-    if leads:
-        period = _stretch(near + remote, PEERS_A_PERIOD_OF_LEADER)
-        return Periods(near=period, remote=period)
-    return Periods(
-        near=_stretch(near, PEERS_A_PERIOD),
-        remote=_stretch(remote, REMOTE_PEERS_A_PERIOD),
-    )
-
-
-def _stretch(peers: int, usual: int) -> float:
-    return PERIOD * max(1.0, peers / usual)
-
-
 class PeerTable:
     """All entries that may live, but this one.
 
@@ -392,7 +349,7 @@
     def _period(self, peer: Peer) -> float:
         """Return how often a peer reports to us, by its own word."""
         period = 0.0 if peer.report is None else peer.report.period
-        return period or PERIOD
+        return period or peer_periods.PERIOD
 
     def _count(self, peer: Peer, sign: int) -> None:
         """Add or take away what a peer has in flight."""
--- a/marigoldramp/leases.py
+++ b/marigoldramp/leases.py
@@ -302,3 +302,28 @@
     except msgspec.MsgspecError:
         return None
     return record if math.isfinite(record.seconds) else None
+
+
+class LeaseWrapper:
+    """Passes everything on to a lease; for those that change a part of it."""
+
+    __slots__ = ('_lease',)
+
+    def __init__(self, *, lease: Lease) -> None:
+        self._lease = lease
+
+    async def acquire(self) -> Held | NotHeld:
+        """Take the lease."""
+        return await self._lease.acquire()
+
+    async def renew(self) -> Held | NotHeld:
+        """Prolong the lease."""
+        return await self._lease.renew()
+
+    async def release(self) -> None:
+        """Give the lease up."""
+        await self._lease.release()
+
+    def held(self) -> bool:
+        """Say whether it is held, by this process's own clock."""
+        return self._lease.held()
--- a/marigoldramp/rank_groups.py
+++ b/marigoldramp/rank_groups.py
@@ -87,18 +87,18 @@
         return map_orders.Lost(detail=str(error))
 
 
-class ContendedLease:
+class ContendedLease(leases.LeaseWrapper):
     """A lease for which only the group's first agents contend.
 
     The others answer "not held" without a call of the store.
     """
 
-    __slots__ = ('_lease', '_may_contend')
+    __slots__ = ('_may_contend',)
 
     def __init__(
         self, *, lease: leases.Lease, may_contend: Callable[[], bool]
     ) -> None:
-        self._lease = lease
+        super().__init__(lease=lease)
         self._may_contend = may_contend
 
     async def acquire(self) -> leases.Held | leases.NotHeld:
@@ -107,18 +107,6 @@
             return leases.NotHeld(detail='other agents come first')
         return await self._lease.acquire()
 
-    async def renew(self) -> leases.Held | leases.NotHeld:
-        """Prolong the lease."""
-        return await self._lease.renew()
-
-    async def release(self) -> None:
-        """Give the lease up."""
-        await self._lease.release()
-
-    def held(self) -> bool:
-        """Say whether it is held, by this process's own clock."""
-        return self._lease.held()
-
 
 class RankGroup:
     """One agent's ranks and its turn at leading their group.
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -12,6 +12,7 @@
 from marigoldramp.gateway import configurations
 from marigoldramp.gateway import deployment
 from marigoldramp.gateway import discovery
+from marigoldramp.gateway import peer_reports
 from marigoldramp.gateway import program
 from marigoldramp.gateway import retry_budget
 from marigoldramp.gateway import settings
@@ -180,6 +181,29 @@
     return deployment.EndpointRecord(**(values | more))
 
 
+def make_report(instance='p', **more):
+    """Return what an entry reports."""
+    values = dict(
+        instance=instance,
+        host='h',
+        port=1,
+        incarnation=1,
+        sent=1.0,
+        echo=0.0,
+        echo_incarnation=0,
+        ready=True,
+        leaving=False,
+        call_host='c',
+        call_port=2,
+        version=1,
+        version_age=0.0,
+        revision=1,
+        revision_age=0.0,
+        in_flight={},
+    )
+    return peer_reports.Report(**(values | more))
+
+
 def make_settings(instance='entry-1', **more):
     """Return settings of a process that listens on any ports."""
     values = dict(
