Let few entries try a store that is down

Cause: each call of the store is paid for, also one that it turns away, and all entries tried twice a second.

Change: each next entry of a data centre waits once more as long, up to five times; what the first learns the others learn from it.

--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -22,8 +22,12 @@
 
 #: Seconds that one watch lasts at most.
 WATCH_SECONDS = 25.0
-#: Seconds between two tries while the store does not answer.
+#: Seconds between two tries while the store does not answer, of the first
+#: entry; each next one waits once more as long, up to so many times.  Calls
+#: that the store turns away are paid for, too, and what one entry learns the
+#: others learn from it.
 RETRY_AFTER = 0.5
+MOST_RETRY_FACTOR = 5
 #: Seconds for which a vanished endpoint is kept after the store's return.
 KEEP_VANISHED = 2.2
 #: Seconds for which a peer may know of a change that we do not, before our
@@ -101,6 +105,8 @@
         changes.
     :param from_peers: returns the endpoints that a peer knows, if it knows of
         changes after a revision.
+    :param position: returns our place among the entries that hear each other
+        often, 0 for the first.
     :ivar revision: of the newest change that is known.
     :ivar store: whether the store answers us about endpoints.
     :ivar change_revision: of the newest change of an endpoint.
@@ -113,6 +119,7 @@
         '_on_gone',
         '_on_change',
         '_from_peers',
+        '_position',
         '_heard',
         '_wake',
         '_vanished',
@@ -138,6 +145,7 @@
         on_change: Callable[[], None],
         relies: Callable[[], bool] = lambda: False,
         from_peers: FromPeers | None = None,
+        position: Callable[[], int] = lambda: 0,
     ) -> None:
         self._source = source
         self._table = table
@@ -146,6 +154,7 @@
         self._on_change = on_change
         self.relies = relies
         self._from_peers = from_peers
+        self._position = position
         self._heard = 0
         self._wake = anyio.Event()
         self._vanished: dict[str, float] = {}
@@ -174,7 +183,7 @@
                         await self._follow()
                     case store.Unavailable(detail=detail):
                         self._note_failure(detail)
-                        await anyio.sleep(RETRY_AFTER)
+                        await self._pause()
 
     def hear(self, *, change_revision: int) -> None:
         """Learn how far a peer knows of changes.
@@ -321,7 +330,7 @@
                     return
                 case store.Unavailable(detail=detail):
                     self._note_failure(detail)
-                    await anyio.sleep(RETRY_AFTER)
+                    await self._pause()
                     return
 
     async def _follow_peers(self) -> None:
@@ -416,6 +425,11 @@
         if self.store.note_answer():
             self.note_disturbance()
 
+    async def _pause(self) -> None:
+        """Wait after the store has not answered."""
+        factor = min(MOST_RETRY_FACTOR, 1 + self._position())
+        await anyio.sleep(factor * RETRY_AFTER)
+
     def _note_failure(self, detail: str) -> None:
         self.store.note_failure(detail)
         self.note_disturbance()
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -124,6 +124,7 @@
                 strength=self.settings.strength
             ),
             from_peers=self._fetch_endpoints,
+            position=self._place_among_peers,
         )
         self.refresher = refresh.Refresher(
             held=self.configurations,
--- a/tests/gateway/test_many_entries.py
+++ b/tests/gateway/test_many_entries.py
@@ -363,6 +363,43 @@
     assert (site_of_one.table.find('i-1') is None) is settled
 
 
+@pytest.mark.parametrize(
+    ('position', 'most'), [(0, 21), (1, 11), (4, 5), (19, 5)]
+)
+async def test_store_that_is_down_is_tried_by_few_entries_often(
+    position, most
+):
+    """An outage of the store costs more than what it breaks.
+
+    Sequence: the store is down; each of 99 entries tries it twice a second,
+    and each call is paid for.
+    Cause: all tried as often as the first, which would tell the others.
+    """
+    source = site.FakeEndpoints()
+    source.away = True
+    tries = []
+    listed = source.list_all
+
+    async def list_all():
+        tries.append(virtual_time.now())
+        return await listed()
+
+    source.list_all = list_all
+    follower = discovery.Follower(
+        source=source,
+        table=endpoints.EndpointTable(
+            data_centre='one', random=random.Random(1)
+        ),
+        clock=virtual_time.now,
+        on_gone=lambda identity: None,
+        on_change=lambda: None,
+        position=lambda: position,
+    )
+    with anyio.move_on_after(10.0):
+        await follower.run()
+    assert most - 2 <= len(tries) <= most
+
+
 async def test_store_is_asked_again_when_peers_do_not():
     """A leaving endpoint goes on getting requests.
 
