Doubt a leader only while those are heard that report often

Cause, by reading: an entry that wakes from a suspension takes a silent leader for gone if it has heard most others. Peers elsewhere, which report each 2 s, count as heard for ten seconds, so it would always think so. The test fails without the change.

--- a/marigoldramp/gateway/peers.py
+++ b/marigoldramp/gateway/peers.py
@@ -276,7 +276,7 @@
         peer = self._peers.get(instance)
         if peer is None or peer.report is None or self._is_heard(peer):
             return False
-        others = [one for one in self.live() if one is not peer]
+        others = self._list_witnesses(peer)
         heard = sum(self._is_heard(one) for one in others)
         return 2 * heard > len(others)
 
@@ -291,10 +291,19 @@
             return self.is_suspect(instance)
         if self._clock() - self._began < SILENT_AFTER:
             return False
-        others = [one for one in self.live() if one is not peer]
+        others = self._list_witnesses(peer)
         heard = sum(self._is_heard(one) for one in others)
         return bool(heard) and 2 * heard > len(others)
 
+    def _list_witnesses(self, peer: Peer | None) -> list[Peer]:
+        """Return the peers whose silence would show that it is ours.
+
+        Those that report seldom count as heard for long after we were
+        suspended or cut off ourselves.
+        """
+        known = self.prompt() or self.live()
+        return [one for one in known if one is not peer]
+
     def is_idle(self, instance: str, group: str) -> bool:
         """Whether a peer is heard and says that it does not lead a group."""
         peer = self._peers.get(instance)
--- a/tests/gateway/test_many_entries.py
+++ b/tests/gateway/test_many_entries.py
@@ -296,6 +296,30 @@
     assert not table.read_store_for_us(strength=1.0)
 
 
+@pytest.mark.parametrize(
+    ('heard_since', 'suspect'), [(0, False), (9, False), (11, True)]
+)
+async def test_entry_that_was_suspended_suspects_nobody(heard_since, suspect):
+    """A leader that is well loses its lease to an entry that was frozen.
+
+    Sequence: an entry freezes for four seconds and wakes; it has heard nobody
+    meanwhile, but peers elsewhere report each two seconds only and count as
+    heard for ten.
+    Cause: these were taken for a proof that it can be reached.
+    """
+    near = make_entries(19)
+    leader = make_report('q00', data_centre='two', leads=('g',))
+    remote = [
+        make_report(f'q{number:02}', data_centre='two', period=2.0)
+        for number in range(1, 80)
+    ]
+    table = make_table(*near, leader, *remote)
+    await anyio.sleep(4.0)
+    for number in range(heard_since):
+        table.take(make_report(f'p{number:02}', sent=5.0))
+    assert table.is_suspect('q00') is suspect
+
+
 # Endpoints
 
 
