Tell a shift by how much windows usually differ

Change: the limit follows the distances of windows that showed nothing, between 0.08 and the old 0.22; a large group has several ranks watched, twice as often.

--- a/marigoldramp/gateway/demand_watch.py
+++ b/marigoldramp/gateway/demand_watch.py
@@ -48,6 +48,8 @@
         '_refined',
         '_read_at',
         '_quiet_until',
+        '_watched',
+        '_measured',
         'demand',
     )
 
@@ -68,6 +70,8 @@
         self._refined = True
         self._read_at = float('-inf')
         self._quiet_until = float('-inf')
+        self._watched = expert_demand.Chance()
+        self._measured = expert_demand.Chance()
         self.demand = demand
 
     def note_planned(self) -> None:
@@ -103,37 +107,64 @@
         await anyio.sleep(MEASURE_SECONDS)
         window = await self._read(names)
         self._passes.accept()
-        distance = 0.0 if window is None else self.demand.distance(window)
+        if not self._shows_shift(window, self._measured, len(names)):
+            self._add(window)
+            self._quiet_until = self._clock() + QUIET_SECONDS
+            return False
+        self.demand.restart()
+        self._add(window)
+        self._refined = False
+        return True
+
+    def _shows_shift(
+        self,
+        window: expert_demand.Window | None,
+        chance: expert_demand.Chance,
+        ranks_read: int,
+    ) -> bool:
+        """Whether a window differs by more than chance from the last ones."""
+        if window is None or not self.demand.is_known():
+            return False
+        distance = self.demand.distance(window)
+        limit = chance.limit()
         logging.info(
             'demand measured',
             extra=logs.fields(
-                ranks=len(names),
-                counted=0 if window is None else sum(window.counts),
+                ranks=ranks_read,
+                counted=sum(window.counts),
                 distance=round(distance, 3),
+                limit=round(limit, 3),
             ),
         )
-        if distance <= expert_demand.SHIFT:
-            self._add(window)
-            self._quiet_until = self._clock() + QUIET_SECONDS
+        if distance <= limit:
+            chance.note(distance)
             return False
-        self.demand.restart()
-        self._add(window)
-        self._refined = False
         return True
 
-    async def is_due(self, names: list[str], pause: float) -> bool:
-        """Read counts if it is time; say whether to look for a better map."""
+    async def is_due(
+        self, names: list[str], watched: int, pause: float
+    ) -> bool:
+        """Read counts if it is time; say whether to look for a better map.
+
+        :param watched: how many of the ranks are read while nothing changes.
+        """
         if not self._may_read(pause):
             return False
         now = self._clock()
         self._read_at = now
         age = now - self._planned_at
         due = age >= (DRIFT_SECONDS if self._refined else REFINE_SECONDS)
+        chance = self._watched
+        ranks_read = watched
         if due:
+            chance = self._measured
+            ranks_read = len(names)
             window = await self._read(names)
+        elif watched > 1:
+            window = await self._read(names[:watched])
         else:
             window = await self._read_one(names[0])
-        if window is not None and self.demand.is_shift(window):
+        if self._shows_shift(window, chance, ranks_read):
             return await self.measure(names)
         self._add(window)
         self._refined = self._refined or due
--- a/marigoldramp/gateway/expert_demand.py
+++ b/marigoldramp/gateway/expert_demand.py
@@ -19,11 +19,18 @@
 
 #: Least counts of a window, for each expert, from which it says anything.
 LEAST_COUNTS = 8
-#: Distance of a window of one rank from what was counted before, as the part
-#: of the choices that moved to other experts, from which on it is a shift.
-#: Windows of 0.2 s of one rank differ by 0.06 to 0.17 with nothing changed,
-#: and by 0.31 to 0.50 after a shift.
+#: Distance of a window from what was counted before, as the part of the
+#: choices that moved to other experts, from which on it always is a shift.
+#: Windows of 0.2 s of one of 16 ranks differ by 0.06 to 0.17 with nothing
+#: changed, and by 0.31 to 0.50 after a shift.
 SHIFT = 0.22
+#: The same for windows that differ less by chance, and how many times more
+#: than usual they have to differ.  With 192 ranks a shift is some 0.15, which
+#: windows of several ranks tell from chance, and those of one do not.
+LEAST_SHIFT = 0.08
+SHIFT_FACTOR = 1.8
+#: Weight of the newest distance in the usual one.
+SMOOTHING = 0.2
 #: Seconds after which a count weighs half.
 HALF_LIFE = 3.0
 
@@ -51,6 +58,27 @@
     counts: tuple[int, ...]
 
 
+class Chance:
+    """How much windows of one kind differ with nothing changed."""
+
+    __slots__ = ('_usual',)
+
+    def __init__(self) -> None:
+        self._usual: float | None = None
+
+    def limit(self) -> float:
+        """Return the distance from which on a window shows a shift."""
+        if self._usual is None:
+            return SHIFT
+        return min(SHIFT, max(LEAST_SHIFT, SHIFT_FACTOR * self._usual))
+
+    def note(self, distance: float) -> None:
+        """Learn of a window that showed none."""
+        if self._usual is None:
+            self._usual = distance
+        self._usual += SMOOTHING * (distance - self._usual)
+
+
 class ExpertDemand:
     """Popularity of the experts of a group since its last shift."""
 
@@ -125,10 +153,6 @@
             )
         return total / self._layers
 
-    def is_shift(self, window: Window) -> bool:
-        """Whether a window differs by more than chance."""
-        return self.is_known() and self.distance(window) > SHIFT
-
     def estimate(self, layer: int) -> Sequence[float]:
         """Return the popularity of a layer's experts; even if unknown."""
         counted = self._slice(self._counted, layer)
--- a/marigoldramp/gateway/expert_planner.py
+++ b/marigoldramp/gateway/expert_planner.py
@@ -32,6 +32,12 @@
 #: are little used and when they are full.
 WATCH_IDLE = 2.0
 WATCH_FULL = 1.0
+#: Ranks of a group for each one that is watched, and for which the pause is
+#: that long; in a larger group it is shorter, down to a part.  A reading costs
+#: the same in each, and a large group has more to lose by an uneven map.
+RANKS_A_WATCHED = 48
+RANKS_A_PAUSE = 96
+LEAST_PAUSE_PART = 0.5
 #: Seconds between two looks at how long passes last, which cost nothing.
 LOOK_SECONDS = 0.05
 #: Requests that the ranks whose counts a plan is made from can run at once,
@@ -147,7 +153,7 @@
             names = self._choose(conversation, use)
             if self._are_newly_slow():
                 return await self._search(expert_map)
-            pause = _weigh(use, WATCH_IDLE, WATCH_FULL)
+            pause = self._find_pause(use)
             if use and await self._watch.measure_first(names, pause):
                 return await self._search(expert_map)
             if self._watch.are_passes_longer():
@@ -155,7 +161,7 @@
                     # A rank may have turned slow; its report says so.
                     return None
                 return await self._search(expert_map)
-            if await self._watch.is_due(names, pause):
+            if await self._watch.is_due(names, self._count_watched(), pause):
                 return await self._search(expert_map)
             if self._clock() + LOOK_SECONDS > until:
                 return None
@@ -168,7 +174,7 @@
     def _choose(
         self, talk: map_conversation.Conversation, use: float
     ) -> list[str]:
-        """Return the ranks to read; the first one is watched."""
+        """Return the ranks to read; the first ones are watched."""
         # A slow rank gets no requests, so it counts nothing.
         slow = {talk.find_agent(rank) for rank in self._slow_ranks()}
         names = sorted(talk.agents())
@@ -188,6 +194,15 @@
             most = max(1, int(COPY_SECONDS / self._seconds_a_copy))
         return [most] * self._shape.ranks
 
+    def _find_pause(self, use: float) -> float:
+        """Return the seconds between two looks for a shift by counts."""
+        part = RANKS_A_PAUSE / self._shape.ranks
+        part = min(1.0, max(LEAST_PAUSE_PART, part))
+        return part * _weigh(use, WATCH_IDLE, WATCH_FULL)
+
+    def _count_watched(self) -> int:
+        return max(1, self._shape.ranks // RANKS_A_WATCHED)
+
     def _find_gain_a_copy(self, use: float) -> float:
         """Return the least fall of a layer's skew for one copy."""
         gain = _weigh(use, GAIN_A_COPY_IDLE, GAIN_A_COPY_FULL)
--- a/tests/gateway/test_expert_demand.py
+++ b/tests/gateway/test_expert_demand.py
@@ -90,12 +90,13 @@
     for number in range(1, 9):
         rank.add(count(draw, profiles))
         window = demand.read(name='r', found=rank.answer())
-        assert not demand.is_shift(window)
+        if demand.is_known():
+            assert demand.distance(window) <= expert_demand.SHIFT
         demand.add(window, now=0.25 * number)
     shifted = [shift(draw, profile, part) for profile in profiles]
     rank.add(count(draw, shifted))
     window = demand.read(name='r', found=rank.answer())
-    assert demand.is_shift(window) is (part > 0.0)
+    assert (demand.distance(window) > expert_demand.SHIFT) is (part > 0.0)
 
 
 def test_counts_before_a_shift_are_forgotten():
@@ -166,3 +167,26 @@
         rank.add([3] * size)
         window = demand.read(name='r', found=rank.answer())
     assert window.counts == (9,) * size
+
+
+@pytest.mark.parametrize(
+    ('usual', 'limit'),
+    [
+        ([], 0.22),
+        ([0.17] * 9, 0.22),
+        ([0.06] * 9, 0.108),
+        ([0.01] * 9, 0.08),
+        ([0.17] + [0.05] * 30, 0.09),
+    ],
+)
+def test_shift_is_told_by_what_windows_usually_differ(usual, limit):
+    """An uneven map of a large group is kept until its next look.
+
+    Sequence: a shift moves 0.15 of the choices; windows of four ranks differ
+    by 0.06 with nothing changed.
+    Cause: a limit that windows of one rank of sixteen need.
+    """
+    chance = expert_demand.Chance()
+    for distance in usual:
+        chance.note(distance)
+    assert chance.limit() == pytest.approx(limit, abs=0.002)
