--- a/marigoldramp/gateway/status.py
+++ b/marigoldramp/gateway/status.py
@@ -36,13 +36,16 @@
     :ivar state: ``ready``, ``not ready``, ``leaving``, ``silent`` for one
         that was heard before, or ``unheard``.
     :ivar heard_age: seconds since its last report, ``None`` for never.
+    :ivar period: seconds between its reports, 0 if unknown.
     """
 
     instance: str
+    data_centre: str
     address: str
     state: str
     version: int
     heard_age: float | None
+    period: float
 
 
 class QueueStatus(msgspec.Struct, frozen=True, kw_only=True):
@@ -63,6 +66,8 @@
     :ivar version_age: since the configuration in force was known to be the
         newest.
     :ivar store_age: since the store last answered for endpoints.
+    :ivar relies: peers of its data centre follow the endpoints for it, so it
+        does not ask the store itself.
     :ivar leads: groups of ranks that it leads.
     """
 
@@ -74,6 +79,7 @@
     version: int
     version_age: float | None
     store_age: float | None
+    relies: bool
     leads: tuple[str, ...]
     queues: tuple[QueueStatus, ...]
     endpoints: tuple[EndpointStatus, ...]
@@ -130,6 +136,7 @@
             version=parts.configurations.version,
             version_age=_age(now, parts.configurations.confirmed_at),
             store_age=_age(now, parts.follower.store.reached_at),
+            relies=parts.follower.relies(),
             leads=parts.leading.led(),
             queues=tuple(self._describe_queue(name) for name in services),
             endpoints=tuple(self._describe_endpoint(one) for one in known),
@@ -168,10 +175,12 @@
     report = peer.report
     return PeerStatus(
         instance=peer.instance,
+        data_centre='' if report is None else report.data_centre,
         address=f'{peer.host}:{peer.port}',
         state=_name_state(peer),
         version=0 if report is None else report.version,
         heard_age=_age(now, peer.heard_at),
+        period=0.0 if report is None else round(report.period, 3),
     )
 
 
--- a/marigoldramp/ui/gateway_status.py
+++ b/marigoldramp/ui/gateway_status.py
@@ -120,7 +120,7 @@
         'leaving' if status.leaving else state,
         str(status.version),
         _show_age(status.version_age),
-        _show_age(status.store_age),
+        'by peers' if status.relies else _show_age(status.store_age),
         str(status.running),
         str(sum(queue.waiting for queue in status.queues)),
         str(sum(peer.state == 'ready' for peer in status.peers)),
@@ -157,13 +157,22 @@
 
 
 def _describe_peers(status: 'status_module.Status') -> str:
-    head = (f'PEER OF {status.instance}', 'STATE', 'VERSION', 'HEARD')
+    head = (
+        f'PEER OF {status.instance}',
+        'DATA CENTRE',
+        'STATE',
+        'VERSION',
+        'HEARD',
+        'EACH',
+    )
     rows = [
         (
             peer.instance,
+            peer.data_centre,
             peer.state,
             str(peer.version),
             _show_age(peer.heard_age),
+            f'{peer.period:.1f} s',
         )
         for peer in status.peers
     ]
