--- a/marigoldramp/gateway/demand_watch.py
+++ b/marigoldramp/gateway/demand_watch.py
@@ -6,7 +6,6 @@
 """
 
 from typing import Callable
-from typing import Sequence
 
 from absl import logging
 import anyio
@@ -25,6 +24,15 @@
 DRIFT_SECONDS = 3.0
 #: Seconds after one look that showed no shift in which it is not looked again.
 QUIET_SECONDS = 0.5
+#: Ranks that are read at the same time, and seconds until the next ones.  For
+#: each, a group whose ranks count 3,840 numbers pauses for 5 ms, and a pass
+#: that is half as long again makes all its streams late.
+READ_AT_ONCE = 6
+READ_PAUSE = 0.1
+
+
+#: Returns the skew of the map in force, were a window all that is asked for.
+FindSkew = Callable[[expert_demand.Window], float]
 
 
 class DemandWatch:
@@ -44,6 +52,9 @@
         '_refined',
         '_read_at',
         '_quiet_until',
+        '_watched',
+        '_measured',
+        '_planned_skew',
         'demand',
     )
 
@@ -64,12 +75,19 @@
         self._refined = True
         self._read_at = float('-inf')
         self._quiet_until = float('-inf')
+        self._watched = expert_demand.Signs()
+        self._measured = expert_demand.Signs()
+        self._planned_skew = float('inf')
         self.demand = demand
 
     def note_planned(self) -> None:
         """A plan was looked for, by what is known now."""
         self._planned_at = self._clock()
 
+    def note_skew(self, skew: float) -> None:
+        """The map in force from now on should have this skew."""
+        self._planned_skew = skew
+
     def are_passes_longer(self) -> bool:
         """Whether passes take longer, for a reason not yet looked for."""
         if self._clock() < self._quiet_until or not self.demand.is_known():
@@ -93,44 +111,79 @@
         self._refined = False
         return self.demand.is_known()
 
-    async def measure(self, names: list[str]) -> bool:
+    async def measure(self, names: list[str], find_skew: FindSkew) -> bool:
         """Count anew, from now on; return whether demand has shifted."""
         await self._read(names)
         await anyio.sleep(MEASURE_SECONDS)
-        windows = await self._read(names)
+        window = await self._read(names)
         self._passes.accept()
-        distances = [self.demand.distance(one) for one in windows]
-        shifted = sum(one > expert_demand.SHIFT for one in distances)
+        if not self._shows_shift(window, self._measured, find_skew):
+            self._add(window)
+            self._quiet_until = self._clock() + QUIET_SECONDS
+            return False
+        self.demand.restart()
+        self._add(window)
+        self._refined = False
+        return True
+
+    def _shows_shift(
+        self,
+        window: expert_demand.Window | None,
+        signs: expert_demand.Signs,
+        find_skew: FindSkew,
+    ) -> bool:
+        """Whether a window differs by more than chance from the last ones."""
+        if window is None or not self.demand.is_known():
+            return False
+        distance = self.demand.distance(window)
+        skew = find_skew(window)
+        uneven = max(0.0, skew - self._planned_skew)
+        shifted = (
+            distance > signs.distance.limit() or uneven > signs.uneven.limit()
+        )
         logging.info(
             'demand measured',
             extra=logs.fields(
-                ranks=len(windows),
+                counted=sum(window.counts),
+                distance=round(distance, 3),
+                distance_limit=round(signs.distance.limit(), 3),
+                skew=round(skew, 3),
+                skew_limit=round(self._planned_skew + signs.uneven.limit(), 3),
                 shifted=shifted,
-                least=round(min(distances, default=0.0), 3),
-                most=round(max(distances, default=0.0), 3),
             ),
         )
-        if 2 * shifted <= len(windows):
-            self._add(windows)
-            self._quiet_until = self._clock() + QUIET_SECONDS
-            return False
-        self.demand.restart()
-        self._add(windows)
-        self._refined = False
-        return True
+        if not shifted:
+            signs.distance.note(distance)
+            signs.uneven.note(uneven)
+        return shifted
 
-    async def is_due(self, names: list[str], pause: float) -> bool:
-        """Read counts if it is time; say whether to look for a better map."""
+    async def is_due(
+        self,
+        names: list[str],
+        watched: int,
+        pause: float,
+        find_skew: FindSkew,
+    ) -> bool:
+        """Read counts if it is time; say whether to look for a better map.
+
+        :param watched: how many of the ranks are read while nothing changes.
+        """
         if not self._may_read(pause):
             return False
         now = self._clock()
         self._read_at = now
         age = now - self._planned_at
         due = age >= (DRIFT_SECONDS if self._refined else REFINE_SECONDS)
-        windows = await self._read(names if due else names[:1])
-        if any(self.demand.is_shift(one) for one in windows):
-            return await self.measure(names)
-        self._add(windows)
+        signs = self._measured if due else self._watched
+        if due:
+            window = await self._read(names)
+        elif watched > 1:
+            window = await self._read(names[:watched])
+        else:
+            window = await self._read_one(names[0])
+        if self._shows_shift(window, signs, find_skew):
+            return await self.measure(names, find_skew)
+        self._add(window)
         self._refined = self._refined or due
         return due and self.demand.is_known()
 
@@ -138,31 +191,43 @@
         """Whether it is time to read counts without any other reason."""
         return self._clock() - self._read_at >= pause
 
-    def _add(self, windows: Sequence[expert_demand.Window]) -> None:
-        now = self._clock()
-        for window in windows:
-            self.demand.add(window, now=now)
+    def _add(self, window: expert_demand.Window | None) -> None:
+        if window is not None:
+            self.demand.add(window, now=self._clock())
+
+    async def _read_one(self, name: str) -> expert_demand.Window | None:
+        """Return what one rank has counted since it was last read."""
+        found = await self._ask(name)
+        if found is None:
+            return None
+        return self.demand.read(name=name, found=found)
 
-    async def _read(self, names: list[str]) -> list[expert_demand.Window]:
-        """Return what ranks have counted since they were last read."""
-        windows = []
+    async def _read(self, names: list[str]) -> expert_demand.Window | None:
+        """Return what ranks together have counted since they were last read.
+
+        The group pauses for each answer, so few are read at a time.
+        """
+        windows: list[expert_demand.Window] = []
 
         async def read(name: str) -> None:
-            endpoint = self._find(name)
-            if endpoint is None:
-                return
-            found = await self._api.counts(
-                address=endpoint.address, identity=name
-            )
-            if isinstance(found, ranks.NoReply):
+            found = await self._ask(name)
+            if found is None:
                 return
-            window = self.demand.read(
-                name=name, found=found, now=self._clock()
-            )
+            window = self.demand.read_part(name=name, found=found)
             if window is not None:
                 windows.append(window)
 
-        async with anyio.create_task_group() as tasks:
-            for name in names:
-                tasks.start_soon(read, name)
-        return windows
+        for first in range(0, len(names), READ_AT_ONCE):
+            if first:
+                await anyio.sleep(READ_PAUSE)
+            async with anyio.create_task_group() as tasks:
+                for name in names[first : first + READ_AT_ONCE]:
+                    tasks.start_soon(read, name)
+        return expert_demand.merge(windows)
+
+    async def _ask(self, name: str) -> ranks.RankCounts | None:
+        endpoint = self._find(name)
+        if endpoint is None:
+            return None
+        found = await self._api.counts(address=endpoint.address, identity=name)
+        return None if isinstance(found, ranks.NoReply) else found
--- a/marigoldramp/gateway/peer_exchange.py
+++ b/marigoldramp/gateway/peer_exchange.py
@@ -4,6 +4,7 @@
 endpoints from a peer whose reports show that it knows more.
 """
 
+import random as random_module
 from typing import Callable
 
 import msgspec
@@ -27,6 +28,8 @@
     """Endpoints as one entry knows them."""
 
     newest: int
+    revision: int = 0
+    settled: bool = False
     records: tuple[deployment.EndpointRecord, ...]
 
 
@@ -59,7 +62,12 @@
         elif path == ENDPOINTS_PATH and self._follower.listed:
             listing = self._follower.listing()
             body = msgspec.json.encode(
-                EndpointList(newest=listing.newest, records=listing.records)
+                EndpointList(
+                    newest=listing.newest,
+                    revision=listing.revision,
+                    settled=listing.settled,
+                    records=listing.records,
+                )
             )
         elif path == STATUS_PATH:
             body = msgspec.json.encode(self._describe())
@@ -71,32 +79,51 @@
 class PeerSource:
     """Fetches from peers whose reports show that they know more."""
 
-    __slots__ = ('_peers',)
+    __slots__ = ('_peers', '_random')
 
-    def __init__(self, *, peers: peers.PeerTable) -> None:
+    def __init__(
+        self, *, peers: peers.PeerTable, random: random_module.Random
+    ) -> None:
         self._peers = peers
+        self._random = random
 
     async def fetch_configuration(self, version: int) -> bytes | None:
         """Return the document of a version or a newer one, if one has it."""
-        for peer in self._peers.live():
-            if peer.report is not None and peer.report.version >= version:
-                found = await fetch(
-                    address=_address(peer), path=CONFIGURATION_PATH
-                )
-                if found is not None:
-                    return found
+        known = [
+            peer
+            for peer in self._peers.live()
+            if peer.report is not None and peer.report.version >= version
+        ]
+        for peer in self._order(known):
+            found = await fetch(
+                address=_address(peer), path=CONFIGURATION_PATH
+            )
+            if found is not None:
+                return found
         return None
 
+    def _order(self, known: list[peers.Peer]) -> list[peers.Peer]:
+        """Return peers in the order in which they are asked.
+
+        Those of our data centre come first, by chance: were all to ask the
+        first that knows more, its link would carry a document of hundreds of
+        kilobytes once for each entry.
+        """
+        self._random.shuffle(known)
+        return sorted(known, key=self._peers.is_near, reverse=True)
+
     async def fetch_endpoints(
         self, *, newer_than: int
     ) -> discovery.Listing | None:
         """Return the endpoints that some peer knows, if it knows more."""
-        for peer in self._peers.live():
-            report = peer.report
-            if report is None or report.revision_age < 0.0:
-                continue
-            if report.revision <= newer_than:
-                continue
+        known = [
+            peer
+            for peer in self._peers.live()
+            if peer.report is not None
+            and peer.report.revision_age >= 0.0
+            and peer.report.revision > newer_than
+        ]
+        for peer in self._order(known):
             found = await fetch_endpoints(address=_address(peer))
             if found is not None:
                 return found
@@ -149,5 +176,8 @@
     except msgspec.MsgspecError:
         return None
     return discovery.Listing(
-        records=found.records, revision=0, newest=found.newest
+        records=found.records,
+        revision=found.revision,
+        newest=found.newest,
+        settled=found.settled,
     )
--- a/marigoldramp/gateway/peers.py
+++ b/marigoldramp/gateway/peers.py
@@ -9,15 +9,22 @@
 
 from .. import logs
 from . import outbound
+from . import peer_periods
 from . import peer_reports
 
-#: Seconds between two reports to a peer, with few peers.
-PERIOD = 0.1
-#: Peers to which a report goes each period before the period stretches;
-#: reports are most of what a node spends on control.  A leader reports to
-#: more of them, so that its end is noticed soon in a larger deployment too.
-PEERS_A_PERIOD = 16
-PEERS_A_PERIOD_OF_LEADER = 64
+#: Longest period of a peer on whose word we wait before we ask the store.
+PROMPT_PERIOD = 0.3
+#: Entries of one data centre that ask the store, each for itself, as long as
+#: it answers them; and the most that try while it does not.  Each call of the
+#: store is paid for: with 99 entries that all watched it, calls were the
+#: largest price of a calm day.
+STORE_READERS = 3
+MOST_STORE_READERS = 6
+#: Ready entries of one data centre that are enough for its callers.
+ENOUGH_NEAR = 8
+#: Ready entries besides, if there are so many, among which the leaders of
+#: groups are left out.
+ENOUGH_WITHOUT_LEADERS = 10
 #: Seconds without a report after which a peer's word counts no more, and the
 #: reports that must have been missed at least.
 SILENT_AFTER = 1.2
@@ -27,6 +34,9 @@
 #: callers give a stream up after two seconds; the rest of them is for taking
 #: over.
 SUSPECT_MISSED = 5
+#: Part of the strength of the strongest entry from which on another one counts
+#: as equal to it.
+ALIKE = 0.8
 #: Seconds without a report after which a peer is taken as gone for good: it
 #: may have been suspended or cut off for shorter.
 GONE_AFTER = 90.0
@@ -49,31 +59,22 @@
     live: bool = False
 
 
-def find_period(*, peers: int, leads: bool) -> float:
-    """Return the seconds between two reports of an entry to a peer.
-
-    :param peers: how many peers it reports to.
-    :param leads: it leads a group of ranks.
-    """
-    usual = PEERS_A_PERIOD_OF_LEADER if leads else PEERS_A_PERIOD
-    return PERIOD * max(1.0, peers / usual)
-
-
 class PeerTable:
     """All entries that may live, but this one.
 
     :param instance: our own name.
+    :param data_centre: our own.
     :param clock: see :func:`.ages.read_clock`.
     """
 
     __slots__ = (
         '_instance',
+        '_data_centre',
         '_clock',
         '_began',
         '_peers',
         '_in_flight',
         '_random',
-        '_live_count',
     )
 
     def __init__(
@@ -82,14 +83,15 @@
         instance: str,
         clock: Callable[[], float],
         random: random_module.Random,
+        data_centre: str = '',
     ) -> None:
         self._instance = instance
+        self._data_centre = data_centre
         self._clock = clock
         self._began = clock()
         self._random = random
         self._peers: dict[str, Peer] = {}
         self._in_flight: dict[str, int] = {}
-        self._live_count = 0
 
     def __iter__(self) -> Iterator[Peer]:
         return iter(list(self._peers.values()))
@@ -101,6 +103,48 @@
         """Return the peers whose reports come."""
         return [peer for peer in self._peers.values() if peer.live]
 
+    def is_near(self, peer: Peer) -> bool:
+        """Whether a peer is in our data centre, as far as is known."""
+        report = peer.report
+        return report is None or report.data_centre == self._data_centre
+
+    def prompt(self) -> list[Peer]:
+        """Return the live peers from which we hear often."""
+        return [
+            peer for peer in self.live() if self._period(peer) <= PROMPT_PERIOD
+        ]
+
+    def ahead(self, *, strength: float) -> list[Peer]:
+        """Return the peers that ask the store before we do.
+
+        Only those that we hear often, as we learn from them what they read;
+        the strongest first, and then by name.
+
+        :param strength: our own.
+        """
+        own = (-strength, self._instance)
+        return [
+            peer
+            for peer in self.prompt()
+            if peer.report is not None
+            and (-peer.report.strength, peer.instance) < own
+        ]
+
+    def read_store_for_us(self, *, strength: float) -> bool:
+        """Whether enough peers of our data centre ask the store.
+
+        :param strength: our own.
+        """
+        near = [
+            peer
+            for peer in self.ahead(strength=strength)
+            if self.is_near(peer) and self._is_heard(peer)
+        ]
+        answered = sum(
+            peer.report is not None and peer.report.fit for peer in near
+        )
+        return answered >= STORE_READERS or len(near) >= MOST_STORE_READERS
+
     def may_live(self) -> int:
         """Return how many peers may live, heard or not."""
         return len(self._peers)
@@ -160,7 +204,6 @@
                 'peer heard',
                 extra=logs.fields(peer=peer.instance, version=report.version),
             )
-        self._live_count += not peer.live
         peer.live = True
         self._count(peer, 1)
         for known in report.known:
@@ -176,7 +219,6 @@
             if peer.live and now - peer.heard_at > self._silence(peer):
                 self._count(peer, -1)
                 peer.live = False
-                self._live_count -= 1
                 logging.info(
                     'peer silent',
                     extra=logs.fields(
@@ -202,17 +244,28 @@
         )
 
     def ready_addresses(self) -> list[outbound.Address]:
-        """Return where callers can connect, at live peers that are ready."""
-        return [
+        """Return where callers can connect, at live peers that are ready.
+
+        Where there are enough, only those of our data centre, and none that
+        leads a group: a leader that also serves its part of the callers is
+        later with each change of the map, which makes all callers late.
+        """
+        ready = [peer for peer in self.live() if _takes_calls(peer)]
+        near = [peer for peer in ready if self.is_near(peer)]
+        if len(near) >= ENOUGH_NEAR:
+            ready = near
+        idle = [peer for peer in ready if not _leads(peer)]
+        if len(idle) >= ENOUGH_WITHOUT_LEADERS:
+            ready = idle
+        found = [
             outbound.Address(
                 host=peer.report.call_host, port=peer.report.call_port
             )
-            for peer in self.live()
+            for peer in ready
             if peer.report is not None
-            and peer.report.ready
-            and not peer.report.leaving
-            and peer.report.call_host
         ]
+        self._random.shuffle(found)
+        return found
 
     def is_suspect(self, instance: str) -> bool:
         """Whether a peer has fallen silent while most others are heard.
@@ -223,7 +276,7 @@
         peer = self._peers.get(instance)
         if peer is None or peer.report is None or self._is_heard(peer):
             return False
-        others = [one for one in self.live() if one is not peer]
+        others = self._list_witnesses(peer)
         heard = sum(self._is_heard(one) for one in others)
         return 2 * heard > len(others)
 
@@ -238,10 +291,19 @@
             return self.is_suspect(instance)
         if self._clock() - self._began < SILENT_AFTER:
             return False
-        others = [one for one in self.live() if one is not peer]
+        others = self._list_witnesses(peer)
         heard = sum(self._is_heard(one) for one in others)
         return bool(heard) and 2 * heard > len(others)
 
+    def _list_witnesses(self, peer: Peer | None) -> list[Peer]:
+        """Return the peers whose silence would show that it is ours.
+
+        Those that report seldom count as heard for long after we were
+        suspended or cut off ourselves.
+        """
+        known = self.prompt() or self.live()
+        return [one for one in known if one is not peer]
+
     def is_idle(self, instance: str, group: str) -> bool:
         """Whether a peer is heard and says that it does not lead a group."""
         peer = self._peers.get(instance)
@@ -249,15 +311,33 @@
             return False
         return group not in peer.report.leads
 
-    def fit_to_lead(self) -> list[str]:
-        """Return the live peers that may lead groups of ranks."""
-        return [
-            peer.instance
+    def fit_to_lead(self, *, strength: float = 0.0) -> list[str]:
+        """Return the peers that may lead groups of ranks, the strongest ones.
+
+        :param strength: our own.
+        """
+        fit = self._fit_strengths()
+        most = max(fit.values(), default=0.0)
+        least = ALIKE * max(most, strength)
+        return [name for name, one in fit.items() if one >= least]
+
+    def is_outdone(self, *, strength: float) -> bool:
+        """Whether a peer that may lead can do much more than we.
+
+        :param strength: our own.
+        """
+        most = max(self._fit_strengths().values(), default=0.0)
+        return strength < ALIKE * most
+
+    def _fit_strengths(self) -> dict[str, float]:
+        """Return the strength of each live peer that may lead."""
+        return {
+            peer.instance: peer.report.strength
             for peer in self.live()
             if peer.report is not None
             and peer.report.fit
             and not self.is_suspect(peer.instance)
-        ]
+        }
 
     def led_groups(self) -> frozenset[str]:
         """Return the groups that live peers say they lead."""
@@ -276,9 +356,9 @@
         return max(SILENT_AFTER, SILENT_MISSED * self._period(peer))
 
     def _period(self, peer: Peer) -> float:
-        """Return how often a peer reports to us, if it knows whom we do."""
-        leads = peer.report is not None and bool(peer.report.leads)
-        return find_period(peers=self._live_count, leads=leads)
+        """Return how often a peer reports to us, by its own word."""
+        period = 0.0 if peer.report is None else peer.report.period
+        return period or peer_periods.PERIOD
 
     def _count(self, peer: Peer, sign: int) -> None:
         """Add or take away what a peer has in flight."""
@@ -290,3 +370,14 @@
                 self._in_flight[identity] = total
             else:
                 self._in_flight.pop(identity, None)
+
+
+def _takes_calls(peer: Peer) -> bool:
+    report = peer.report
+    if report is None or not report.ready or report.leaving:
+        return False
+    return bool(report.call_host)
+
+
+def _leads(peer: Peer) -> bool:
+    return peer.report is not None and bool(peer.report.leads)
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -78,9 +78,14 @@
             data_centre=settings.data_centre, random=random
         )
         self.peers = peers.PeerTable(
-            instance=settings.instance, clock=clock, random=random
+            instance=settings.instance,
+            data_centre=settings.data_centre,
+            clock=clock,
+            random=random,
+        )
+        self._peer_source = peer_exchange.PeerSource(
+            peers=self.peers, random=random
         )
-        self._peer_source = peer_exchange.PeerSource(peers=self.peers)
         self.pool = outbound.Pool(most_idle=MOST_IDLE_PER_ENDPOINT)
         self.dispatcher = dispatch.Dispatcher(
             table=self.table, clock=clock, slots=self._slots
@@ -114,7 +119,12 @@
             table=self.table,
             clock=clock,
             on_gone=self.pool_drop,
-            on_change=self.dispatcher.serve_all,
+            on_change=self._note_endpoints,
+            relies=lambda: self.peers.read_store_for_us(
+                strength=self.settings.strength
+            ),
+            from_peers=self._fetch_endpoints,
+            position=self._place_among_peers,
         )
         self.refresher = refresh.Refresher(
             held=self.configurations,
@@ -134,6 +144,7 @@
             take=self._take,
             leads=lambda: bool(self.leading.led()),
             clock=clock,
+            random=random,
         )
         self.configurations.on_change(self._tell_peers)
         self.leading = group_leading.GroupLeading(
@@ -141,7 +152,12 @@
             table=self.table,
             services=self._services,
             fenced=lambda: self.settings.bounds.fenced,
-            rivals=self.peers.fit_to_lead,
+            rivals=lambda: self.peers.fit_to_lead(
+                strength=self.settings.strength
+            ),
+            is_outdone=lambda: self.peers.is_outdone(
+                strength=self.settings.strength
+            ),
             led_elsewhere=self.peers.led_groups,
             is_idle=self.peers.is_idle,
             is_gone=self.peers.is_lost,
@@ -229,7 +245,9 @@
         """Return where callers can connect, here and at peers."""
         found = self.peers.ready_addresses()
         if self.is_ready() and self.settings.calls is not None:
-            found.append(self.settings.calls)
+            leads = bool(self.leading.led())
+            if not leads or len(found) < peers.ENOUGH_WITHOUT_LEADERS:
+                found.insert(0, self.settings.calls)
         return found
 
     def pool_drop(self, identity: str) -> None:
@@ -364,23 +382,36 @@
 
     # Peers
 
-    def _report(self, peer: peers.Peer | None) -> peer_reports.Report:
-        return self._reporter.make(peer)
+    def _report(
+        self, peer: peers.Peer | None, period: float
+    ) -> peer_reports.Report:
+        return self._reporter.make(peer, period)
 
     def _take(
         self, report: peer_reports.Report, touched: frozenset[str]
     ) -> None:
         self._reporter.take(report, touched)
 
+    def _note_endpoints(self) -> None:
+        """Act on a change of the endpoints that are known."""
+        self.dispatcher.serve_all()
+        if not self.follower.relies():
+            # Peers that do not ask the store learn of it from us.
+            self._tell_peers()
+
+    async def _fetch_endpoints(
+        self, newer_than: int
+    ) -> discovery.Listing | None:
+        return await self._peer_source.fetch_endpoints(newer_than=newer_than)
+
     def _tell_peers(self) -> None:
         """Let peers know at once that something has changed."""
         self._reporter.forget()
         self.gossip.hasten()
 
     def _place_among_peers(self) -> int:
-        """Return how many live peers come before us by name."""
-        own = self.settings.instance
-        return sum(peer.instance < own for peer in self.peers.live())
+        """Return how many peers read the configuration before we do."""
+        return len(self.peers.ahead(strength=self.settings.strength))
 
     async def _register(self) -> None:
         """Make ourselves known to entries that start later."""
--- a/marigoldramp/gateway/reporting.py
+++ b/marigoldramp/gateway/reporting.py
@@ -75,8 +75,13 @@
         self._description: peer_reports.Report | None = None
         self._named_at = float('-inf')
 
-    def make(self, peer: peers.Peer | None) -> peer_reports.Report:
-        """Return the report for a peer; all of one moment differ little."""
+    def make(
+        self, peer: peers.Peer | None, period: float = 0.0
+    ) -> peer_reports.Report:
+        """Return the report for a peer; all of one moment differ little.
+
+        :param period: seconds after which the next one comes.
+        """
         now = self._clock()
         known = self._description
         if known is None or now - known.sent > DESCRIPTION_SECONDS:
@@ -84,11 +89,12 @@
             self._description = known
         heard = None if peer is None else peer.report
         if heard is None:
-            return known
+            return msgspec.structs.replace(known, period=period)
         return msgspec.structs.replace(
             known,
             echo=heard.sent,
             echo_incarnation=heard.incarnation,
+            period=period,
         )
 
     def forget(self) -> None:
@@ -106,6 +112,8 @@
         self._parts.follower.hear(change_revision=report.revision)
         self._take_confirmation(report)
         self._take_slow(report)
+        for service, seconds in report.passes.items():
+            self._parts.dispatcher.pace(service).passes.note_told(seconds)
         for identity in touched:
             endpoint = self._parts.table.find(identity)
             if endpoint is not None:
@@ -142,6 +150,9 @@
             paces=self._list_paces(now),
             fit=parts.leading.fit and self._ready(),
             leads=parts.leading.led(),
+            strength=settings.strength,
+            data_centre=settings.data_centre,
+            passes=self._list_passes(),
             known=self._name_peers(now),
         )
 
@@ -179,6 +190,19 @@
             if endpoint is not None:
                 endpoint.quality.note_told_pace(pace=pace, now=self._clock())
 
+    def _list_passes(self) -> dict[str, float]:
+        """Return the last passes that our streams have shown."""
+        dispatcher = self._parts.dispatcher
+        passes = {
+            service: dispatcher.pace(service).passes.own()
+            for service in dispatcher.paced_services()
+        }
+        return {
+            service: round(seconds, 3)
+            for service, seconds in passes.items()
+            if seconds
+        }
+
     def _list_paces(self, now: float) -> dict[str, float]:
         """Return the slow ranks that have told us so."""
         paces = {
--- a/tests/gateway/test_expert_planner.py
+++ b/tests/gateway/test_expert_planner.py
@@ -38,17 +38,18 @@
         return self.names[rank]
 
 
-def make_planner(use, slow=None, **more):
+def make_planner(use, slow=None, shape=SHAPE, **more):
     group = fake_ranks.FakeGroup(
-        size=SHAPE.ranks,
-        experts=SHAPE.experts,
-        layers=SHAPE.layers,
+        size=shape.ranks,
+        experts=shape.experts,
+        layers=shape.layers,
         clock=virtual_time.now,
     )
     planner = expert_planner.ExpertPlanner(
         api=group,
-        shape=SHAPE,
+        shape=shape,
         spare=SPARE,
+        slots=6,
         find=group.find,
         use=lambda: use,
         passes=passes.PassTimes(clock=virtual_time.now),
@@ -104,6 +105,64 @@
     assert (plan is not None) is changes
 
 
+@pytest.mark.parametrize(('seconds', 'even'), [(0.11, False), (0.0026, True)])
+async def test_map_is_made_even_where_copies_are_quick(seconds, even):
+    """Streams of a little used group are late after the next shift.
+
+    Sequence: the group is little used, so its map is left with a skew of 1.5;
+    demand shifts while more requests come.
+    Cause: copies of 2.6 ms were weighed like those of 0.11 s.
+    """
+    planner, group = make_planner(0.3, seconds_a_copy=seconds)
+    plan = await decide(planner, group, [100, 400] * (SHAPE.experts // 2))
+    assert plan is not None or not even
+    if plan is not None:
+        loads = expert_maps.rank_loads(
+            layer=plan.layers[0],
+            popularity=[100.0, 400.0] * (SHAPE.experts // 2),
+        )
+        assert (expert_maps.skew(loads) < 1.2) is even
+
+
+@pytest.mark.parametrize('steady', [8.0, 8.7, 9.4, 10.1, 10.8])
+async def test_few_choices_that_move_to_one_rank_are_noticed(steady):
+    """A map with a skew of two is kept until it is time to look anyway.
+
+    Sequence: a shift moves a tenth of the choices, as little as chance does,
+    but all of them to experts of one rank.
+    Cause: windows were compared with what was counted before, and not with
+    what the map in force was made for.
+    """
+    planner, group = make_planner(1.0)
+    weights = list(EVEN)
+    found = []
+
+    async def run():
+        while True:
+            count(group, weights)
+            await anyio.sleep(0.05)
+
+    async def lead():
+        while True:
+            plan = await planner.plan(
+                expert_map=rank_transport.first_map(shape=SHAPE),
+                conversation=Talk(group.names()),
+            )
+            if plan is not None:
+                found.append(virtual_time.now())
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run)
+        tasks.start_soon(lead)
+        await anyio.sleep(steady)
+        assert not found
+        weights[0] = 450
+        shifted_at = virtual_time.now()
+        await anyio.sleep(1.6)
+        tasks.cancel_scope.cancel()
+    assert found and found[0] - shifted_at < 1.5
+
+
 async def test_new_leader_plans_from_its_first_counts():
     """All callers come back to a group with an uneven map for 1.3 s.
 
@@ -286,22 +345,7 @@
     copy had to gain as much of the skew as in a group of 16.
     """
     shape = expert_maps.Shape(ranks=72, experts=144, layers=1, slots=3)
-    group = fake_ranks.FakeGroup(
-        size=shape.ranks,
-        experts=shape.experts,
-        layers=shape.layers,
-        clock=virtual_time.now,
-    )
-    planner = expert_planner.ExpertPlanner(
-        api=group,
-        shape=shape,
-        spare=2,
-        find=group.find,
-        use=lambda: 1.0,
-        passes=passes.PassTimes(clock=virtual_time.now),
-        slow_ranks=dict,
-        clock=virtual_time.now,
-    )
+    planner, group = make_planner(1.0, shape=shape)
     drawn = random.Random(1)
     weights = [
         round(1000 * drawn.lognormvariate(0.0, 0.8))
