Let a group pause little for reads in each pass

Cause, by arithmetic and the pauses seen: the group pauses for 5 ms for each rank that is read, of 3,840 numbers; six at once take 29 ms of passes of 0.12 s, of which 0.15 are accepted.

Ruled out: pauses by copies (2.6 ms each, some five a rank).

Change: as many are read at once as make the group pause for 10 ms (2 of 192 ranks, 4 of 72, 6 of 16 as before), and six at the most for a plan.

--- a/marigoldramp/gateway/demand_watch.py
+++ b/marigoldramp/gateway/demand_watch.py
@@ -24,11 +24,16 @@
 DRIFT_SECONDS = 3.0
 #: Seconds after one look that showed no shift in which it is not looked again.
 QUIET_SECONDS = 0.5
-#: Ranks that are read at the same time, and seconds until the next ones.  For
-#: each, a group whose ranks count 3,840 numbers pauses for 5 ms, and a pass
-#: that is half as long again makes all its streams late.
+#: Most ranks that are read at the same time, and seconds until the next ones,
+#: which is a pass or so.
 READ_AT_ONCE = 6
 READ_PAUSE = 0.1
+#: Seconds for which a group may pause for reads in one pass, and for which it
+#: pauses for each number that one rank has counted.  With 192 ranks that count
+#: 3,840 numbers six at once take 29 ms of passes of 0.12 s, of which callers
+#: accept 0.15: all streams are late by each read.
+LONGEST_PAUSE = 0.01
+PAUSE_A_NUMBER = 0.0005 / 400
 
 
 #: Returns the skew of the map in force, were a window all that is asked for.
@@ -221,14 +226,20 @@
             if window is not None:
                 windows.append(window)
 
-        for first in range(0, len(names), READ_AT_ONCE):
+        at_once = self._count_at_once()
+        for first in range(0, len(names), at_once):
             if first:
                 await anyio.sleep(READ_PAUSE)
             async with anyio.create_task_group() as tasks:
-                for name in names[first : first + READ_AT_ONCE]:
+                for name in names[first : first + at_once]:
                     tasks.start_soon(read, name)
         return expert_demand.merge(windows)
 
+    def _count_at_once(self) -> int:
+        """Return how many ranks may be read in one pass."""
+        pause = PAUSE_A_NUMBER * self.demand.size
+        return max(1, min(READ_AT_ONCE, int(LONGEST_PAUSE / pause)))
+
     async def _ask(self, name: str) -> ranks.RankCounts | None:
         endpoint = self._find(name)
         if endpoint is None:
--- a/marigoldramp/gateway/expert_demand.py
+++ b/marigoldramp/gateway/expert_demand.py
@@ -155,6 +155,11 @@
         fresh = tuple(new - old for new, old in zip(found.counts, last.counts))
         return None if min(fresh) < 0 else Window(counts=fresh)
 
+    @property
+    def size(self) -> int:
+        """Numbers that one rank counts."""
+        return self._layers * self._experts
+
     def restart(self) -> None:
         """Forget what was counted before a shift."""
         self._counted = [0.0] * len(self._counted)
--- a/marigoldramp/gateway/expert_planner.py
+++ b/marigoldramp/gateway/expert_planner.py
@@ -46,6 +46,9 @@
 #: group run fewer requests each, so more of them are read.
 MEASURED_IDLE = 12.0
 MEASURED_FULL = 36.0
+#: Most of these ranks, as they are read one after the other where each makes
+#: the group pause for long.
+MOST_MEASURED = 6
 #: Seconds that the copies of one change may take on any rank.  With three
 #: copies of 0.11 s a rank a group of 16 comes from a skew of 2.3 to 3.8 down
 #: to 1.12 to 1.2, with five to eight to 1.04 to 1.09; the rest can follow.
@@ -187,7 +190,7 @@
         names = sorted(talk.agents())
         known = [name for name in names if name not in slow] or names
         places = _weigh(use, MEASURED_IDLE, MEASURED_FULL)
-        return known[: math.ceil(places / self._slots)]
+        return known[: min(MOST_MEASURED, math.ceil(places / self._slots))]
 
     def _are_newly_slow(self) -> bool:
         """Whether ranks have turned slow that the last plan used."""
--- a/tests/gateway/test_expert_planner.py
+++ b/tests/gateway/test_expert_planner.py
@@ -11,6 +11,7 @@
 from marigoldramp.gateway import expert_planner
 from marigoldramp.gateway import passes
 from marigoldramp.gateway import rank_transport
+from marigoldramp.gateway import ranks
 from marigoldramp import layer_moves
 
 from . import fake_ranks
@@ -201,6 +202,39 @@
     assert plans
 
 
+@pytest.mark.parametrize(
+    ('experts', 'layers', 'at_once'),
+    [(64, 4, 6), (144, 12, 4), (384, 10, 2), (384, 60, 1)],
+)
+async def test_group_pauses_little_for_reads_in_each_pass(
+    experts, layers, at_once
+):
+    """All streams of a large group are late by each look at its counts.
+
+    Sequence: passes last 0.12 s, of which callers accept 0.15; six ranks are
+    read at once, for each of which the group pauses for 5 ms.
+    Cause: how many are read at once did not depend on what they count.
+    """
+    shape = expert_maps.Shape(
+        ranks=16, experts=experts, layers=layers, slots=24
+    )
+    planner, group = make_planner(1.0, shape=shape)
+    reading = most = 0
+
+    async def counts(*, address, identity):
+        nonlocal reading, most
+        reading += 1
+        most = max(most, reading)
+        await anyio.sleep(0.01)
+        reading -= 1
+        return ranks.NoReply(detail='not asked for here')
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(group, 'counts', counts)
+        await planner._watch._read(group.names())
+    assert most == at_once
+
+
 async def test_new_leader_plans_from_its_first_counts():
     """All callers come back to a group with an uneven map for 1.3 s.
 
