Copy less for the last hundredths of evenness

The least gain that a copy must bring is 0.15 of that of slow copies now, not 0.05; with 0.2 the test of quick copies fails.

--- a/marigoldramp/gateway/expert_planner.py
+++ b/marigoldramp/gateway/expert_planner.py
@@ -67,7 +67,7 @@
 #: copy takes 2.6 ms, an even map is as cheap for a little used group, which is
 #: then full of requests in time when demand shifts.
 USUAL_COPY_SECONDS = 0.11
-LEAST_COPY_PART = 0.05
+LEAST_COPY_PART = 0.15
 #: Use up to which a group counts as little used, and from which on it counts
 #: as full: the part in use of what it may run at once, or the pauses of its
 #: streams as a part of the accepted ones, whichever is higher.  What it may
