Let the peer of a test not read, as its name says

One run of all tests on the code before this failed in test_a_peer_that_does_not_read_ends_a_write_in_time (2,220 passed): no write timed out. Traced: the peer's transport was reading all the while and had taken 2 to 63 MB in six runs of the same steps, one of which had no timeout either; so the test passed only while the loop was slow enough for one of 1,000 writes to wait 1 ms.

The peer's reading is paused now, so a write must time out whatever the machine does. The check is as it was.

--- a/tests/test_tcp_streams.py
+++ b/tests/test_tcp_streams.py
@@ -135,6 +135,8 @@
 
 async def test_a_peer_that_does_not_read_ends_a_write_in_time():
     async with open_pair() as (stream, peer):
+        # The peer's loop reads by itself, and may take all that is written.
+        peer._transport.pause_reading()
         with pytest.raises(httpcore.WriteTimeout):
             for _ in range(1000):
                 await stream.write(b'x' * 65536, timeout=TINY)
