--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -239,10 +239,7 @@
             ),
         )
         if listing.settled:
-            listed = {record.identity for record in listing.records}
-            for endpoint in self._table:
-                if endpoint.identity not in listed:
-                    self._note_vanished(endpoint.identity)
+            self._drop_unlisted(listing)
             self.revision = max(self.revision, listing.revision)
         self.change_revision = max(self.change_revision, listing.newest)
         self.listed = True
@@ -250,12 +247,9 @@
 
     def take_listing(self, listing: Listing) -> None:
         """Take a whole list; what is missing in it has vanished."""
-        listed = {record.identity for record in listing.records}
         for record in listing.records:
             self._put(record)
-        for endpoint in self._table:
-            if endpoint.identity not in listed:
-                self._note_vanished(endpoint.identity)
+        self._drop_unlisted(listing)
         self.revision = listing.revision
         self.change_revision = max(self.change_revision, listing.newest)
         self.listed = True
@@ -263,7 +257,7 @@
         logging.info(
             'endpoints listed',
             extra=logs.fields(
-                endpoints=len(listed), revision=listing.revision
+                endpoints=len(listing.records), revision=listing.revision
             ),
         )
         self._on_change()
@@ -289,6 +283,13 @@
             self._on_change()
         self._behind_since = float('inf')
 
+    def _drop_unlisted(self, listing: Listing) -> None:
+        """Take what a whole list does not name as vanished."""
+        listed = {record.identity for record in listing.records}
+        for endpoint in self._table:
+            if endpoint.identity not in listed:
+                self._note_vanished(endpoint.identity)
+
     def listing(self) -> Listing:
         """Return what is known, for a peer."""
         return Listing(
