Stretch the tries of a store that is away in one place

The configuration and the list of endpoints had the same bound and the same rule. Behaviour is as before; the tests of gateway and adapter, linter and types passed.

--- a/marigoldramp/gateway/contacts.py
+++ b/marigoldramp/gateway/contacts.py
@@ -6,6 +6,22 @@
 
 from .. import logs
 
+#: Times that the last entries wait as long as the first before they try again.
+MOST_RETRY_FACTOR = 5
+
+
+def stretch_pause(seconds: float, *, position: int) -> float:
+    """Return how long an entry waits before it tries the store again.
+
+    Each next entry waits once more as long as the first.  Calls that the store
+    turns away are paid for, too, and what one learns the others learn from it.
+
+    :param seconds: for which the first entry waits.
+    :param position: our place among the entries that hear each other often, 0
+        for the first.
+    """
+    return seconds * min(MOST_RETRY_FACTOR, 1 + position)
+
 
 class Contact:
     """Notes answers and failures; logs when a dependency is lost or back.
--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -22,12 +22,8 @@
 
 #: Seconds that one watch lasts at most.
 WATCH_SECONDS = 25.0
-#: Seconds between two tries while the store does not answer, of the first
-#: entry; each next one waits once more as long, up to so many times.  Calls
-#: that the store turns away are paid for, too, and what one entry learns the
-#: others learn from it.
+#: Seconds between two tries of the first entry while the store is away.
 RETRY_AFTER = 0.5
-MOST_RETRY_FACTOR = 5
 #: Seconds for which a vanished endpoint is kept after the store's return.
 KEEP_VANISHED = 2.2
 #: Seconds for which a peer may know of a change that we do not, before our
@@ -428,8 +424,9 @@
 
     async def _pause(self) -> None:
         """Wait after the store has not answered."""
-        factor = min(MOST_RETRY_FACTOR, 1 + self._position())
-        await anyio.sleep(factor * RETRY_AFTER)
+        await anyio.sleep(
+            contacts.stretch_pause(RETRY_AFTER, position=self._position())
+        )
 
     def _note_failure(self, detail: str) -> None:
         self.store.note_failure(detail)
--- a/marigoldramp/gateway/refresh.py
+++ b/marigoldramp/gateway/refresh.py
@@ -21,10 +21,8 @@
 READ_AFTER = 0.8
 LATER_EACH = 0.3
 READ_LATEST = 1.4
-#: Seconds between two reads while the store does not answer, of the first
-#: entry; each next one waits once more as long, up to so many times.
+#: Seconds between two reads of the first entry while the store is away.
 RETRY_AFTER = 0.4
-MOST_RETRY_FACTOR = 5
 #: Most seconds between two looks at the age.
 LOOK_EVERY = 0.1
 
@@ -116,8 +114,9 @@
                 self._not_before = self._clock() + LOOK_EVERY
             case store.Unavailable(detail=detail):
                 self.store.note_failure(detail)
-                factor = min(MOST_RETRY_FACTOR, 1 + self._position())
-                self._not_before = self._clock() + factor * RETRY_AFTER
+                self._not_before = self._clock() + contacts.stretch_pause(
+                    RETRY_AFTER, position=self._position()
+                )
 
     def _is_fresh(self) -> bool:
         age = self._clock() - self._configurations.confirmed_at
