Search the most uneven layer of a map first

Cause: a plan for 72 ranks copied 600 to 710 experts, up to 16 on one rank, which takes 0.33 s in which all passes take 15 in 100 longer; and layers were evened out one after the other, so a bound on copies left the last ones as they were.

Ruled out: the bound alone. On a drawn shift that leaves a skew of 6.0, five copies a rank led to 1.77 with layers one after the other, to 1.28 with the most uneven first; seven led to 1.37 and 1.21.

--- a/marigoldramp/gateway/expert_planner.py
+++ b/marigoldramp/gateway/expert_planner.py
@@ -19,6 +19,7 @@
 from .. import logs
 from .. import map_changes
 from .. import map_conversation
+from .. import map_moves
 from .. import placement
 from . import demand_watch
 from . import endpoints
@@ -49,10 +50,16 @@
 #: Most of these ranks, as they are read one after the other where each makes
 #: the group pause for long.
 MOST_MEASURED = 6
-#: Seconds that the copies of one change may take on any rank.  With three
-#: copies of 0.11 s a rank a group of 16 comes from a skew of 2.3 to 3.8 down
-#: to 1.12 to 1.2, with five to eight to 1.04 to 1.09; the rest can follow.
-COPY_SECONDS = 0.36
+#: Seconds that the copies of one change may take on any rank.  With 72 ranks,
+#: 144 experts and 12 layers five copies of 0.016 s a rank bring a skew of 3.2
+#: down to 1.14, and 22 to 1.11; meanwhile passes take 15 in 100 longer, and
+#: those are the longest of all.
+COPY_SECONDS = 0.09
+#: Copies that a rank may make even so, and the seconds that these may take.
+#: With three copies of 0.11 s a rank a group of 16 comes from a skew of 2.3
+#: to 3.8 down to 1.12 to 1.2.
+FEW_COPIES = 3
+FEW_COPY_SECONDS = 0.36
 #: Least fall of the mean skew for which a map is changed; a change costs some
 #: forty orders.
 LEAST_GAIN_IDLE = 0.35
@@ -201,7 +208,8 @@
         """Return how many experts each rank may copy in one change."""
         most = self._spare * self._shape.layers
         if self._seconds_a_copy:
-            most = max(1, int(COPY_SECONDS / self._seconds_a_copy))
+            few = min(FEW_COPIES, int(FEW_COPY_SECONDS / self._seconds_a_copy))
+            most = max(1, few, int(COPY_SECONDS / self._seconds_a_copy))
         return [most] * self._shape.ranks
 
     def _find_skew(
@@ -259,42 +267,20 @@
     ) -> map_changes.Plan | None:
         """Look for moves that are worth their copies."""
         self._watch.note_planned()
-        before = after = 0.0
         use = self._use()
-        gain_a_copy = self._find_gain_a_copy(use)
-        most_moves = math.ceil(MOVES_A_RANK * self._shape.ranks)
         slow = self._slow_ranks()
         self._slow_planned = frozenset(slow)
-        left = self._count_copies()
-        layers = list(expert_map.layers)
-        skews = [
-            _weigh_skew(layer, self._watch.demand.estimate(number), slow)
-            for number, layer in enumerate(layers)
+        popular = [
+            self._watch.demand.estimate(number)
+            for number in range(self._shape.layers)
         ]
-        # The most uneven layers first, as copies are shared by all layers.
-        for number in sorted(
-            range(len(layers)), key=skews.__getitem__, reverse=True
-        ):
-            layer = layers[number]
-            popular = self._watch.demand.estimate(number)
-            search = layer_moves.LayerSearch(
-                layer=self._evacuate(layer, popular, slow),
-                popularity=popular,
-                slots=self._shape.slots,
-                most_new=[min(self._spare, one) for one in left],
-                most_others=MOST_OTHERS,
-                first=layer,
-                closed=slow,
-            )
-            best = await _improve(search, gain_a_copy, most_moves)
-            layers[number] = best
-            for rank, held in enumerate(best):
-                left[rank] -= len(set(held) - set(layer[rank]))
-            before += skews[number]
-            after += _weigh_skew(best, popular, slow)
-        new = tuple(layers)
-        before /= self._shape.layers
-        after /= self._shape.layers
+        new = await map_moves.MapSearch(
+            searches=self._begin_searches(expert_map, popular, slow),
+            gain_a_copy=self._find_gain_a_copy(use),
+            most_moves=math.ceil(MOVES_A_RANK * self._shape.ranks),
+        ).improve()
+        before = _mean_skew(expert_map.layers, popular, slow)
+        after = _mean_skew(new, popular, slow)
         copies = placement.count_loads(old=expert_map.layers, new=new)
         changes = before - after >= _weigh(
             use, LEAST_GAIN_IDLE, LEAST_GAIN_FULL
@@ -320,6 +306,33 @@
             load_seconds=self._time_copies(expert_map.layers, new),
         )
 
+    def _begin_searches(
+        self,
+        expert_map: expert_maps.ExpertMap,
+        popular: Sequence[Sequence[float]],
+        slow: dict[int, float],
+    ) -> list[layer_moves.LayerSearch]:
+        """Return a search for each layer, with slow ranks emptied."""
+        copies_left = self._count_copies()
+        searches = []
+        for layer, popularity in zip(expert_map.layers, popular):
+            emptied = self._evacuate(layer, popularity, slow)
+            for rank, held in enumerate(emptied):
+                copies_left[rank] -= len(set(held) - set(layer[rank]))
+            searches.append(
+                layer_moves.LayerSearch(
+                    layer=emptied,
+                    popularity=popularity,
+                    slots=self._shape.slots,
+                    most_new=self._spare,
+                    most_others=MOST_OTHERS,
+                    copies_left=copies_left,
+                    first=layer,
+                    closed=slow,
+                )
+            )
+        return searches
+
     def _time_copies(
         self,
         old: Sequence[expert_maps.Layer],
@@ -358,23 +371,13 @@
     return float(idle * (full / idle) ** part)
 
 
-async def _improve(
-    search: layer_moves.LayerSearch, gain_a_copy: float, most_moves: int
-) -> expert_maps.Layer:
-    """Make moves while they pay; return the best layer."""
-    best = search.layer()
-    best_skew = search.skew
-    spent = 0
-    for _ in range(most_moves):
-        move = search.find()
-        if move is None:
-            break
-        search.apply(move)
-        spent += move.loads
-        # Streams of callers run in the same process.
-        await anyio.sleep(0)
-        if best_skew - search.skew >= gain_a_copy * spent:
-            best = search.layer()
-            best_skew = search.skew
-            spent = 0
-    return best
+def _mean_skew(
+    layers: Sequence[expert_maps.Layer],
+    popular: Sequence[Sequence[float]],
+    slow: dict[int, float],
+) -> float:
+    """Return the mean skew of layers."""
+    return statistics.fmean(
+        _weigh_skew(layer, popularity, slow)
+        for layer, popularity in zip(layers, popular)
+    )
--- a/marigoldramp/layer_moves.py
+++ b/marigoldramp/layer_moves.py
@@ -50,12 +50,15 @@
         into those that are hardly better than others.
     :param most_new: experts that a rank may hold at the end that it did not
         hold at the start, for all ranks or for each; ``None`` for any number.
+    :param copies_left: new experts that each rank may still get in all layers
+        together; kept up to date, and shared by their searches.
     :param first: the layer at the start, if ``layer`` is not it.
     :param closed: ranks that take no part: slow ones that were emptied.
     """
 
     __slots__ = (
         '_most_new',
+        '_copies_left',
         '_most_others',
         '_open',
         '_first',
@@ -76,6 +79,7 @@
         slots: int,
         most_new: int | Sequence[int] | None = None,
         most_others: int | None = None,
+        copies_left: list[int] | None = None,
         first: expert_maps.Layer | None = None,
         closed: Collection[int] = (),
     ) -> None:
@@ -85,6 +89,7 @@
         self._most_new = (
             [most_new] * len(layer) if isinstance(most_new, int) else most_new
         )
+        self._copies_left = copies_left
         self._first = [frozenset(held) for held in first or layer]
         self._new = [
             len(set(held) - before) for held, before in zip(layer, self._first)
@@ -266,6 +271,17 @@
                 self._give(move.first, move.second_expert)
                 self._give(move.second, move.first_expert)
 
+    def restore(self, layer: expert_maps.Layer) -> None:
+        """Go back to a layer that was found before."""
+        for rank, held in enumerate(layer):
+            for expert in set(self._ranks[rank]) - set(held):
+                self._take_away(rank, expert)
+            for expert in set(held) - set(self._ranks[rank]):
+                self._give(rank, expert)
+        self.loads = expert_maps.rank_loads(
+            layer=layer, popularity=self._popularity
+        )
+
     def _may_copy(self, move: Move) -> bool:
         """Whether the ranks of a move may get that many new experts."""
         match move:
@@ -277,24 +293,32 @@
                 ) and self._has_room(move.second, move.first_expert)
 
     def _has_room(self, rank: int, expert: int) -> bool:
+        if expert in self._first[rank]:
+            return True
+        if self._copies_left is not None and self._copies_left[rank] <= 0:
+            return False
         assert self._most_new is not None
-        return (
-            expert in self._first[rank]
-            or self._new[rank] < self._most_new[rank]
-        )
+        return self._new[rank] < self._most_new[rank]
 
     def _give(self, rank: int, expert: int) -> None:
-        self._new[rank] += expert not in self._first[rank]
+        self._count_new(rank, expert, 1)
         self._ranks[rank].append(expert)
         self._holders[expert].add(rank)
         self._count(expert)
 
     def _take_away(self, rank: int, expert: int) -> None:
-        self._new[rank] -= expert not in self._first[rank]
+        self._count_new(rank, expert, -1)
         self._ranks[rank].remove(expert)
         self._holders[expert].discard(rank)
         self._count(expert)
 
+    def _count_new(self, rank: int, expert: int, change: int) -> None:
+        if expert in self._first[rank]:
+            return
+        self._new[rank] += change
+        if self._copies_left is not None:
+            self._copies_left[rank] -= change
+
     def _count(self, expert: int) -> None:
         holders = len(self._holders[expert])
         self._shares[expert] = self._popularity[expert] / max(1, holders)
