--- a/marigoldramp/gateway/demand_watch.py
+++ b/marigoldramp/gateway/demand_watch.py
@@ -18,8 +18,8 @@
 from . import ranks
 
 #: Seconds after a shift for which counts are taken before the first plan; with
-#: the pause between reads a window of 0.2 s.  A plan from twice the time left a
-#: skew of 1.26 to 1.29 where this leaves 1.20 to 1.31, 0.1 s sooner.
+#: the pause between reads a window of 0.2 s.  A plan from twice the time left
+#: a skew of 1.26 to 1.29 where this leaves 1.20 to 1.31, 0.1 s sooner.
 MEASURE_SECONDS = 0.1
 #: Seconds after a first plan from which on more counts make a better one, and
 #: seconds between two plans while nothing shifts.
--- a/marigoldramp/gateway/passes.py
+++ b/marigoldramp/gateway/passes.py
@@ -17,8 +17,9 @@
 #: all take 1.4 to 2.2 times longer.
 RECENT = 2
 #: Passes among which the usual one is sought, and the part of them that are
-#: shorter than it.  Where demand shifts each 2.5 s, more than half of them were
-#: of an uneven map: compared with the median, one shift in three was not told.
+#: shorter than it.  Where demand shifts each 2.5 s, more than half of them
+#: were of an uneven map: compared with the median, one shift in three was not
+#: told.
 USUAL = 40
 USUAL_PART = 0.25
 LEAST_USUAL = 5
--- a/marigoldramp/gateway/reporting.py
+++ b/marigoldramp/gateway/reporting.py
@@ -113,7 +113,7 @@
         self._take_confirmation(report)
         self._take_slow(report)
         for service, seconds in report.passes.items():
-            self._parts.dispatcher.pace(service).passes.note_told(seconds)
+            self._parts.dispatcher.pace(service).note_told(seconds)
         for identity in touched:
             endpoint = self._parts.table.find(identity)
             if endpoint is not None:
