--- a/marigoldramp/gateway/expert_planner.py
+++ b/marigoldramp/gateway/expert_planner.py
@@ -291,8 +291,8 @@
             gain_a_copy=self._find_gain_a_copy(use),
             most_moves=math.ceil(MOVES_A_RANK * self._shape.ranks),
         ).improve()
-        before = _mean_skew(expert_map.layers, popular, slow)
-        after = _mean_skew(new, popular, slow)
+        before = mean_skew(expert_map.layers, popular, slow)
+        after = mean_skew(new, popular, slow)
         copies = placement.count_loads(old=expert_map.layers, new=new)
         changes = before - after >= max(
             least_gain, _weigh(use, LEAST_GAIN_IDLE, LEAST_GAIN_FULL)
@@ -386,7 +386,7 @@
     return float(idle * (full / idle) ** part)
 
 
-def _mean_skew(
+def mean_skew(
     layers: Sequence[expert_maps.Layer],
     popular: Sequence[Sequence[float]],
     slow: dict[int, float],
