Ask again for a list of endpoints that was not settled

The store had turned 14 of 39 entries away until 11.5 s. At 12.81 the endpoint was removed without having said that it leaves; three watchers dropped it at once, seven kept it until their view was settled. 27 entries that rely on peers asked one at 12.83, got a list that was not settled, took its number for known, and asked nobody until another endpoint left at 16.31.

An entry asks again each half second now while the newest list that it has is not settled, in touch with the store or not. The test tells the same sequence and fails without it.

--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -36,6 +36,8 @@
 #: Seconds between two looks whether peers still follow the store for us, and
 #: until a peer is asked again that could not tell what it knows.
 PEERS_EVERY = 0.2
+#: Seconds until a peer is asked again after a list that was not settled.
+UNSETTLED_EVERY = 0.5
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -106,6 +108,8 @@
     :ivar revision: of the newest change that is known.
     :ivar store: whether the store answers us about endpoints.
     :ivar change_revision: of the newest change of an endpoint.
+    :ivar settled_revision: of the newest change up to which what is missing
+        is gone, as far as we know.
     """
 
     __slots__ = (
@@ -127,6 +131,8 @@
         'listed',
         'revision',
         'change_revision',
+        'settled_revision',
+        '_asked_at',
         'relies',
         'store',
     )
@@ -162,6 +168,8 @@
         self.listed = False
         self.revision = 0
         self.change_revision = 0
+        self.settled_revision = 0
+        self._asked_at = float('-inf')
         self.store = contacts.Contact(
             name='store', use='endpoints', clock=clock
         )
@@ -220,7 +228,10 @@
         Leavings are taken and endpoints added; one that is missing is removed
         only if the peer's own view was not disturbed.
         """
-        if listing.newest <= self.change_revision and self.listed:
+        known = self.change_revision
+        if listing.settled:
+            known = self.settled_revision
+        if listing.newest <= known and self.listed:
             return
         for record in listing.records:
             if record.identity not in self._vanished:
@@ -237,6 +248,7 @@
         if listing.settled:
             self._drop_unlisted(listing)
             self.revision = max(self.revision, listing.revision)
+            self.settled_revision = max(self.settled_revision, listing.newest)
         self.change_revision = max(self.change_revision, listing.newest)
         self.listed = True
         self._on_change()
@@ -248,6 +260,7 @@
         self._drop_unlisted(listing)
         self.revision = listing.revision
         self.change_revision = max(self.change_revision, listing.newest)
+        self.settled_revision = self.change_revision
         self.listed = True
         self._behind_since = float('inf')
         logging.info(
@@ -276,6 +289,7 @@
                 ),
             )
             self.change_revision = max(self.change_revision, changes.newest)
+            self.settled_revision = self.change_revision
             self._on_change()
         self._behind_since = float('inf')
 
@@ -334,14 +348,28 @@
         """Learn of changes from peers while they follow the store for us."""
         assert self._from_peers is not None
         while self.relies():
-            if self._heard > self.change_revision:
-                found = await self._from_peers(self.change_revision)
+            if self._is_peer_due():
+                self._asked_at = self._clock()
+                found = await self._from_peers(self.settled_revision)
                 if found is not None:
                     self.take_peer_listing(found)
             self._wake = anyio.Event()
             with anyio.move_on_after(PEERS_EVERY):
                 await self._wake.wait()
 
+    def _is_peer_due(self) -> bool:
+        """Whether to ask a peer: for changes, or for a settled list.
+
+        A peer whose store was away a moment ago does not know yet whether
+        what is missing is gone.  It does so two seconds later, which is no
+        change that anybody tells of.
+        """
+        if self._heard > self.change_revision:
+            return True
+        if self.settled_revision >= self.change_revision:
+            return False
+        return self._clock() - self._asked_at >= UNSETTLED_EVERY
+
     def _put(self, record: deployment.EndpointRecord) -> None:
         identity = record.identity
         known = self._table.find(identity)
--- a/marigoldramp/gateway/upkeep.py
+++ b/marigoldramp/gateway/upkeep.py
@@ -107,7 +107,7 @@
             if follower.store.reached:
                 continue
             found = await self._parts.peer_source.fetch_endpoints(
-                newer_than=follower.change_revision
+                newer_than=follower.settled_revision
             )
             if found is not None:
                 follower.take_peer_listing(found)
--- a/tests/gateway/test_many_entries.py
+++ b/tests/gateway/test_many_entries.py
@@ -387,6 +387,36 @@
     assert (site_of_one.table.find('i-1') is None) is settled
 
 
+@pytest.mark.parametrize('settles_after', [0.2, 1.0, 2.0])
+async def test_list_that_was_not_settled_is_asked_for_again(settles_after):
+    """An endpoint that has left gets requests for 3.5 s, until another leaves.
+
+    Sequence: the store turns a third of the entries away for some seconds; an
+    endpoint that never says that it leaves is removed just after; an entry
+    that relies on peers asks one whose own view is not settled yet, adds what
+    is new and keeps what is missing; then nothing changes.
+    Cause: an entry asked again only once it heard of another change.
+    """
+    site_of_one = Relying()
+    other = site.make_record(Fake('i-2'))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(site_of_one.follower.run)
+        await anyio.sleep(1.0)
+        site_of_one.tell(other, settled=False, newest=9)
+        await anyio.sleep(settles_after)
+        kept = site_of_one.table.find('i-1')
+        site_of_one.tell(other, settled=True, newest=9)
+        await anyio.sleep(discovery.UNSETTLED_EVERY + 0.3)
+        gone = site_of_one.table.find('i-1')
+        asked = len(site_of_one.asked)
+        await anyio.sleep(3.0)
+        tasks.cancel_scope.cancel()
+    assert kept is not None
+    assert gone is None
+    assert asked == len(site_of_one.asked)
+    assert asked <= 2 + (settles_after + 0.5) / discovery.UNSETTLED_EVERY
+
+
 @pytest.mark.parametrize(
     ('position', 'most'), [(0, 21), (1, 11), (4, 5), (19, 5)]
 )
