Leave room for a shift before the first pass is seen

Requests in flight grew from 42 at 36.2 to 318 at 37.0 s, 4.4 on an endpoint, as the published figures were looked at with the first pass only; pauses were 0.136 s of 0.12, and all streams late until 38.5.

Ruled out: entries that do not hear each other yet, all of which did by 36.3.

The limit is found by the published figures as soon as a place is asked for now: 3.56 on an endpoint of these engines.

--- a/marigoldramp/gateway/dispatch.py
+++ b/marigoldramp/gateway/dispatch.py
@@ -97,6 +97,8 @@
 
     :param slots: returns how many requests an endpoint may run at once.
     :param engine: returns the published figures of a service's engines.
+    :param accepted: returns the longest pause that callers of a service's
+        streams accept, 0 if none is known.
     """
 
     __slots__ = (
@@ -104,6 +106,7 @@
         '_clock',
         '_slots',
         '_engine',
+        '_accepted',
         '_queues',
         '_gates',
         '_paces',
@@ -116,11 +119,13 @@
         clock: Callable[[], float],
         slots: Callable[[endpoints.Endpoint], float],
         engine: Callable[[str], deployment.Engine | None] = lambda _: None,
+        accepted: Callable[[str], float] = lambda _: 0.0,
     ) -> None:
         self._table = table
         self._clock = clock
         self._slots = slots
         self._engine = engine
+        self._accepted = accepted
         self._queues: dict[str, list[_Waiter]] = {}
         self._gates: dict[str, gates.Gate] = {}
         self._paces: dict[str, pacing.Pace] = {}
@@ -133,6 +138,7 @@
                 clock=self._clock,
                 running=lambda: self._find_running(service),
                 engine=lambda: self._engine(service),
+                accepted=lambda: self._accepted(service),
             )
             self._paces[service] = found
         return found
--- a/marigoldramp/gateway/pacing.py
+++ b/marigoldramp/gateway/pacing.py
@@ -63,6 +63,8 @@
 
     :param running: returns how many requests an endpoint runs on average.
     :param engine: returns the published figures of its engines, if there are.
+    :param accepted: returns the longest pause that callers accept, 0 if none
+        is known; for the time before the first pass.
     :ivar share: smoothed pauses, as a part of the accepted ones.
     :ivar passes: how long the passes of its group last.
     """
@@ -71,6 +73,7 @@
         '_clock',
         '_running',
         '_engine',
+        '_find_accepted',
         '_accepted',
         '_slots',
         '_rooms',
@@ -88,10 +91,12 @@
         clock: Callable[[], float],
         running: Callable[[], float] = lambda: 0.0,
         engine: Callable[[], deployment.Engine | None] = lambda: None,
+        accepted: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._clock = clock
         self._running = running
         self._engine = engine
+        self._find_accepted = accepted
         self._accepted = 0.0
         self._slots = 0.0
         self._rooms: collections.deque[_Room] = collections.deque()
@@ -107,6 +112,8 @@
     def limit(self, slots: float) -> float:
         """Return how many requests one endpoint may run on average."""
         self._slots = slots
+        if not self._accepted:
+            self._expect()
         return min(slots, max(self._room, LEAST_SHARE * slots))
 
     def note_pause(self, *, seconds: float, accepted: float) -> None:
@@ -124,6 +131,16 @@
         self.passes.note_told(seconds)
         self._note_pass(seconds)
 
+    def _expect(self) -> None:
+        """Find the limit before there was a pass.
+
+        After a power loss of all entries their callers come back within half
+        a second, and fill all slots before the first pass is seen.
+        """
+        self._accepted = self._find_accepted()
+        if self._accepted:
+            self._room = self._expect_room()
+
     def _note_pass(self, seconds: float) -> None:
         """Find the limit anew, by one more pass."""
         now = self._clock()
--- a/tests/gateway/test_pacing.py
+++ b/tests/gateway/test_pacing.py
@@ -46,6 +46,7 @@
             clock=lambda: self.now,
             running=lambda: self.running,
             engine=lambda: engine,
+            accepted=lambda: accepted,
         )
 
     def run(self, *, seconds, factor=1.0, wanted=9.0, extra=0.0):
@@ -109,6 +110,26 @@
     assert max(group.lengths) <= ACCEPTED
 
 
+@pytest.mark.parametrize(
+    ('engine', 'accepted', 'least', 'most'),
+    [
+        (ENGINE, ACCEPTED, 3.2, 3.8),
+        (ENGINE, 0.0, 5.0, 5.0),
+        (None, 0.12, 5, 5),
+    ],
+    ids=['known', 'no bound', 'unknown engine'],
+)
+def test_room_is_left_before_the_first_pass(engine, accepted, least, most):
+    """All slots are full when the first pass after a power loss is seen.
+
+    Sequence: all entries start anew; their callers come back at once and are
+    given places until an event tells how long passes are, 0.15 s later.
+    Cause: the published figures were looked at with the first pass.
+    """
+    group = Group(engine=engine, accepted=accepted)
+    assert least <= group.limit <= most
+
+
 @pytest.mark.parametrize(
     ('seconds', 'engine'),
     [(0.5, None), (pacing.HORIZON + 1.0, ENGINE)],
