Revert moving streams off a rank that computes slowly

Ruled out: that nobody knew of the rank; the leader told it at 19.4 s.

It is worth another trial with a part of the budget kept for it. That passes grow by what the slow rank's own streams add is still what the log says.

--- a/marigoldramp/gateway/attempts.py
+++ b/marigoldramp/gateway/attempts.py
@@ -65,14 +65,7 @@
     """A whole stream, passed on to its end."""
 
 
-@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
-class Left:
-    """A stream that goes on elsewhere, though nothing is wrong with it."""
-
-
-Result = Unreached | Declined | Broken | Answer | Streamed | Left
-#: Says after each event whether to leave the endpoint.
-Leaves = Callable[[], bool]
+Result = Unreached | Declined | Broken | Answer | Streamed
 
 WRONG_ENDPOINT = 421
 
@@ -99,11 +92,7 @@
         self.pool = pool
 
     async def run(
-        self,
-        *,
-        call: calls.Call,
-        endpoint: endpoints.Endpoint,
-        leaves: Leaves,
+        self, *, call: calls.Call, endpoint: endpoints.Endpoint
     ) -> Result:
         """Have an endpoint run a request.
 
@@ -118,7 +107,7 @@
             refused = self._send(call, endpoint, connection)
             if refused is not None:
                 return refused
-            result = await self._receive(call, connection, leaves)
+            result = await self._receive(call, connection)
             whole = isinstance(result, Answer | Streamed)
             return result
         except outbound.LOST as error:
@@ -185,10 +174,7 @@
         return None
 
     async def _receive(
-        self,
-        call: calls.Call,
-        connection: outbound.Connection,
-        leaves: Leaves,
+        self, call: calls.Call, connection: outbound.Connection
     ) -> Result:
         head = await connection.read_head()
         facts = self._codec.read_answer(head.status, head.headers)
@@ -205,7 +191,7 @@
         ]
         if head.status == 200 and _is_stream(headers):
             return await self._relay(
-                call, connection, headers, _is_framed(head), leaves
+                call, connection, headers, _is_framed(head)
             )
         body = bytearray()
         while piece := await connection.read_piece():
@@ -222,7 +208,6 @@
         connection: outbound.Connection,
         headers: codecs.Headers,
         framed: bool,
-        leaves: Leaves,
     ) -> Result:
         """Pass events on as they become whole.
 
@@ -251,8 +236,6 @@
                 if not exchange.begun:
                     await exchange.begin(status=200, headers=headers)
                 await exchange.send(chunk)
-                if leaves():
-                    return Left()
         if splitter.rest and not framed:
             return Broken(detail='the stream ended in the middle of an event')
         if not exchange.begun:
--- a/marigoldramp/gateway/dispatch.py
+++ b/marigoldramp/gateway/dispatch.py
@@ -74,24 +74,6 @@
         return self.demand.priority, is_late, self.arrived
 
 
-class Reservation:
-    """A place that is wanted while a request still runs elsewhere."""
-
-    __slots__ = ('_dispatcher', '_waiter')
-
-    def __init__(self, *, dispatcher: 'Dispatcher', waiter: _Waiter) -> None:
-        self._dispatcher = dispatcher
-        self._waiter = waiter
-
-    def collect(self) -> Place | None:
-        """Return the place, if there is one by now."""
-        return self._dispatcher.collect(self._waiter)
-
-    def withdraw(self) -> None:
-        """Want it no longer, whether there is one or not."""
-        self._dispatcher.withdraw(self._waiter)
-
-
 class Dispatcher:
     """Hands out places at endpoints.
 
@@ -179,31 +161,6 @@
             return self._refuse(demand, 'no endpoint of the service is known')
         return await self._wait(demand, arrived)
 
-    def reserve(self, demand: Demand) -> Reservation:
-        """Want a place without waiting for it."""
-        waiter = _Waiter(demand=demand, arrived=self._clock())
-        self._queues.setdefault(demand.service, []).append(waiter)
-        self.serve(demand.service)
-        return Reservation(dispatcher=self, waiter=waiter)
-
-    def collect(self, waiter: _Waiter) -> Place | None:
-        """Return the place that was given to a waiter, if one was."""
-        if waiter.endpoint is None:
-            return None
-        return Place(
-            endpoint=waiter.endpoint, waited=self._clock() - waiter.arrived
-        )
-
-    def withdraw(self, waiter: _Waiter) -> None:
-        """Take a waiter out of its queue, or its place from it."""
-        self._abandon(self._queues[waiter.demand.service], waiter)
-
-    def is_left(self, endpoint: endpoints.Endpoint) -> bool:
-        """Whether an endpoint is given no requests, as it slows its group."""
-        return endpoint not in self._table.of_usual_pace(
-            endpoint.record.service, now=self._clock()
-        )
-
     def leave(self, place: Place) -> None:
         """Give a place back."""
         place.endpoint.own -= 1
--- a/marigoldramp/gateway/forwarding.py
+++ b/marigoldramp/gateway/forwarding.py
@@ -17,7 +17,6 @@
 from . import dispatch
 from . import endpoints
 from . import inbound
-from . import moving
 from . import retry_budget
 from . import urgency
 
@@ -101,18 +100,22 @@
 
     async def _try(self, call: calls.Call) -> str:
         unreached = 0
-        result: attempts.Result | dispatch.Place | None = None
         while True:
-            if isinstance(result, dispatch.Place):
-                place: dispatch.Place | NotRun = result
-            else:
-                place = await self._enter(call)
+            place = await self._dispatcher.enter(
+                dispatch.Demand(
+                    service=call.service,
+                    priority=call.priority,
+                    until=urgency.find_latest_start(call),
+                    in_time_until=urgency.find_in_time_until(call),
+                    avoid=call.tried,
+                    repeated=call.sends > 0,
+                )
+            )
             if isinstance(place, NotRun):
                 return await self._end(call, place)
+            call.waited += place.waited
             result = await self._attempt(call, place)
             match result:
-                case dispatch.Place():
-                    continue
                 case attempts.Streamed():
                     return 'served'
                 case attempts.Answer():
@@ -136,43 +139,15 @@
                         continue
                     return await self._end(call, _describe(result))
 
-    async def _enter(self, call: calls.Call) -> dispatch.Place | NotRun:
-        place = await self._dispatcher.enter(
-            dispatch.Demand(
-                service=call.service,
-                priority=call.priority,
-                until=urgency.find_latest_start(call),
-                in_time_until=urgency.find_in_time_until(call),
-                avoid=call.tried,
-                repeated=call.sends > 0,
-            )
-        )
-        if isinstance(place, dispatch.Place):
-            call.waited += place.waited
-        return place
-
     async def _attempt(
         self, call: calls.Call, place: dispatch.Place
-    ) -> attempts.Result | dispatch.Place:
-        """Make an attempt; return its result, or where the call goes on."""
+    ) -> attempts.Result:
         endpoint = place.endpoint
         begun = self._clock()
-        move = moving.Move(
-            call=call,
-            endpoint=endpoint,
-            dispatcher=self._dispatcher,
-            budget=self._budget,
-            clock=self._clock,
-        )
         try:
-            result = await self._attempts.run(
-                call=call, endpoint=endpoint, leaves=move.is_ready
-            )
+            result = await self._attempts.run(call=call, endpoint=endpoint)
         finally:
-            move.withdraw()
             self._dispatcher.leave(place)
-        if move.place is not None:
-            return move.place
         self._learn(call, endpoint, result, self._clock() - begun)
         return result
 
