--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -92,7 +92,9 @@
             clock=clock,
             slots=self._slots,
             engine=self._engine,
-            accepted=self._find_accepted_pause,
+            accepted=lambda service: (
+                self.configurations.routes.accepted_pause(service)
+            ),
         )
         self.admission = admission.Admission(
             codec=adapter.codec,
@@ -381,19 +383,6 @@
         known = None if config is None else config.services.get(service)
         return None if known is None else known.engine
 
-    def _find_accepted_pause(self, service: str) -> float:
-        """Return the shortest of the pauses that routes to it accept."""
-        config = self.configurations.current
-        if config is None:
-            return 0.0
-        pauses = [
-            route.longest_pause
-            for route in config.routes
-            if route.longest_pause
-            and any(one.service == service for one in route.targets)
-        ]
-        return min(pauses, default=0.0)
-
     def _slots(self, endpoint: endpoints.Endpoint) -> float:
         engine = self._engine(endpoint.record.service)
         return dispatch.usual_slots(endpoint, engine)
--- a/marigoldramp/gateway/routes.py
+++ b/marigoldramp/gateway/routes.py
@@ -13,13 +13,30 @@
     of the path and not the routes.
     """
 
-    __slots__ = ('_by_host',)
+    __slots__ = ('_by_host', '_accepted_pauses')
 
     def __init__(self, *, routes: Iterable[deployment.Route]) -> None:
         self._by_host: dict[str, dict[str, deployment.Route]] = {}
+        self._accepted_pauses: dict[str, float] = {}
         for route in routes:
             prefixes = self._by_host.setdefault(route.host.lower(), {})
             prefixes[route.prefix] = route
+            if route.longest_pause:
+                self._note_pause(route)
+
+    def accepted_pause(self, service: str) -> float:
+        """Return the shortest pause that streams of a service may have.
+
+        In seconds; 0 if none is known.
+        """
+        return self._accepted_pauses.get(service, 0.0)
+
+    def _note_pause(self, route: deployment.Route) -> None:
+        for target in route.targets:
+            known = self._accepted_pauses.get(target.service)
+            self._accepted_pauses[target.service] = min(
+                route.longest_pause, known or route.longest_pause
+            )
 
     def find(self, *, host: str, path: str) -> deployment.Route | None:
         """Return the route of a request, if there is one.
--- a/tests/gateway/test_beliefs.py
+++ b/tests/gateway/test_beliefs.py
@@ -73,6 +73,21 @@
 # Events
 
 
+@pytest.mark.parametrize(
+    ('pauses', 'accepted'),
+    [((), 0.0), ((0.0,), 0.0), ((0.2, 0.0, 0.12, 0.15), 0.12)],
+)
+def test_shortest_accepted_pause_counts_for_a_service(pauses, accepted):
+    table = routes.RouteTable(
+        routes=[
+            site.make_route(prefix=f'/{number}/', longest_pause=pause)
+            for number, pause in enumerate(pauses)
+        ]
+    )
+    assert table.accepted_pause('notes') == accepted
+    assert table.accepted_pause('other') == 0.0
+
+
 @hypothesis.given(
     strategies.lists(
         strategies.sampled_from(
