--- a/marigoldramp/gateway/adapter.py
+++ b/marigoldramp/gateway/adapter.py
@@ -7,8 +7,8 @@
 from .. import store as store_module
 from . import codecs
 from . import configurations
-from . import discovery
 from . import inbound
+from . import listings
 from . import ranks
 from . import settings as settings_module
 
@@ -36,7 +36,7 @@
         *,
         codec: codecs.Codec,
         configuration: configurations.ConfigurationSource,
-        endpoint_source: discovery.EndpointSource,
+        endpoint_source: listings.EndpointSource,
         store: store_module.PlatformStore,
         rank_api: ranks.RankApi,
         make_pages: "Callable[[program.Program], Pages]",
--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -6,7 +6,6 @@
 for that moment.  One that says that it leaves is left at once, always.
 """
 
-import abc
 import dataclasses
 from typing import Awaitable
 from typing import Callable
@@ -19,6 +18,7 @@
 from . import contacts
 from . import deployment
 from . import endpoints
+from . import listings
 
 #: Seconds that one watch lasts at most.
 WATCH_SECONDS = 25.0
@@ -40,59 +40,8 @@
 UNSETTLED_EVERY = 0.5
 
 
-@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
-class Listing:
-    """All endpoints at a revision.
-
-    :ivar newest: revision of the newest change of one of them.
-    :ivar settled: what is missing is gone; it has not lapsed while the store
-        was away.
-    """
-
-    records: tuple[deployment.EndpointRecord, ...]
-    revision: int
-    newest: int = 0
-    settled: bool = False
-
-
-@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
-class Changes:
-    """What has changed up to a revision.
-
-    :ivar removed: identities of endpoints that are no longer listed.
-    :ivar newest: revision of the newest of these changes.  The revision up
-        to which a watch has seen everything is no measure of what it knows:
-        it also grows with changes of other objects, and entries that know
-        the same would take each other's for a change that they have missed.
-    """
-
-    records: tuple[deployment.EndpointRecord, ...]
-    removed: tuple[str, ...]
-    revision: int
-    newest: int = 0
-
-
-@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
-class HistoryGone:
-    """The changes since the revision are no longer known; list anew."""
-
-
 #: Fetches the endpoints from a peer that knows of changes after a revision.
-FromPeers = Callable[[int], Awaitable[Listing | None]]
-
-
-class EndpointSource(abc.ABC):
-    """Where endpoints register."""
-
-    @abc.abstractmethod
-    async def list_all(self) -> Listing | store.Unavailable:
-        """Return all endpoints."""
-
-    @abc.abstractmethod
-    async def watch(
-        self, *, after: int, seconds: float
-    ) -> Changes | HistoryGone | store.Unavailable:
-        """Return what changes after a revision, at most after a time."""
+FromPeers = Callable[[int], Awaitable[listings.Listing | None]]
 
 
 class Follower:
@@ -140,7 +89,7 @@
     def __init__(
         self,
         *,
-        source: EndpointSource,
+        source: listings.EndpointSource,
         table: endpoints.EndpointTable,
         clock: Callable[[], float],
         on_gone: Callable[[str], None],
@@ -181,7 +130,7 @@
             while True:
                 found = await self._source.list_all()
                 match found:
-                    case Listing():
+                    case listings.Listing():
                         self._note_answer()
                         self.take_listing(found)
                         await self._follow()
@@ -222,7 +171,7 @@
             self._disturbed_until, self._clock() + KEEP_VANISHED
         )
 
-    def take_peer_listing(self, listing: Listing) -> None:
+    def take_peer_listing(self, listing: listings.Listing) -> None:
         """Take what a peer knows, while the store does not answer us.
 
         Leavings are taken and endpoints added; one that is missing is removed
@@ -253,7 +202,7 @@
         self.listed = True
         self._on_change()
 
-    def take_listing(self, listing: Listing) -> None:
+    def take_listing(self, listing: listings.Listing) -> None:
         """Take a whole list; what is missing in it has vanished."""
         for record in listing.records:
             self._put(record)
@@ -271,7 +220,7 @@
         )
         self._on_change()
 
-    def take_changes(self, changes: Changes) -> None:
+    def take_changes(self, changes: listings.Changes) -> None:
         """Take what a watch has shown."""
         for record in changes.records:
             self._put(record)
@@ -293,16 +242,16 @@
             self._on_change()
         self._behind_since = float('inf')
 
-    def _drop_unlisted(self, listing: Listing) -> None:
+    def _drop_unlisted(self, listing: listings.Listing) -> None:
         """Take what a whole list does not name as vanished."""
         listed = {record.identity for record in listing.records}
         for endpoint in self._table:
             if endpoint.identity not in listed:
                 self._note_vanished(endpoint.identity)
 
-    def listing(self) -> Listing:
+    def listing(self) -> listings.Listing:
         """Return what is known, for a peer."""
-        return Listing(
+        return listings.Listing(
             records=tuple(endpoint.record for endpoint in self._table),
             revision=self.revision,
             newest=self.change_revision,
@@ -319,7 +268,12 @@
             if self.relies():
                 await self._follow_peers()
             asked_after = self.revision
-            found: Changes | HistoryGone | store.Unavailable | None = None
+            found: (
+                listings.Changes
+                | listings.HistoryGone
+                | store.Unavailable
+                | None
+            ) = None
             with anyio.CancelScope() as self._watching:
                 found = await self._source.watch(
                     after=asked_after, seconds=WATCH_SECONDS
@@ -328,12 +282,12 @@
             match found:
                 case None:
                     continue
-                case Changes():
+                case listings.Changes():
                     self._note_answer()
                     self.take_changes(found)
                     if found.records or found.removed:
                         await anyio.sleep(BATCH_SECONDS)
-                case HistoryGone():
+                case listings.HistoryGone():
                     logging.info(
                         'history gone',
                         extra=logs.fields(revision=asked_after),
--- a/marigoldramp/gateway/peer_exchange.py
+++ b/marigoldramp/gateway/peer_exchange.py
@@ -13,6 +13,7 @@
 from . import deployment
 from . import discovery
 from . import inbound
+from . import listings
 from . import outbound
 from . import peers
 from . import status as status_module
@@ -114,7 +115,7 @@
 
     async def fetch_endpoints(
         self, *, newer_than: int
-    ) -> discovery.Listing | None:
+    ) -> listings.Listing | None:
         """Return the endpoints that some peer knows, if it knows more."""
         known = [
             peer
@@ -166,7 +167,7 @@
 
 async def fetch_endpoints(
     *, address: outbound.Address
-) -> discovery.Listing | None:
+) -> listings.Listing | None:
     """Return the endpoints that a peer knows."""
     body = await fetch(address=address, path=ENDPOINTS_PATH)
     if body is None:
@@ -175,7 +176,7 @@
         found = msgspec.json.decode(body, type=EndpointList)
     except msgspec.MsgspecError:
         return None
-    return discovery.Listing(
+    return listings.Listing(
         records=found.records,
         revision=found.revision,
         newest=found.newest,
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -25,6 +25,7 @@
 from . import group_leading
 from . import inbound
 from . import listeners
+from . import listings
 from . import outbound
 from . import peer_exchange
 from . import peer_reports
@@ -408,7 +409,7 @@
 
     async def _fetch_endpoints(
         self, newer_than: int
-    ) -> discovery.Listing | None:
+    ) -> listings.Listing | None:
         return await self._peer_source.fetch_endpoints(newer_than=newer_than)
 
     def _tell_peers(self) -> None:
--- a/marigoldramp/platform/endpoints.py
+++ b/marigoldramp/platform/endpoints.py
@@ -6,7 +6,7 @@
 from .. import logs
 from .. import store
 from ..gateway import deployment
-from ..gateway import discovery
+from ..gateway import listings
 from . import objects
 from . import settings_file
 
@@ -39,7 +39,7 @@
     born: int = 0
 
 
-class Source(discovery.EndpointSource):
+class Source(listings.EndpointSource):
     """The kind of objects as which endpoints register."""
 
     __slots__ = ('_store',)
@@ -47,11 +47,11 @@
     def __init__(self, *, objects: objects.ObjectStore) -> None:
         self._store = objects
 
-    async def list_all(self) -> discovery.Listing | store.Unavailable:
+    async def list_all(self) -> listings.Listing | store.Unavailable:
         found = await self._store.list_page_by_page(KIND)
         if isinstance(found, store.Unavailable):
             return found
-        return discovery.Listing(
+        return listings.Listing(
             records=_read_all(found.items),
             revision=found.revision,
             newest=_newest(found.items),
@@ -59,17 +59,17 @@
 
     async def watch(
         self, *, after: int, seconds: float
-    ) -> discovery.Changes | discovery.HistoryGone | store.Unavailable:
+    ) -> listings.Changes | listings.HistoryGone | store.Unavailable:
         found = await self._store.follow(KIND, after=after, seconds=seconds)
         match found:
             case objects.Gone():
-                return discovery.HistoryGone()
+                return listings.HistoryGone()
             case objects.Events():
                 return _read_events(found)
         return found
 
 
-def _read_events(found: objects.Events) -> discovery.Changes:
+def _read_events(found: objects.Events) -> listings.Changes:
     """Return the last state of each endpoint that the events touch.
 
     One whose entry can no longer be understood counts as removed.
@@ -78,7 +78,7 @@
     kept = [event.changed for event in last.values() if not event.deleted]
     records = _read_all(kept)
     known = {record.identity for record in records}
-    return discovery.Changes(
+    return listings.Changes(
         records=records,
         removed=tuple(name for name in last if name not in known),
         revision=found.revision,
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -11,7 +11,7 @@
 from marigoldramp.gateway import adapter as adapter_module
 from marigoldramp.gateway import configurations
 from marigoldramp.gateway import deployment
-from marigoldramp.gateway import discovery
+from marigoldramp.gateway import listings
 from marigoldramp.gateway import peer_reports
 from marigoldramp.gateway import program
 from marigoldramp.gateway import retry_budget
@@ -100,7 +100,7 @@
         return self.current
 
 
-class FakeEndpoints(discovery.EndpointSource):
+class FakeEndpoints(listings.EndpointSource):
     """Endpoints that a test changes."""
 
     def __init__(self):
@@ -113,7 +113,7 @@
     async def list_all(self):
         if self.away:
             return store.Unavailable(detail='away')
-        return discovery.Listing(
+        return listings.Listing(
             records=tuple(self.records), revision=self.revision
         )
 
@@ -126,7 +126,7 @@
             return store.Unavailable(detail='away')
         if self.changes:
             return self.changes.pop(0)
-        return discovery.Changes(records=(), removed=(), revision=after)
+        return listings.Changes(records=(), removed=(), revision=after)
 
     def show(self, change):
         """Have the watch return a change."""
--- a/tests/gateway/test_beliefs.py
+++ b/tests/gateway/test_beliefs.py
@@ -14,6 +14,7 @@
 from marigoldramp.gateway import dispatch
 from marigoldramp.gateway import endpoints
 from marigoldramp.gateway import event_frames
+from marigoldramp.gateway import listings
 from marigoldramp.gateway import peer_periods
 from marigoldramp.gateway import peer_reports
 from marigoldramp.gateway import peers
@@ -493,7 +494,7 @@
 
 
 def listing(*records, revision=1):
-    return discovery.Listing(
+    return listings.Listing(
         records=records, revision=revision, newest=revision
     )
 
@@ -534,7 +535,7 @@
             follower.take_listing(listing(new, revision=2))
         case 'watch':
             follower.take_changes(
-                discovery.Changes(records=(new,), removed=(), revision=2)
+                listings.Changes(records=(new,), removed=(), revision=2)
             )
         case 'peer':
             follower.take_peer_listing(listing(new, revision=2))
@@ -551,7 +552,7 @@
     follower, table, gone = make_follower(Clock())
     follower.take_listing(listing(site.make_record(Fake('i-1'))))
     follower.take_changes(
-        discovery.Changes(records=(), removed=('i-1',), revision=2)
+        listings.Changes(records=(), removed=('i-1',), revision=2)
     )
     assert table.find('i-1') is None
     assert gone == ['i-1']
@@ -581,7 +582,7 @@
         assert table.find('i-1') is not None
         if comes_back:
             source.show(
-                discovery.Changes(records=(record,), removed=(), revision=5)
+                listings.Changes(records=(record,), removed=(), revision=5)
             )
         await anyio.sleep(2.5)
         tasks.cancel_scope.cancel()
@@ -604,7 +605,7 @@
         tasks.start_soon(follower.run)
         await anyio.sleep(0.5)
         source.changes = [
-            discovery.Changes(
+            listings.Changes(
                 records=(site.make_record(Fake('i-1'), leaving=True),),
                 removed=(),
                 revision=9,
@@ -632,7 +633,7 @@
     other, _, _ = make_follower(source=site.FakeEndpoints())
     for each, revision in ((follower, 7), (other, 12)):
         each.take_changes(
-            discovery.Changes(
+            listings.Changes(
                 records=(record,), removed=(), revision=revision, newest=6
             )
         )
@@ -665,7 +666,7 @@
         tasks.start_soon(follower.run)
         await anyio.sleep(0.5)
         source.records = [site.make_record(Fake('i-2'))]
-        source.show(discovery.HistoryGone())
+        source.show(listings.HistoryGone())
         await anyio.sleep(0.5)
         tasks.cancel_scope.cancel()
     assert table.find('i-1') is None
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -298,7 +298,7 @@
             tasks.start_soon(site.call, running)
             await running.until(lambda: waiting.waiting('notes') == 1)
             running.running.follower.take_changes(
-                site.discovery.Changes(
+                site.listings.Changes(
                     records=(site.make_record(one, leaving=True),),
                     removed=(),
                     revision=2,
--- a/tests/gateway/test_many_entries.py
+++ b/tests/gateway/test_many_entries.py
@@ -17,6 +17,7 @@
 from marigoldramp.gateway import endpoints
 from marigoldramp.gateway import gossip
 from marigoldramp.gateway import group_members
+from marigoldramp.gateway import listings
 from marigoldramp.gateway import peer_exchange
 from marigoldramp.gateway import peer_periods
 from marigoldramp.gateway import peer_reports
@@ -359,7 +360,7 @@
         return self.listing
 
     def tell(self, *records, settled, newest):
-        self.listing = discovery.Listing(
+        self.listing = listings.Listing(
             records=records, revision=newest, newest=newest, settled=settled
         )
         self.follower.hear(change_revision=newest)
@@ -467,7 +468,7 @@
         site_of_one.relies = False
         await anyio.sleep(0.5)
         site_of_one.source.show(
-            discovery.Changes(
+            listings.Changes(
                 records=(site.make_record(Fake('i-1'), leaving=True),),
                 removed=(),
                 revision=9,
