Tell a list of endpoints as settled only where it is

In a log of all entries, edge-hala-a-6 took a list with the number of the removal at 13.02 s that said it was settled and still had the endpoint, from a peer that had itself taken an unsettled one and told the state of its store instead. Watchers had a gap of a tenth of a second of the same kind: a list was settled when a lapsed entry was no longer kept, and not when it was dropped.

Ruled out: that nobody was asked again; all but six of 39 entries had dropped the endpoint by 15.3 s.

A list is settled now if all that it has is. Both tests fail without it.

--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -259,8 +259,16 @@
         )
 
     def _is_settled(self) -> bool:
-        """Whether what we do not list is gone."""
-        return self.store.reached and self._clock() >= self._disturbed_until
+        """Whether all that we list is there, and what we do not is gone.
+
+        An entry that relies on peers is in touch with the store for other
+        things, whatever it last heard of endpoints.
+        """
+        if not self.store.reached or self._clock() < self._disturbed_until:
+            return False
+        if self.settled_revision < self.change_revision:
+            return False
+        return not self._vanished
 
     async def _follow(self) -> None:
         """Watch until the history is gone or the store is lost."""
--- a/tests/gateway/test_many_entries.py
+++ b/tests/gateway/test_many_entries.py
@@ -418,6 +418,61 @@
     assert asked <= 2 + (settles_after + 0.5) / discovery.UNSETTLED_EVERY
 
 
+async def test_list_from_an_unsettled_one_is_not_told_as_settled():
+    """An endpoint that has left gets requests for 3.2 s.
+
+    Sequence: an entry that relies on peers takes a list that is not settled,
+    and keeps what is missing in it; the next one asks this entry, which is in
+    touch with the store, and takes what it keeps for what is there.
+    Cause: a list was told as settled by the state of the store alone.
+    """
+    site_of_one = Relying()
+    other = site.make_record(Fake('i-2'))
+    told = []
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(site_of_one.follower.run)
+        await anyio.sleep(discovery.KEEP_VANISHED + 1.0)
+        told.append(site_of_one.follower.listing().settled)
+        site_of_one.tell(other, settled=False, newest=9)
+        await anyio.sleep(0.3)
+        told.append(site_of_one.follower.listing().settled)
+        site_of_one.tell(other, settled=True, newest=9)
+        await anyio.sleep(discovery.UNSETTLED_EVERY + 0.3)
+        told.append(site_of_one.follower.listing().settled)
+        tasks.cancel_scope.cancel()
+    assert told == [True, False, True]
+
+
+async def test_list_is_not_settled_while_a_lapsed_entry_is_kept():
+    """A peer takes an endpoint that has lapsed for one that is there.
+
+    Sequence: the store was away; an entry lapses and is kept for a moment;
+    a peer asks just as the moment is over.
+    Cause: what is kept is dropped a tenth of a second later.
+    """
+    site_of_one = Relying()
+    site_of_one.relies = False
+    follower = site_of_one.follower
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follower.run)
+        await anyio.sleep(discovery.KEEP_VANISHED + 1.0)
+        follower.note_disturbance()
+        follower.take_changes(
+            listings.Changes(
+                records=(), removed=('i-1',), revision=9, newest=9
+            )
+        )
+        seen = []
+        for _ in range(60):
+            await anyio.sleep(0.05)
+            listing = follower.listing()
+            seen.append((listing.settled, bool(listing.records)))
+        tasks.cancel_scope.cancel()
+    assert (True, True) not in seen
+    assert seen[0] == (False, True)
+    assert seen[-1] == (True, False)
+
+
 @pytest.mark.parametrize(
     ('position', 'most'), [(0, 21), (1, 11), (4, 5), (19, 5)]
 )
