Ask peers with a settled list first

All followers of its data centre had been turned away by the store, so their lists were settled after 13.8 to 15.1 s, and peers of the own data centre were asked first, each half second; those elsewhere had known it at 12.81.

Ruled out: that lists told as settled were not; each entry took the first settled one that it was given.

Reports tell up to which change a list is settled, and those peers are asked first.

--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -270,6 +270,10 @@
             return False
         return not self._vanished
 
+    def told_settled(self) -> int:
+        """Return up to which change our list is settled, 0 if it is not."""
+        return self.settled_revision if self._is_settled() else 0
+
     async def _follow(self) -> None:
         """Watch until the history is gone or the store is lost."""
         while True:
--- a/marigoldramp/gateway/peer_exchange.py
+++ b/marigoldramp/gateway/peer_exchange.py
@@ -116,7 +116,12 @@
     async def fetch_endpoints(
         self, *, newer_than: int
     ) -> listings.Listing | None:
-        """Return the endpoints that some peer knows, if it knows more."""
+        """Return the endpoints that some peer knows, if it knows more.
+
+        Those come first whose list is settled.  Near a part of the entries
+        that the store has turned away most lists are not for two seconds,
+        and an endpoint that has left would be used until then.
+        """
         known = [
             peer
             for peer in self._peers.live()
@@ -124,13 +129,22 @@
             and peer.report.revision_age >= 0.0
             and peer.report.revision > newer_than
         ]
-        for peer in self._order(known):
+        ordered = sorted(
+            self._order(known),
+            key=lambda peer: _settled(peer) > newer_than,
+            reverse=True,
+        )
+        for peer in ordered:
             found = await fetch_endpoints(address=_address(peer))
             if found is not None:
                 return found
         return None
 
 
+def _settled(peer: peers.Peer) -> int:
+    return 0 if peer.report is None else peer.report.settled
+
+
 def _address(peer: peers.Peer) -> outbound.Address:
     return outbound.Address(host=peer.host, port=peer.port)
 
--- a/marigoldramp/gateway/peer_reports.py
+++ b/marigoldramp/gateway/peer_reports.py
@@ -37,6 +37,8 @@
     :ivar revision: of the newest change of endpoints that the sender knows.
     :ivar revision_age: seconds since it was in touch with the store about
         endpoints; negative if it never was.
+    :ivar settled: of the newest change up to which what the sender does not
+        list is gone, 0 if it does not know that of any.
     :ivar in_flight: requests of the sender by endpoint.
     :ivar slow: endpoints that the sender finds slow or failing, and how many
         times worse than usual.
@@ -78,6 +80,7 @@
     data_centre: str = ''
     period: float = 0.0
     passes: dict[str, float] = {}
+    settled: int = 0
 
 
 def encode(report: Report) -> bytes:
--- a/marigoldramp/gateway/reporting.py
+++ b/marigoldramp/gateway/reporting.py
@@ -141,6 +141,7 @@
             version_age=_age(now, parts.configurations.confirmed_at),
             revision=parts.follower.change_revision,
             revision_age=_age(now, parts.follower.store.reached_at),
+            settled=parts.follower.told_settled(),
             in_flight={
                 endpoint.identity: endpoint.own
                 for endpoint in parts.table
--- a/tests/gateway/test_many_entries.py
+++ b/tests/gateway/test_many_entries.py
@@ -443,6 +443,49 @@
     assert told == [True, False, True]
 
 
+async def test_peers_with_a_settled_list_are_asked_first(monkeypatch):
+    """An endpoint that has left gets requests for 3.05 s.
+
+    Sequence: the store has turned away all that follow it in a data centre;
+    their lists are settled two seconds later; an entry there asks one of them
+    after the other, though those elsewhere know at once.
+    Cause: peers of the own data centre were asked first, whatever they knew.
+    """
+    near = [make_report(f'p{one}', revision=9, settled=0) for one in range(6)]
+    far = [
+        make_report(f'q{one}', revision=9, settled=settled, data_centre='two')
+        for one, settled in enumerate((0, 4, 9))
+    ]
+    source = peer_exchange.PeerSource(
+        peers=make_table(*near, *far), random=random.Random(3)
+    )
+    asked = []
+
+    async def fetch(*, address):
+        asked.append(address)
+        return listings.Listing(records=(), revision=9, newest=9)
+
+    monkeypatch.setattr(peer_exchange, 'fetch_endpoints', fetch)
+    for _ in range(20):
+        await source.fetch_endpoints(newer_than=4)
+    assert {one.host for one in asked} == {'q2'}
+
+
+@pytest.mark.parametrize(
+    ('settles', 'told'), [(True, 9), (False, 0)], ids=['settled', 'not']
+)
+async def test_report_tells_up_to_where_a_list_is_settled(settles, told):
+    site_of_one = Relying()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(site_of_one.follower.run)
+        await anyio.sleep(discovery.KEEP_VANISHED + 1.0)
+        site_of_one.tell(site_of_one.record, settled=settles, newest=9)
+        await anyio.sleep(0.3)
+        seen = site_of_one.follower.told_settled()
+        tasks.cancel_scope.cancel()
+    assert seen == told
+
+
 async def test_list_is_not_settled_while_a_lapsed_entry_is_kept():
     """A peer takes an endpoint that has lapsed for one that is there.
 
