--- a/marigoldramp/gateway/expert_planner.py
+++ b/marigoldramp/gateway/expert_planner.py
@@ -52,7 +52,7 @@
 MOST_MEASURED = 6
 #: Seconds that the copies of one change may take on any rank.  With 72 ranks,
 #: 144 experts and 12 layers five copies of 0.016 s a rank bring a skew of 3.2
-#: down to 1.14, and 22 to 1.11; meanwhile passes take 15 in 100 longer, and
+#: down to 1.14, and seven to 1.11; meanwhile passes take 15 in 100 longer, and
 #: those are the longest of all.
 COPY_SECONDS = 0.09
 #: Copies that a rank may make even so, and the seconds that these may take.
