Log backoff requests from endpoints and sends during a backoff

Logs and metrics did not show whether an endpoint that turned a request away had asked for a time without requests, for how long, or whether a request was sent to it within that time. A header that is not read could therefore not be told apart from a header whose value is lost after it is read.

Decode the Retry-After header of an endpoint's 503 response, store it with the endpoint, and log and count it. Log and count each request sent to the endpoint during the backoff. Values that are not a number of seconds are logged and ignored; of several values, the longest applies. The backoff does not affect any decision yet.

--- a/marigoldramp/gateway/attempts.py
+++ b/marigoldramp/gateway/attempts.py
@@ -13,6 +13,7 @@
 from . import calls
 from . import codecs
 from . import deployment
+from . import endpoint_signals
 from . import endpoints
 from . import event_frames
 from . import outbound
@@ -88,22 +89,26 @@
 class Attempts:
     """Makes attempts.
 
+    :param signals: records the backoffs that endpoints ask for, and the
+        requests sent during them.
     :param on_events: called when events of a stream are passed on, with the
         pause since the endpoint's last ones, 0 for the first.
     :ivar pool: connections to endpoints.
     """
 
-    __slots__ = ('_codec', '_on_events', 'pool')
+    __slots__ = ('_codec', '_on_events', '_signals', 'pool')
 
     def __init__(
         self,
         *,
         codec: codecs.Codec,
         pool: outbound.Pool,
+        signals: endpoint_signals.EndpointSignals,
         on_events: Callable[[calls.Call, float], None],
     ) -> None:
         self._codec = codec
         self._on_events = on_events
+        self._signals = signals
         self.pool = pool
 
     async def run(
@@ -122,7 +127,7 @@
             refused = self._send(call, endpoint, connection)
             if refused is not None:
                 return refused
-            result = await self._receive(call, connection)
+            result = await self._receive(call, endpoint, connection)
             whole = isinstance(result, Answer | Streamed)
             return result
         except outbound.LOST as error:
@@ -186,13 +191,18 @@
             return Unreached(detail=f'{type(error).__name__}: {error}')
         call.sends += 1
         call.runs += 1
+        self._signals.note_send(call=call, endpoint=endpoint)
         return None
 
     async def _receive(
-        self, call: calls.Call, connection: outbound.Connection
+        self,
+        call: calls.Call,
+        endpoint: endpoints.Endpoint,
+        connection: outbound.Connection,
     ) -> Result:
         head = await connection.read_head()
         facts = self._codec.read_answer(head.status, head.headers)
+        self._signals.note_answer(call=call, endpoint=endpoint, facts=facts)
         if facts.not_run and head.status != 400:
             call.runs -= 1
             return Declined(status=head.status)
--- a/marigoldramp/gateway/endpoints.py
+++ b/marigoldramp/gateway/endpoints.py
@@ -47,6 +47,8 @@
         endpoint has ended.
     :ivar elsewhere: requests that other entries say run on it.
     :ivar resting_until: it is given no requests before then.
+    :ivar backoff_until: end of the backoff that it has asked for; does not
+        affect :meth:`is_open`.
     :ivar failures: failures in a row.
     :ivar quality: how well it does.
     :ivar seconds: smoothed time for a whole request, 0 if unknown.
@@ -58,6 +60,7 @@
         'suspects',
         'elsewhere',
         'resting_until',
+        'backoff_until',
         'failures',
         'quality',
         'seconds',
@@ -70,6 +73,7 @@
         self.suspects: collections.Counter[str] = collections.Counter()
         self.elsewhere = 0
         self.resting_until = 0.0
+        self.backoff_until = 0.0
         self.failures = 0
         self.quality = quality.Quality()
         self.seconds = 0.0
@@ -127,6 +131,10 @@
         """The endpoint has refused a request for want of room."""
         self.resting_until = max(self.resting_until, now + FULL_SECONDS)
 
+    def note_backoff(self, *, seconds: float, now: float) -> None:
+        """Start a backoff, or extend one; never shorten it."""
+        self.backoff_until = max(self.backoff_until, now + seconds)
+
 
 class EndpointTable:
     """All endpoints, by service.
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -20,6 +20,7 @@
 from . import deployment
 from . import discovery
 from . import dispatch
+from . import endpoint_signals
 from . import endpoints
 from . import forwarding
 from . import gossip
@@ -129,6 +130,9 @@
             runner=attempts.Attempts(
                 codec=adapter.codec,
                 pool=self.pool,
+                signals=endpoint_signals.EndpointSignals(
+                    clock=clock, metrics=metrics
+                ),
                 on_events=self._note_events,
             ),
             budget=retry_budget.RetryBudget(
--- a/marigoldramp/platform/headers.py
+++ b/marigoldramp/platform/headers.py
@@ -1,6 +1,11 @@
 """Names and forms of the platform's headers."""
 
+import math
+
+from absl import logging
+
 from .. import asgi
+from .. import logs
 from ..gateway import codecs
 
 #: Identifier of one attempt of a caller's; endpoints echo it.
@@ -23,9 +28,13 @@
 NOT_RUN = b'not-executed'
 #: Running and waiting requests and slots, with commas between them.
 LOAD = b'runner-load'
+#: Seconds that the sender of a request should wait before the next one; read
+#: from 503 responses only.
+RETRY_AFTER = b'retry-after'
 ENCODING = b'content-encoding'
 
 WRONG_ENDPOINT = 421
+UNAVAILABLE = 503
 MILLISECONDS = 1000.0
 
 #: What we set ourselves, or must not pass on.
@@ -84,6 +93,7 @@
             not_run=NOT_RUN in found or status == WRONG_ENDPOINT,
             encoded=found.get(ENCODING, b'identity') != b'identity',
             load=_read_load(found.get(LOAD, b'')),
+            retry_after=_read_retry_after(status, headers),
         )
 
 
@@ -118,3 +128,31 @@
         return None
     running, waiting, slots = (int(part) for part in parts)
     return codecs.ReportedLoad(running=running, waiting=waiting, slots=slots)
+
+
+def _read_retry_after(status: int, headers: codecs.Headers) -> float:
+    """Return the longest Retry-After of a 503 response, in seconds.
+
+    Values that are not finite, non-negative numbers are logged and ignored.
+    Returns 0 if no valid value remains or the status is not 503.
+    """
+    if status != UNAVAILABLE:
+        return 0.0
+    longest = 0.0
+    for name, text in headers:
+        if name != RETRY_AFTER:
+            continue
+        try:
+            seconds = float(text)
+        except ValueError:
+            seconds = math.nan
+        if math.isfinite(seconds) and seconds >= 0.0:
+            longest = max(longest, seconds)
+            continue
+        logging.warning(
+            'header not understood',
+            extra=logs.fields(
+                name=RETRY_AFTER.decode(), value=text.decode('latin-1')
+            ),
+        )
+    return longest
--- a/tests/adapter/test_platform.py
+++ b/tests/adapter/test_platform.py
@@ -244,6 +244,32 @@
     assert (found.not_run, found.sealed) == (not_run, sealed)
 
 
+@pytest.mark.parametrize(
+    ('status', 'values', 'seconds', 'warnings'),
+    [
+        (503, [], 0.0, 0),
+        (503, [b'3'], 3.0, 0),
+        (503, [b'0.25'], 0.25, 0),
+        (503, [b'0'], 0.0, 0),
+        (503, [b'1', b'3'], 3.0, 0),
+        (503, [b'-1'], 0.0, 1),
+        (503, [b'nan'], 0.0, 1),
+        (503, [b'1e999'], 0.0, 1),
+        (503, [b'soon'], 0.0, 1),
+        (503, [b'soon', b'2'], 2.0, 1),
+        (200, [b'3'], 0.0, 0),
+        (429, [b'3'], 0.0, 0),
+    ],
+)
+def test_retry_after_of_an_endpoint(caplog, status, values, seconds, warnings):
+    """Invalid values must not set a backoff or go unlogged."""
+    sent = [(b'retry-after', value) for value in values]
+    found = headers.Codec().read_answer(status, sent)
+    assert found.retry_after == seconds
+    messages = [record.getMessage() for record in caplog.records]
+    assert messages == ['header not understood'] * warnings
+
+
 def test_load_of_an_endpoint():
     found = headers.Codec().read_answer(200, [(b'runner-load', b'3,1,8')])
     assert found.load == codecs.ReportedLoad(running=3, waiting=1, slots=8)
