Test that an endpoint gets no requests during its backoff

An endpoint that turns a request away with Retry-After got four more requests from the same entry within the time that it had named, where two are the most that may come. One gateway before two endpoints, with a clock that the test moves on; one of the endpoints declines with Retry-After: 60.

--- a/tests/gateway/test_endpoint_signals.py
+++ b/tests/gateway/test_endpoint_signals.py
@@ -67,3 +67,38 @@
     assert 0.0 < left <= 2.5
     fields = lines('endpoint asked for backoff')[0]
     assert fields == {'request': 'a7', 'endpoint': 'i-1', 'seconds': 2.5}
+
+
+DECLINED = fake.decline(more=NOT_RUN + 'Retry-After: 60\r\n')
+FAILED = fake.answer(b'', 503, more='Retry-After: 60\r\n')
+#: Requests that an endpoint may get from one entry between half a second
+#: after it asked for a backoff and the end of the backoff.
+MOST_SENDS = 2
+
+
+@pytest.mark.parametrize('kind', ROUTES)
+@pytest.mark.parametrize(
+    'script', [DECLINED, FAILED], ids=['declined', 'failed']
+)
+async def test_endpoint_gets_no_requests_during_its_backoff(
+    clock, lines, kind, script
+):
+    """An entry sends requests to an endpoint that has asked for a backoff."""
+    one = Fake(identity='i-1', scripts=[script])
+    two = Fake(identity='i-2', scripts=[fake.answer(b'ran')])
+    config = site.make_configuration(ROUTES[kind]())
+    async with site.run_site(one, two, configuration=config) as running:
+        while not one.seen:
+            await site.call(running, 'POST', body=b'x')
+        clock.offset += 0.5
+        before = len(one.seen)
+        for _ in range(4):
+            for _ in range(8):
+                await site.call(running, 'POST', body=b'x')
+            clock.offset += 10.0
+        within = len(one.seen) - before
+        assert len(lines('sent during backoff')) == within
+        assert within <= MOST_SENDS
+        clock.offset += 60.0
+        while len(one.seen) == before:
+            await site.call(running, 'POST', body=b'x')
