Send nothing to an endpoint during its backoff

Symptom: for some seconds, a third to two thirds of the drafts were refused, although 11 of 16 endpoints were healthy. An endpoint that had asked an entry for 3 s without requests received three to seven more from it.

An entry skipped such an endpoint for only 0.1 s, like one that is full at the moment. Because the endpoint ran nothing then, it ranked as the least loaded and was given the next request first. Each of these sends used up retry budget, until none was left for requests that had been declined once.

Evidence: in the reproduction the header is read, and "sent during backoff" is logged for each further send with the remaining time. The value is therefore stored with the endpoint that is chosen, and is not lost after parsing. In-flight requests are ruled out as the cause: the further sends come seconds after the response.

Fix: an endpoint is closed until the later of its resting time and the backoff that it asked for, regardless of how it was chosen. A connection attempt lasts 0.4 s at most, so what was under way when the response came arrives within half a second of it.

--- a/marigoldramp/gateway/endpoints.py
+++ b/marigoldramp/gateway/endpoints.py
@@ -47,8 +47,8 @@
         endpoint has ended.
     :ivar elsewhere: requests that other entries say run on it.
     :ivar resting_until: it is given no requests before then.
-    :ivar backoff_until: end of the backoff that it has asked for; does not
-        affect :meth:`is_open`.
+    :ivar backoff_until: end of the backoff that it has asked for; it is given
+        no requests before then.
     :ivar failures: failures in a row.
     :ivar quality: how well it does.
     :ivar seconds: smoothed time for a whole request, 0 if unknown.
@@ -111,7 +111,8 @@
         """Whether it may be given requests."""
         if self.record.leaving or self.gone:
             return False
-        return now >= self.resting_until
+        # Otherwise an idle endpoint in backoff would rank first.
+        return now >= max(self.resting_until, self.backoff_until)
 
     def note_success(self, *, seconds: float) -> None:
         """A request came to a good end."""
@@ -132,7 +133,7 @@
         self.resting_until = max(self.resting_until, now + FULL_SECONDS)
 
     def note_backoff(self, *, seconds: float, now: float) -> None:
-        """Start a backoff, or extend one; never shorten it."""
+        """Start or extend the backoff; a shorter one has no effect."""
         self.backoff_until = max(self.backoff_until, now + seconds)
 
 
--- a/tests/gateway/test_endpoint_signals.py
+++ b/tests/gateway/test_endpoint_signals.py
@@ -53,7 +53,7 @@
 
 
 async def test_backoff_is_recorded_and_logged(lines):
-    """Retry-After of a declined request must not be dropped."""
+    """Guards against dropping Retry-After of a declined request."""
     declining = Fake(
         identity='i-1',
         scripts=[fake.decline(more=NOT_RUN + 'Retry-After: 2.5\r\n')],
@@ -71,34 +71,37 @@
 
 DECLINED = fake.decline(more=NOT_RUN + 'Retry-After: 60\r\n')
 FAILED = fake.answer(b'', 503, more='Retry-After: 60\r\n')
-#: Requests that an endpoint may get from one entry between half a second
-#: after it asked for a backoff and the end of the backoff.
+#: Maximum number of requests from one entry to an endpoint in backoff, counted
+#: from half a second after the response that asked for the backoff.
 MOST_SENDS = 2
 
 
-@pytest.mark.parametrize('kind', ROUTES)
+@pytest.mark.parametrize('route_kind', ROUTES)
 @pytest.mark.parametrize(
     'script', [DECLINED, FAILED], ids=['declined', 'failed']
 )
 async def test_endpoint_gets_no_requests_during_its_backoff(
-    clock, lines, kind, script
+    clock, lines, route_kind, script
 ):
-    """An entry sends requests to an endpoint that has asked for a backoff."""
-    one = Fake(identity='i-1', scripts=[script])
-    two = Fake(identity='i-2', scripts=[fake.answer(b'ran')])
-    config = site.make_configuration(ROUTES[kind]())
-    async with site.run_site(one, two, configuration=config) as running:
-        while not one.seen:
+    """Guards against sending requests to an endpoint in backoff."""
+    unavailable = Fake(identity='i-1', scripts=[script])
+    healthy = Fake(identity='i-2', scripts=[fake.answer(b'ran')])
+    config = site.make_configuration(ROUTES[route_kind]())
+    async with site.run_site(
+        unavailable, healthy, configuration=config
+    ) as running:
+        while not unavailable.seen:
             await site.call(running, 'POST', body=b'x')
         clock.offset += 0.5
-        before = len(one.seen)
+        sends_before = len(unavailable.seen)
         for _ in range(4):
             for _ in range(8):
                 await site.call(running, 'POST', body=b'x')
             clock.offset += 10.0
-        within = len(one.seen) - before
-        assert len(lines('sent during backoff')) == within
-        assert within <= MOST_SENDS
+        sends = len(unavailable.seen) - sends_before
+        assert len(lines('sent during backoff')) == sends
+        assert sends <= MOST_SENDS
         clock.offset += 60.0
-        while len(one.seen) == before:
+        for _ in range(32):
             await site.call(running, 'POST', body=b'x')
+        assert len(unavailable.seen) > sends_before + sends
