Send no requests to an endpoint that reports its shutdown

Effect on callers: requests are lost when an endpoint stops. An endpoint that is shutting down reports this in its responses (Server-Leaving), but its entry in the store may never show it; the entry may only vanish, or come back once more.

Cause: the header was not read, so an entry learned only from the store's list that an endpoint is leaving.

The adapter now decodes the header, and it takes effect as soon as the head of a response has been received, even while the stream that follows continues. A report applies to that start of the endpoint, regardless of later lists, and for ten minutes even if its entry vanishes and comes back; a new start of the endpoint is not affected. Values other than 1 are logged and ignored. The header is also ignored in a response from another endpoint that now has the address (421).

--- a/marigoldramp/gateway/attempts.py
+++ b/marigoldramp/gateway/attempts.py
@@ -89,7 +89,7 @@
 class Attempts:
     """Makes attempts.
 
-    :param signals: records the backoffs that endpoints ask for, and the
+    :param signals: takes what endpoints say of themselves, and the
         requests sent during them.
     :param on_events: called when events of a stream are passed on, with the
         pause since the endpoint's last ones, 0 for the first.
--- a/marigoldramp/gateway/codecs.py
+++ b/marigoldramp/gateway/codecs.py
@@ -65,6 +65,7 @@
     :ivar sealed: it bears the endpoint's signature.
     :ivar not_run: the endpoint did not run the request and never will.
     :ivar encoded: the body is in an encoding that nobody asked for.
+    :ivar leaving: the endpoint is shutting down.
     :ivar retry_after: seconds that an unavailable endpoint asks this entry
         to wait before it sends another request; 0 if not specified.
     """
@@ -74,6 +75,7 @@
     not_run: bool
     encoded: bool
     load: ReportedLoad | None = None
+    leaving: bool = False
     retry_after: float = 0.0
 
 
--- a/marigoldramp/gateway/endpoint_signals.py
+++ b/marigoldramp/gateway/endpoint_signals.py
@@ -1,4 +1,4 @@
-"""Logs and metrics for the signals in endpoints' response headers."""
+"""Handling of shutdown and backoff signals in response headers."""
 
 from typing import Callable
 
@@ -8,22 +8,31 @@
 from .. import metrics as metrics_module
 from . import calls
 from . import codecs
+from . import deployment
 from . import endpoints
 
 
 class EndpointSignals:
-    """Records, logs and counts backoffs, and the sends during them."""
+    """Handles shutdown and backoff signals of endpoints.
 
-    __slots__ = ('_clock', '_metrics')
+    Also logs and counts requests sent during a backoff.
+
+    :param on_leaving: called with the record of an endpoint that reports
+        that it is shutting down.
+    """
+
+    __slots__ = ('_clock', '_metrics', '_on_leaving')
 
     def __init__(
         self,
         *,
         clock: Callable[[], float],
         metrics: metrics_module.Metrics,
+        on_leaving: Callable[[deployment.EndpointRecord], None],
     ) -> None:
         self._clock = clock
         self._metrics = metrics
+        self._on_leaving = on_leaving
 
     def note_send(
         self, *, call: calls.Call, endpoint: endpoints.Endpoint
@@ -51,7 +60,9 @@
         endpoint: endpoints.Endpoint,
         facts: codecs.AnswerFacts,
     ) -> None:
-        """Record, log and count a backoff that a response asks for."""
+        """Report a shutdown, and record, log and count a backoff."""
+        if facts.leaving:
+            self._on_leaving(endpoint.record)
         if facts.retry_after <= 0.0:
             return
         endpoint.note_backoff(seconds=facts.retry_after, now=self._clock())
--- a/marigoldramp/gateway/presence.py
+++ b/marigoldramp/gateway/presence.py
@@ -23,6 +23,9 @@
 
 #: Seconds for which a vanished endpoint is kept after the store's return.
 KEEP_VANISHED = 2.2
+#: Seconds for which the shutdown report of an endpoint is kept; must exceed
+#: the duration of a shutdown.
+KEEP_LEAVING_REPORTS = 600.0
 
 
 class Presence:
@@ -41,6 +44,7 @@
         '_vanished',
         '_disturbed_until',
         '_leaving',
+        '_leaving_reports',
         '_departures',
     )
 
@@ -60,6 +64,7 @@
         self._vanished: dict[str, float] = {}
         self._disturbed_until = float('-inf')
         self._leaving: set[str] = set()
+        self._leaving_reports: dict[tuple[str, int], float] = {}
         self._departures = departures.Departures(
             restored_at=restored_at, clock=clock
         )
@@ -96,6 +101,34 @@
         self._departures.forget(record.identity)
         self._put(record)
 
+    def note_leaving(self, record: deployment.EndpointRecord) -> None:
+        """Mark an endpoint as leaving after it reported its shutdown.
+
+        The report is kept separately because the entry in the store may never
+        show the shutdown, or may lapse and come back without it.
+        """
+        now = self._clock()
+        for key, reported_at in list(self._leaving_reports.items()):
+            if now - reported_at > KEEP_LEAVING_REPORTS:
+                del self._leaving_reports[key]
+        self._leaving_reports[record.identity, record.born] = now
+        known = self._table.find(record.identity)
+        if known is None or known.record.born != record.born:
+            return
+        self._mark_leaving(known.record)
+        self._table.put(dataclasses.replace(known.record, leaving=True))
+
+    def _mark_leaving(self, record: deployment.EndpointRecord) -> None:
+        if record.identity in self._leaving:
+            return
+        logging.info(
+            'endpoint leaving',
+            extra=logs.fields(
+                endpoint=record.identity, service=record.service
+            ),
+        )
+        self._leaving.add(record.identity)
+
     def _put(self, record: deployment.EndpointRecord) -> None:
         identity = record.identity
         known = self._table.find(identity)
@@ -104,16 +137,9 @@
                 # A list that lags tells of a start that is over.
                 return
             self._note_restart(known.record, record)
-        if record.leaving:
-            if identity not in self._leaving:
-                logging.info(
-                    'endpoint leaving',
-                    extra=logs.fields(
-                        endpoint=identity, service=record.service
-                    ),
-                )
-            self._leaving.add(identity)
-        elif identity in self._leaving:
+        if record.leaving or (identity, record.born) in self._leaving_reports:
+            self._mark_leaving(record)
+        if identity in self._leaving:
             # A list that lags must not bring a leaving endpoint back.
             record = dataclasses.replace(record, leaving=True)
         self._vanished.pop(identity, None)
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -131,7 +131,9 @@
                 codec=adapter.codec,
                 pool=self.pool,
                 signals=endpoint_signals.EndpointSignals(
-                    clock=clock, metrics=metrics
+                    clock=clock,
+                    metrics=metrics,
+                    on_leaving=self._note_leaving,
                 ),
                 on_events=self._note_events,
             ),
@@ -304,6 +306,10 @@
         """Close idle connections to an endpoint that is no more."""
         self.pool.drop(identity=identity)
 
+    def _note_leaving(self, record: deployment.EndpointRecord) -> None:
+        """Act on an endpoint that reports that it is shutting down."""
+        self.follower.presence.note_leaving(record)
+
     def _note_gone(self, identity: str) -> None:
         """Act on an endpoint that is listed no longer."""
         self.pool_drop(identity)
--- a/marigoldramp/platform/headers.py
+++ b/marigoldramp/platform/headers.py
@@ -28,6 +28,8 @@
 NOT_RUN = b'not-executed'
 #: Running and waiting requests and slots, with commas between them.
 LOAD = b'runner-load'
+#: Set to ``1`` by an endpoint that is shutting down.
+LEAVING = b'server-leaving'
 #: Seconds that the sender of a request should wait before the next one; read
 #: from 503 responses only.
 RETRY_AFTER = b'retry-after'
@@ -93,6 +95,7 @@
             not_run=NOT_RUN in found or status == WRONG_ENDPOINT,
             encoded=found.get(ENCODING, b'identity') != b'identity',
             load=_read_load(found.get(LOAD, b'')),
+            leaving=_read_leaving(status, headers),
             retry_after=_read_retry_after(status, headers),
         )
 
@@ -130,6 +133,21 @@
     return codecs.ReportedLoad(running=running, waiting=waiting, slots=slots)
 
 
+def _read_leaving(status: int, headers: codecs.Headers) -> bool:
+    """Return whether a response reports that its endpoint is shutting down.
+
+    Returns false for a 421 response, which comes from another endpoint that
+    now has the address.  Values other than ``1`` are logged and ignored.
+    """
+    if status == WRONG_ENDPOINT:
+        return False
+    values = [text for name, text in headers if name == LEAVING]
+    for text in values:
+        if text != b'1':
+            _log_invalid_header(LEAVING, text)
+    return b'1' in values
+
+
 def _read_retry_after(status: int, headers: codecs.Headers) -> float:
     """Return the longest Retry-After of a 503 response, in seconds.
 
@@ -149,10 +167,13 @@
         if math.isfinite(seconds) and seconds >= 0.0:
             longest = max(longest, seconds)
             continue
-        logging.warning(
-            'header not understood',
-            extra=logs.fields(
-                name=RETRY_AFTER.decode(), value=text.decode('latin-1')
-            ),
-        )
+        _log_invalid_header(RETRY_AFTER, text)
     return longest
+
+
+def _log_invalid_header(name: bytes, value: bytes) -> None:
+    """Log a response header that has an invalid value."""
+    logging.warning(
+        'header not understood',
+        extra=logs.fields(name=name.decode(), value=value.decode('latin-1')),
+    )
--- a/tests/adapter/test_platform.py
+++ b/tests/adapter/test_platform.py
@@ -270,6 +270,28 @@
     assert messages == ['header not understood'] * warnings
 
 
+@pytest.mark.parametrize(
+    ('status', 'values', 'leaving', 'warnings'),
+    [
+        (200, [], False, 0),
+        (200, [b'1'], True, 0),
+        (503, [b'1'], True, 0),
+        (421, [b'1'], False, 0),
+        (200, [b'0'], False, 1),
+        (200, [b''], False, 1),
+        (200, [b'yes'], False, 1),
+        (200, [b'1', b'yes'], True, 1),
+    ],
+)
+def test_leaving_of_an_endpoint(caplog, status, values, leaving, warnings):
+    """Guards against missed shutdowns and unlogged invalid values."""
+    sent = [(b'server-leaving', value) for value in values]
+    found = headers.Codec().read_answer(status, sent)
+    assert found.leaving == leaving
+    messages = [record.getMessage() for record in caplog.records]
+    assert messages == ['header not understood'] * warnings
+
+
 def test_load_of_an_endpoint():
     found = headers.Codec().read_answer(200, [(b'runner-load', b'3,1,8')])
     assert found.load == codecs.ReportedLoad(running=3, waiting=1, slots=8)
--- a/tests/gateway/test_endpoint_signals.py
+++ b/tests/gateway/test_endpoint_signals.py
@@ -2,6 +2,7 @@
 
 import time
 
+import anyio
 import pytest
 
 from marigoldramp.gateway import ages
@@ -105,3 +106,79 @@
         for _ in range(32):
             await site.call(running, 'POST', body=b'x')
         assert len(unavailable.seen) > sends_before + sends
+
+
+LEAVING = 'Server-Leaving: 1\r\n'
+STREAM = 'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n'
+
+
+async def stream_and_hang(stream, seen):
+    """Send the head and the first event of a stream, then stall."""
+    head = fake.head(seen, more=LEAVING + STREAM)
+    await stream.send(f'{head}\r\n'.encode() + fake.chunk(fake.event(1)))
+    await stream.receive()
+
+
+def relist_unchanged(presence, record):
+    """Apply a list that does not show the endpoint as leaving."""
+    presence.put_listed(record)
+
+
+def lapse_and_relist(presence, record):
+    """Remove the endpoint's entry and write it again."""
+    presence.vanish(record.identity)
+    presence.put_written(record)
+
+
+async def call_many(running, count=32):
+    """Make calls in sequence.
+
+    The default count makes it unlikely that load balancing alone skips an
+    endpoint.
+    """
+    for _ in range(count):
+        await site.call(running, 'POST', body=b'x')
+
+
+@pytest.mark.parametrize(
+    'relist',
+    [None, relist_unchanged, lapse_and_relist],
+    ids=['listed', 'relisted', 'lapsed'],
+)
+@pytest.mark.parametrize(
+    'script',
+    [
+        fake.answer(more=LEAVING),
+        fake.answer(b'bad', 500, more=LEAVING),
+        fake.decline(more=NOT_RUN + LEAVING),
+        stream_and_hang,
+    ],
+    ids=['answered', 'failed', 'declined', 'streaming'],
+)
+async def test_leaving_endpoint_gets_no_requests(script, relist):
+    """Guards against sending requests to an endpoint that is shutting down."""
+    leaving = Fake(identity='i-1', scripts=[script])
+    healthy = Fake(identity='i-2', scripts=[fake.answer(b'ran')])
+    config = site.make_configuration(site.RESUMED(attempts=1))
+    async with (
+        site.run_site(leaving, healthy, configuration=config) as running,
+        anyio.create_task_group() as calls,
+    ):
+        record = site.make_record(leaving, born=5)
+        presence = running.running.follower.presence
+        presence.put_written(record)
+        endpoint = running.running.table.find('i-1')
+        while not leaving.seen:
+            calls.start_soon(call_many, running, 1)
+            await anyio.sleep(0.01)
+        await running.until(lambda: endpoint.record.leaving)
+        if relist is not None:
+            relist(presence, record)
+        sends_before = len(leaving.seen)
+        await call_many(running)
+        assert len(leaving.seen) == sends_before
+        leaving.scripts = [fake.answer()]
+        presence.put_written(site.make_record(leaving, born=6))
+        await call_many(running)
+        assert len(leaving.seen) > sends_before
+        calls.cancel_scope.cancel()
