Keep the backoff of an endpoint whose entry lapses and comes back

An endpoint is given requests during its backoff if its entry vanishes in the meantime and comes back, as entries do when the store is unavailable: the state that a gateway entry held for the endpoint, including the backoff, was dropped with it.

Found by a property test of both new rules (backoff and shutdown). It runs responses with a backoff or a shutdown report, entries that lapse, come back, lag and restart, disturbances of the store and advances of the clock in any order, and checks which endpoints are open. The counterexample: register, answer with a backoff, lapse, register.

The table now keeps the end of the backoff for the same start of an endpoint, for at most 1,024 removed endpoints. A test of just that sequence fails without it.

--- a/marigoldramp/gateway/attempts.py
+++ b/marigoldramp/gateway/attempts.py
@@ -89,8 +89,8 @@
 class Attempts:
     """Makes attempts.
 
-    :param signals: takes what endpoints say of themselves, and the
-        requests sent during them.
+    :param signals: handles shutdown and backoff signals in responses, and
+        records requests sent during a backoff.
     :param on_events: called when events of a stream are passed on, with the
         pause since the endpoint's last ones, 0 for the first.
     :ivar pool: connections to endpoints.
--- a/marigoldramp/gateway/endpoints.py
+++ b/marigoldramp/gateway/endpoints.py
@@ -35,6 +35,8 @@
 #: were all compared, many entries would choose the same few at once, seen as
 #: endpoints that decline while others are free.
 MOST_COMPARED = 16
+#: Maximum number of removed endpoints whose backoffs are kept.
+MOST_KEPT_BACKOFFS = 1024
 #: Requests in flight for which a part of failures of 1 counts.
 ERROR_PENALTY = 6.0
 
@@ -47,8 +49,8 @@
         endpoint has ended.
     :ivar elsewhere: requests that other entries say run on it.
     :ivar resting_until: it is given no requests before then.
-    :ivar backoff_until: end of the backoff that it has asked for; it is given
-        no requests before then.
+    :ivar backoff_until: end of the backoff that it requested; it is given no
+        requests before then.
     :ivar failures: failures in a row.
     :ivar quality: how well it does.
     :ivar seconds: smoothed time for a whole request, 0 if unknown.
@@ -111,7 +113,7 @@
         """Whether it may be given requests."""
         if self.record.leaving or self.gone:
             return False
-        # Otherwise an idle endpoint in backoff would rank first.
+        # An endpoint in backoff is idle and would otherwise rank first.
         return now >= max(self.resting_until, self.backoff_until)
 
     def note_success(self, *, seconds: float) -> None:
@@ -143,11 +145,18 @@
     :param random: decides between equals.
     """
 
-    __slots__ = ('_by_identity', '_by_service', '_data_centre', '_random')
+    __slots__ = (
+        '_by_identity',
+        '_by_service',
+        '_data_centre',
+        '_kept_backoffs',
+        '_random',
+    )
 
     def __init__(
         self, *, data_centre: str, random: random_module.Random
     ) -> None:
+        self._kept_backoffs: dict[tuple[str, int], float] = {}
         self._by_identity: dict[str, Endpoint] = {}
         self._by_service: dict[str, dict[str, Endpoint]] = {}
         self._data_centre = data_centre
@@ -180,6 +189,9 @@
                 known = None
         if known is None:
             known = Endpoint(record=record)
+            known.backoff_until = self._kept_backoffs.pop(
+                (record.identity, record.born), 0.0
+            )
             self._by_identity[record.identity] = known
         elif known.record.service != record.service:
             self._by_service[known.record.service].pop(record.identity)
@@ -195,8 +207,22 @@
             return None
         known.gone = True
         self._by_service[known.record.service].pop(identity, None)
+        self._keep_backoff(known)
         return known
 
+    def _keep_backoff(self, removed: Endpoint) -> None:
+        """Keep the backoff of a removed endpoint.
+
+        Its entry may lapse and come back before the backoff ends; without the
+        kept value it would be given requests during the backoff.
+        """
+        if not removed.backoff_until:
+            return
+        if len(self._kept_backoffs) >= MOST_KEPT_BACKOFFS:
+            del self._kept_backoffs[next(iter(self._kept_backoffs))]
+        start = removed.record.identity, removed.record.born
+        self._kept_backoffs[start] = removed.backoff_until
+
     def choose(
         self,
         *,
--- /dev/null
+++ b/tests/gateway/test_endpoint_requests.py
@@ -0,0 +1,163 @@
+"""Property test of endpoint selection under backoff and shutdown signals.
+
+Runs responses with these signals, changes of entries, disturbances of the
+store and advances of the clock in any order.  Guards against requests to an
+endpoint that is in backoff or has reported its shutdown.
+"""
+
+import random
+import types
+
+from hypothesis import stateful
+from hypothesis import strategies
+
+from marigoldramp.gateway import codecs
+from marigoldramp.gateway import deployment
+from marigoldramp.gateway import endpoint_signals
+from marigoldramp.gateway import endpoints
+from marigoldramp.gateway import presence
+from marigoldramp import metrics
+
+IDENTITIES = strategies.sampled_from(['i-1', 'i-2'])
+METRICS = metrics.create_local(instance='entry-1')
+CALL = types.SimpleNamespace(
+    facts=types.SimpleNamespace(attempt='a1'), sends=1
+)
+
+
+class EndpointSignalsMachine(stateful.RuleBasedStateMachine):
+    """Compares the endpoint table with a model of the signals received.
+
+    The model identifies each start of an endpoint by ``(identity, born)``.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now = 100.0
+        self.latest_born = {}
+        self.backoff_until = {}
+        self.leaving = set()
+        self.table = endpoints.EndpointTable(
+            data_centre='one', random=random.Random(1)
+        )
+        self.presence = presence.Presence(
+            table=self.table,
+            clock=lambda: self.now,
+            on_gone=lambda _: None,
+            on_restart=lambda _: None,
+        )
+        self.signals = endpoint_signals.EndpointSignals(
+            clock=lambda: self.now,
+            metrics=METRICS,
+            on_leaving=self.presence.note_leaving,
+        )
+
+    @stateful.rule(identity=IDENTITIES, written=strategies.booleans())
+    def register(self, identity, written):
+        """Report the entry of the current start, from a watch or a list."""
+        born = self.latest_born.setdefault(identity, 1)
+        self._put(make_record(identity, born), written)
+
+    @stateful.rule(identity=IDENTITIES)
+    def restart(self, identity):
+        """Restart an endpoint under the same identity."""
+        self.latest_born[identity] = self.latest_born.get(identity, 0) + 1
+        self.register(identity, True)
+
+    @stateful.rule(identity=IDENTITIES)
+    def list_stale_entry(self, identity):
+        """Report the entry of the previous start, from a list that lags."""
+        born = self.latest_born.get(identity, 1) - 1
+        if born > 0:
+            self._put(make_record(identity, born), False)
+
+    @stateful.rule(identity=IDENTITIES)
+    def lapse(self, identity):
+        """Remove an endpoint's entry from the store."""
+        self.presence.vanish(identity)
+
+    @stateful.rule()
+    def disturb_store(self):
+        """Report that the store did not answer a request."""
+        self.presence.note_disturbance()
+
+    @stateful.rule(seconds=strategies.floats(0.01, 3.0))
+    def wait(self, seconds):
+        """Advance the clock and remove endpoints whose entries lapsed."""
+        self.now += seconds
+        self.presence.settle()
+
+    @stateful.rule(
+        identity=IDENTITIES,
+        backoff=strategies.sampled_from([0.0, 0.5, 4.0, 30.0]),
+        leaving=strategies.booleans(),
+    )
+    def answer(self, identity, backoff, leaving):
+        """Receive a response to a request that was sent earlier."""
+        endpoint = self.table.find(identity)
+        if endpoint is None:
+            return
+        start = identity, endpoint.record.born
+        self.backoff_until[start] = max(
+            self.backoff_until.get(start, 0.0), self.now + backoff
+        )
+        if leaving:
+            self.leaving.add(start)
+        self.signals.note_answer(
+            call=CALL,
+            endpoint=endpoint,
+            facts=codecs.AnswerFacts(
+                attempt='a1',
+                sealed=True,
+                not_run=False,
+                encoded=False,
+                leaving=leaving,
+                retry_after=backoff,
+            ),
+        )
+
+    @stateful.invariant()
+    def open_endpoints_accept_requests(self):
+        """No open endpoint is in backoff or shutting down."""
+        for endpoint in self.table:
+            if not endpoint.is_open(now=self.now):
+                continue
+            start = endpoint.identity, endpoint.record.born
+            assert start not in self.leaving
+            assert self.now >= self.backoff_until.get(start, 0.0)
+
+    def _put(self, record, written):
+        if written:
+            self.presence.put_written(record)
+        else:
+            self.presence.put_listed(record)
+
+
+def make_record(identity, born):
+    """Return the record of one start of an endpoint."""
+    return deployment.EndpointRecord(
+        identity=identity,
+        service='notes',
+        host='h',
+        port=1,
+        data_centre='one',
+        slots=4,
+        leaving=False,
+        born=born,
+    )
+
+
+TestEndpointSignals = EndpointSignalsMachine.TestCase
+
+
+def test_backoff_outlasts_its_entry():
+    """Guards against a backoff that is lost when an entry lapses."""
+    table = endpoints.EndpointTable(data_centre='one', random=random.Random(1))
+    table.put(make_record('i-1', 1))
+    table.find('i-1').note_backoff(seconds=3.0, now=100.0)
+    table.remove('i-1')
+    table.put(make_record('i-1', 1))
+    assert not table.find('i-1').is_open(now=102.9)
+    assert table.find('i-1').is_open(now=103.0)
+    table.put(make_record('i-1', 2))
+    assert table.find('i-1').is_open(now=102.9)
