Refuse requests at once if no endpoint opens before their deadline

When all endpoints of a service were in backoff or resting after failures, a request waited until its deadline and was refused only then, with a Retry-After that ignored the backoff. The caller lost all of its time, and one that retried early was refused again.

Cause: the queue knew that no endpoint was open, but not since when or until when. It now determines when the first endpoint opens. Requests that must start before then are refused at once, including those already waiting. Their Retry-After is the time until an endpoint opens plus a jitter of up to half a second, so that callers do not retry together. While all endpoints are leaving, requests wait as before, since others may register at any time.

--- a/marigoldramp/gateway/dispatch.py
+++ b/marigoldramp/gateway/dispatch.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import math
+import random as random_module
 from typing import Callable
 
 from absl import logging
@@ -23,6 +24,8 @@
 USUAL_SLOTS = 4
 #: Shortest time after which a refused caller is told to come back.
 LEAST_RETRY_AFTER = 0.1
+#: Maximum jitter in seconds added to the retry delay of refused callers.
+RETRY_JITTER = 0.5
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -87,6 +90,7 @@
     """Hands out places at endpoints.
 
     :param slots: returns how many requests an endpoint may run at once.
+    :param random: source of the retry jitter.
     :param engine: returns the published figures of a service's engines.
     :param accepted: returns the longest pause that callers of a service's
         streams accept, 0 if none is known.
@@ -96,6 +100,7 @@
         '_table',
         '_clock',
         '_slots',
+        '_random',
         '_engine',
         '_accepted',
         '_queues',
@@ -109,12 +114,14 @@
         table: endpoints.EndpointTable,
         clock: Callable[[], float],
         slots: Callable[[endpoints.Endpoint], float],
+        random: random_module.Random,
         engine: Callable[[str], deployment.Engine | None] = lambda _: None,
         accepted: Callable[[str], float] = lambda _: 0.0,
     ) -> None:
         self._table = table
         self._clock = clock
         self._slots = slots
+        self._random = random
         self._engine = engine
         self._accepted = accepted
         self._queues: dict[str, list[_Waiter]] = {}
@@ -170,6 +177,8 @@
                 )
         if not self._table.of_service(demand.service):
             return self._refuse(demand, 'no endpoint of the service is known')
+        if self._find_open_time(demand.service) > demand.until:
+            return self._refuse(demand, 'no endpoint takes requests in time')
         return await self._wait(demand, arrived)
 
     def leave(self, place: Place) -> None:
@@ -192,6 +201,14 @@
             elif not waiter.demand.is_particular:
                 # Nothing is open to it, so nothing is to those behind it.
                 break
+        self._refuse_late_waiters(service, queue)
+
+    def _refuse_late_waiters(self, service: str, queue: list[_Waiter]) -> None:
+        """Wake requests that no endpoint can take before their deadline."""
+        open_time = self._find_open_time(service)
+        for waiter in queue:
+            if open_time > waiter.demand.until:
+                waiter.event.set()
 
     def serve_all(self) -> None:
         """Look at all queues again, as endpoints may have come free."""
@@ -280,8 +297,22 @@
             retry_after=self.estimate_wait(demand.service),
         )
 
+    def _find_open_time(self, service: str) -> float:
+        """Return the time by which the first endpoint opens.
+
+        Returns 0 if all known endpoints are leaving, as a replacement may
+        register at any time.
+        """
+        known = self._table.of_service(service)
+        open_time = min((one.opens_at for one in known), default=0.0)
+        return open_time if math.isfinite(open_time) else 0.0
+
     def estimate_wait(self, service: str) -> float:
         """Return the seconds after which there may be room."""
+        delay = self._find_open_time(service) - self._clock()
+        if delay > 0.0:
+            # Jitter keeps callers from retrying together and failing again.
+            return delay + self._random.uniform(0.0, RETRY_JITTER)
         known = self._table.of_service(service)
         slots = sum(self._slots(one) for one in known)
         times = [one.seconds for one in known if one.seconds]
--- a/marigoldramp/gateway/endpoints.py
+++ b/marigoldramp/gateway/endpoints.py
@@ -111,10 +111,15 @@
 
     def is_open(self, *, now: float) -> bool:
         """Whether it may be given requests."""
-        if self.record.leaving or self.gone:
-            return False
         # An endpoint in backoff is idle and would otherwise rank first.
-        return now >= max(self.resting_until, self.backoff_until)
+        return now >= self.opens_at
+
+    @property
+    def opens_at(self) -> float:
+        """When it may be given requests; infinite if leaving or gone."""
+        if self.record.leaving or self.gone:
+            return float('inf')
+        return max(self.resting_until, self.backoff_until)
 
     def note_success(self, *, seconds: float) -> None:
         """A request came to a good end."""
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -97,6 +97,7 @@
             table=self.table,
             clock=clock,
             slots=self._slots,
+            random=random,
             engine=self._engine,
             accepted=lambda service: (
                 self.configurations.routes.accepted_pause(service)
--- a/tests/gateway/test_beliefs.py
+++ b/tests/gateway/test_beliefs.py
@@ -703,6 +703,7 @@
         table=table,
         clock=virtual_time.now,
         slots=lambda endpoint: endpoint.record.slots,
+        random=random.Random(1),
     )
     return made, table
 
