Do not shut a service's gate for endpoints that request a backoff

Cause: the gate took such a response as a sign that the whole group runs nothing. A backoff concerns only the endpoint that requests it, and that endpoint already gets no requests during it. The new test fails without the change: the gate is shut after four such responses. Responses without a backoff count as before.

--- a/marigoldramp/gateway/attempts.py
+++ b/marigoldramp/gateway/attempts.py
@@ -40,9 +40,11 @@
     """The endpoint has not run the request and never will.
 
     :ivar status: 421 means that another endpoint has the address.
+    :ivar backoff: duration in seconds of the requested backoff, 0 if none.
     """
 
     status: int
+    backoff: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -205,7 +207,7 @@
         self._signals.note_answer(call=call, endpoint=endpoint, facts=facts)
         if facts.not_run and head.status != 400:
             call.runs -= 1
-            return Declined(status=head.status)
+            return Declined(status=head.status, backoff=facts.retry_after)
         fault = _find_fault(call, facts)
         if fault:
             return Broken(detail=fault)
--- a/marigoldramp/gateway/forwarding.py
+++ b/marigoldramp/gateway/forwarding.py
@@ -246,9 +246,11 @@
             case attempts.Declined(status=attempts.WRONG_ENDPOINT):
                 endpoint.note_failure(now=now)
                 self._on_wrong_endpoint(endpoint.identity)
-            case attempts.Declined():
+            case attempts.Declined(backoff=backoff):
                 endpoint.note_full(now=now)
-                gate.note_failure()
+                if not backoff:
+                    # A backoff concerns one endpoint, not the whole service.
+                    gate.note_failure()
             case attempts.Unreached() | attempts.Broken():
                 endpoint.note_failure(now=now)
                 endpoint.quality.note_break(now=now)
--- a/tests/gateway/test_endpoint_signals.py
+++ b/tests/gateway/test_endpoint_signals.py
@@ -182,3 +182,20 @@
         await call_many(running)
         assert len(leaving.seen) > sends_before
         calls.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    ('header', 'is_shut'), [('Retry-After: 60\r\n', False), ('', True)]
+)
+async def test_only_declines_without_backoff_shut_the_gate(header, is_shut):
+    """Guards against holding requests back while endpoints are free."""
+    declining = [
+        Fake(identity=f'i-{n}', scripts=[fake.decline(more=NOT_RUN + header)])
+        for n in range(4)
+    ]
+    config = site.make_configuration(site.FORBIDDEN(timeout=0.5))
+    async with site.run_site(*declining, configuration=config) as running:
+        gate = running.running.dispatcher.gate('notes')
+        await site.call(running, 'POST', body=b'x')
+        assert sum(bool(one.seen) for one in declining) >= 3
+        assert gate.is_shut == is_shut
