Simulate backoffs and shutdown reports of endpoints in the soak

Leaving endpoints of the soak now report it in all their responses. Two checks are new:

- An endpoint in backoff gets no more than two requests from an entry between half a second after its response and the end of the backoff.
- An endpoint gets no request that a caller sent to an entry more than two seconds after that entry passed on a response reporting its shutdown.

Only a start or a pause of the entry excuses a violation, and for backoffs also a lost or delayed response; outages of the store do not.

--- a/marigoldramp_soak/__main__.py
+++ b/marigoldramp_soak/__main__.py
@@ -26,6 +26,7 @@
 MORE = {
     'ends': 'callers come whose requests end their endpoints',
     'restores': 'the store comes back from older copies',
+    'backoffs': 'endpoints decline requests and request a backoff',
 }
 
 
--- a/marigoldramp_soak/checks.py
+++ b/marigoldramp_soak/checks.py
@@ -16,6 +16,10 @@
 #: after it has ended so many endpoints.
 MOST_SENDS = 3
 ENDS = 3
+#: Seconds after the start of a backoff in which requests in transit may
+#: arrive, and the maximum number from one entry in the rest of the backoff.
+BACKOFF_GRACE = 0.5
+MOST_IN_BACKOFF = 2
 #: Seconds within which the end of an unread request shows.
 AT_ONCE = 0.2
 
@@ -33,6 +37,8 @@
             broken.append(f'{told.request}: cut by planned work: {told}')
     broken += check_drains(site, faults)
     broken += check_ends(site, faults)
+    broken += check_backoffs(site, faults)
+    broken += check_leaving(site)
     known = {told.request for told in site.told}
     broken += [f'{one}: run by nobody' for one in set(runs) - known]
     return broken
@@ -100,6 +106,77 @@
             )
 
 
+def check_backoffs(site, faults):
+    """Return the backoffs in which an endpoint got too many requests.
+
+    Excludes those where the response may have been lost or delayed, or where
+    the entry has started or resumed since.
+    """
+    for (endpoint, number), found in group_arrivals(site).items():
+        for declined in found:
+            if not declined.backoff:
+                continue
+            grace_end = declined.at + BACKOFF_GRACE
+            late = [
+                one
+                for one in found
+                if grace_end < one.at <= declined.at + declined.backoff
+            ]
+            if len(late) <= MOST_IN_BACKOFF:
+                continue
+            last_at = late[-1].at
+            entry = site.entries[number]
+            if any(declined.at <= at <= last_at for at in entry.resumed_at):
+                continue
+            if any(
+                span.begun <= grace_end and span.ended >= declined.at - SLACK
+                for span in faults.network_faults
+            ):
+                continue
+            yield (
+                f'{endpoint}: got {len(late)} requests from entry {number} '
+                f'during a backoff of {declined.backoff:.1f} s'
+            )
+
+
+def check_leaving(site):
+    """Return the requests sent to endpoints after they reported shutdown.
+
+    Excludes only those where the entry has started or resumed since.
+    """
+    told = {one.request: one for one in site.told}
+    for (endpoint, number), found in group_arrivals(site).items():
+        delivery_times = [
+            told[one.request].ended_at
+            for one in found
+            if one.leaving and told[one.request].status == 200
+            if told[one.request].whole
+        ]
+        if not delivery_times:
+            continue
+        since = min(delivery_times)
+        for one in found:
+            if told[one.request].sent_at <= since + DRAIN:
+                continue
+            entry = site.entries[number]
+            if any(since <= at <= one.at for at in entry.resumed_at):
+                continue
+            yield (
+                f'{one.request}: reached {endpoint} {one.at - since:.1f} s '
+                f'after entry {number} was told of its shutdown'
+            )
+
+
+def group_arrivals(site):
+    """Return the arrivals by endpoint and entry number."""
+    entries = {told.request: told.entry for told in site.told}
+    found = collections.defaultdict(list)
+    for one in site.arrivals:
+        if one.request in entries:
+            found[one.endpoint, entries[one.request]].append(one)
+    return found
+
+
 def check_ends(site, faults):
     """Return the requests that came to too many endpoints that they ended."""
     by_path = collections.defaultdict(list)
--- a/marigoldramp_soak/entries.py
+++ b/marigoldramp_soak/entries.py
@@ -41,6 +41,7 @@
     """One gateway process, under an address of its own.
 
     :ivar stopping: it was asked to stop.
+    :ivar resumed_at: times at which its process started or resumed.
     """
 
     def __init__(self, *, number, seed, ports, folder, store):
@@ -49,6 +50,7 @@
         self.calls = ports['calls']
         self.stopping = False
         self.paused = False
+        self.resumed_at = []
         self._log = folder / f'entry-{number}.log'
         self._settings = folder / f'entry-{number}.toml'
         text = SETTINGS.format(
@@ -61,6 +63,7 @@
         """Start the process."""
         self.stopping = False
         self.paused = False
+        self.note_resume()
         environment = dict(
             os.environ,
             MARIGOLDRAMP_BOOT=str(self._settings),
@@ -74,6 +77,10 @@
                 stderr=log,
             )
 
+    def note_resume(self):
+        """Record that the process may have missed earlier responses."""
+        self.resumed_at.append(anyio.current_time())
+
     @property
     def runs(self):
         """Whether the process lives."""
--- a/marigoldramp_soak/faults.py
+++ b/marigoldramp_soak/faults.py
@@ -33,6 +33,8 @@
 class Faults:
     """Injects faults into a site until a time.
 
+    :ivar disturbed: when rules with a time bound do not hold.
+    :ivar network_faults: when responses may be lost or delayed.
     :param more: draws when further kinds of trouble come, by their names,
         whatever the schedule of the others.
     """
@@ -43,6 +45,7 @@
         self._more = more
         self._kinds = PLANNED if planned_only else PLANNED + UNPLANNED
         self.disturbed = []
+        self.network_faults = []
         self.injected = []
 
     async def run(self, until):
@@ -69,6 +72,22 @@
                 tasks.start_soon(caller.run, lambda leaves=leaves: leaves)
                 await anyio.sleep(draw.uniform(0.5, 4.0))
 
+    async def _come_backoffs(self, draw, until):
+        """Start backoff periods on random endpoints; they may overlap."""
+        async with anyio.create_task_group() as tasks:
+            while anyio.current_time() < until:
+                await anyio.sleep(draw.uniform(0.2, 1.5))
+                self.injected.append('backoff')
+                tasks.start_soon(self._request_backoff, draw)
+
+    async def _request_backoff(self, draw):
+        if not self._site.runners:
+            return
+        runner = draw.choice(self._site.runners)
+        runner.backoff = draw.uniform(0.8, 4.0)
+        await anyio.sleep(draw.uniform(1.0, 5.0))
+        runner.backoff = 0.0
+
     async def _come_restores(self, draw, until):
         """Have the store come back from copies, now and then twice."""
         while anyio.current_time() < until:
@@ -133,6 +152,7 @@
             entry.signal(signal.SIGSTOP)
             await self._for(0.3, 6.0)
             entry.signal(signal.SIGCONT)
+            entry.note_resume()
             entry.paused = False
             span.ended = anyio.current_time()
 
@@ -147,15 +167,20 @@
         runner.fault = ''
 
     async def _reset(self):
+        self.network_faults.append(
+            Disturbed(begun=anyio.current_time(), ended=anyio.current_time())
+        )
         self._draw.choice(self._site.proxies()).reset()
 
     async def _silence(self):
         span = self._begin()
+        self.network_faults.append(span)
         self._draw.choice(self._site.proxies()).silence()
         span.ended = anyio.current_time() + 3.0
 
     async def _delay(self):
         span = self._begin()
+        self.network_faults.append(span)
         proxy = self._draw.choice(self._site.proxies())
         proxy.delay = self._draw.uniform(0.01, 0.3)
         await self._for(0.5, 2.0)
--- a/marigoldramp_soak/runners.py
+++ b/marigoldramp_soak/runners.py
@@ -12,6 +12,8 @@
 EVENT_SECONDS = 0.03
 #: In the path of a request that ends each endpoint which begins to run it.
 ENDS = 'ends-'
+#: Share of requests that an endpoint declines while it requests a backoff.
+DECLINED_SHARE = 0.6
 _numbers = itertools.count(1)
 
 
@@ -30,25 +32,45 @@
     first_event: int
 
 
+@dataclasses.dataclass(kw_only=True)
+class Arrival:
+    """One request that an endpoint received, whether or not it ran.
+
+    :ivar leaving: the response reports that the endpoint is shutting down.
+    :ivar backoff: duration in seconds of the backoff that the response
+        requests, 0 if none.
+    """
+
+    request: str
+    at: float
+    endpoint: str
+    leaving: bool
+    backoff: float = 0.0
+
+
 class Runner:
     """One endpoint.
 
+    :param arrivals: list to which each received request is added.
     :param on_end: called when its process ends.
+    :ivar backoff: duration in seconds of the backoff it requests, 0 if none.
     :ivar serves: it has neither left nor ended.
     :ivar fault: what it does wrong: ``decline``, ``fail``, ``cut``, ``slow``,
         ``hang`` or nothing.
     """
 
-    def __init__(self, *, service, draw, runs, on_end):
+    def __init__(self, *, service, draw, runs, arrivals, on_end):
         self.identity = f'i-{next(_numbers):06x}'
         self.service = service
         self.fault = ''
+        self.backoff = 0.0
         self.leaving_since = None
         self.serves = True
         self.port = 0
         self.address = ''
         self._draw = draw
         self._runs = runs
+        self._arrivals = arrivals
         self._on_end = on_end
 
     def record(self):
@@ -72,6 +94,27 @@
             await exchange.respond(status=421, headers=echo, body=b'')
             return
         await exchange.read_body(most=1 << 20, seconds=5.0)
+        arrival = Arrival(
+            request=request,
+            at=anyio.current_time(),
+            endpoint=self.identity,
+            leaving=self.leaving_since is not None,
+        )
+        self._arrivals.append(arrival)
+        if arrival.leaving:
+            echo.append((b'server-leaving', b'1'))
+        if self.backoff and self._draw.random() < DECLINED_SHARE:
+            arrival.backoff = self.backoff
+            await exchange.respond(
+                status=503,
+                headers=[
+                    *echo,
+                    (b'not-executed', b'1'),
+                    (b'retry-after', b'%.3f' % self.backoff),
+                ],
+                body=b'',
+            )
+            return
         fault = self.fault if self._draw.random() < 0.6 else ''
         if fault == 'decline':
             refused = [*echo, (b'not-executed', b'1')]
--- a/marigoldramp_soak/site.py
+++ b/marigoldramp_soak/site.py
@@ -38,6 +38,7 @@
         self._seed = seed
         self.store = objects.Objects()
         self.runs = []
+        self.arrivals = []
         self.told = []
         self.runners = []
         self.all_runners = []
@@ -222,6 +223,7 @@
             service=service,
             draw=self._draw,
             runs=self.runs,
+            arrivals=self.arrivals,
             on_end=self.end_runner,
         )
         _, runner.port = await objects.serve(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,7 +13,11 @@
 
 @pytest.mark.parametrize(
     ('seed', 'more'),
-    [*((seed, []) for seed in (2, *REGRESSIONS)), (301, ['--ends'])],
+    [
+        *((seed, []) for seed in (2, *REGRESSIONS)),
+        (301, ['--ends']),
+        (402, ['--backoffs']),
+    ],
 )
 def test_seed_keeps_the_promises(seed, more):
     done = subprocess.run(
