--- a/tests/gateway/test_endpoint_signals.py
+++ b/tests/gateway/test_endpoint_signals.py
@@ -38,21 +38,6 @@
     return gateway_clock
 
 
-@pytest.fixture
-def lines(caplog):
-    """Return a function that finds the fields of log lines by message."""
-    caplog.set_level('INFO')
-
-    def find(message):
-        return [
-            record.fields
-            for record in caplog.records
-            if record.getMessage() == message
-        ]
-
-    return find
-
-
 async def test_backoff_is_recorded_and_logged(lines):
     """Guards against dropping Retry-After of a declined request."""
     declining = Fake(
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -429,21 +429,6 @@
     assert {status for status, _, _ in refused} <= {503}
 
 
-@pytest.fixture
-def lines(caplog):
-    """Return a function that gives the fields of logged lines."""
-    caplog.set_level('INFO')
-
-    def find(message):
-        return [
-            record.fields
-            for record in caplog.records
-            if record.getMessage() == message
-        ]
-
-    return find
-
-
 @pytest.mark.parametrize(
     ('path', 'script', 'timeout', 'outcome'),
     [
