Log what a map change told the ranks, and what a leader finds to settle

Of the three hypotheses on two maps in one pass no line told one from the other: "map change ended" names neither the map nor the pass nor how many ranks had armed it, and a leader that completes, gives up or seals what an earlier one left was silent.

Now "step held" and "map armed" name the map, the pass and the number of ranks that have acknowledged, and "group to settle" names each decision with its ranks and maps, once as it changes. A change that left a rank out shows as "map armed" with one rank less than the group has; a copy that came late shows as a decision to complete or to give up.

--- a/marigoldramp/map_changes.py
+++ b/marigoldramp/map_changes.py
@@ -13,9 +13,11 @@
 from typing import Callable
 from typing import Sequence
 
+from absl import logging
 import anyio
 
 from . import expert_maps
+from . import logs
 from . import map_conversation
 from . import map_orders
 from . import map_settling
@@ -124,10 +126,23 @@
             patience = ARM_PATIENCE
         if held is None:
             return False
+        rank = self._choose_held(talk)
+        logging.info(
+            'step held',
+            extra=logs.fields(version=str(version), rank=rank, step=held),
+        )
         await steps.reach(steps.Step.MAP_ARM_SENT, self._instance)
         order = map_orders.Arm(version=version, from_step=held + 1)
         if not await self._arm(talk, order, patience):
             return False
+        logging.info(
+            'map armed',
+            extra=logs.fields(
+                version=str(version),
+                from_step=order.from_step,
+                ranks=len(talk.agents()),
+            ),
+        )
         await steps.reach(steps.Step.MAP_ARMED, self._instance)
         await map_settling.release(
             talk, (self._choose_held(talk),), self._instance
--- a/marigoldramp/map_settling.py
+++ b/marigoldramp/map_settling.py
@@ -7,6 +7,7 @@
 import dataclasses
 from typing import Awaitable
 from typing import Callable
+from typing import Iterable
 from typing import Protocol
 from typing import Sequence
 
@@ -98,19 +99,31 @@
             if isinstance(states, Trouble):
                 trouble: Trouble | None = states
             else:
-                self.decision = self._decide(
-                    states=states, ranks=self._shape.ranks
-                )
-                if isinstance(self.decision, map_recovery.Settled):
+                decision = self._decide(states=states, ranks=self._shape.ranks)
+                self._note_decision(decision)
+                if isinstance(decision, map_recovery.Settled):
                     self._note_trouble(None)
                     return None
-                trouble = await self._act(talk, self.decision)
+                trouble = await self._act(talk, decision)
             self._note_trouble(trouble)
             if trouble == Trouble.DEPOSED:
                 return trouble
             if trouble is not None or not _goes_on(self.decision):
                 await self._sleep(self._pace.retry)
 
+    def _note_decision(self, decision: Decision) -> None:
+        """Remember what is to be done; tell when that changes."""
+        if decision != self.decision and not isinstance(
+            decision, map_recovery.Settled
+        ):
+            logging.info(
+                'group to settle',
+                extra=logs.fields(
+                    decision=type(decision).__name__, **_describe(decision)
+                ),
+            )
+        self.decision = decision
+
     def _note_trouble(self, trouble: Trouble | None) -> None:
         """Remember why a look or deed failed; tell when that changes."""
         if trouble != self.trouble:
@@ -294,6 +307,30 @@
     return None
 
 
+def _describe(decision: Decision) -> dict[str, str]:
+    """Return the ranks and maps that a decision is about, for the log."""
+    match decision:
+        case map_recovery.Missing(ranks=ranks):
+            return {'ranks': _join(ranks)}
+        case map_recovery.Release(ranks=ranks):
+            return {'ranks': _join(ranks)}
+        case map_recovery.Disagree(versions=versions):
+            return {'versions': _join(versions)}
+        case map_recovery.Await(schedule=schedule):
+            return {'versions': _join(schedule.versions())}
+        case map_completion.Complete(version=version, ranks=ranks):
+            return {'versions': str(version), 'ranks': _join(ranks)}
+        case map_completion.Abandon(version=version):
+            return {'versions': str(version)}
+        case map_completion.Seal(version=version, holders=holders):
+            return {'versions': str(version), 'ranks': _join(holders)}
+    return {}
+
+
+def _join(values: Iterable[object]) -> str:
+    return ', '.join(map(str, values))
+
+
 def _goes_on(decision: Decision | None) -> bool:
     """Say whether to look again at once, as something has been done."""
     return not isinstance(
--- a/tests/gateway/test_rank_transport.py
+++ b/tests/gateway/test_rank_transport.py
@@ -345,3 +345,38 @@
         tasks.cancel_scope.cancel()
     assert group.step > 20
     assert group.mixed == []
+
+
+@pytest.mark.parametrize('fenced', [True, False])
+async def test_lines_tell_what_a_change_has_told_the_ranks(fenced, lines):
+    group = make_group(checks_token=fenced)
+    leader, planner = make_leader(group, Board(), 'one', load_seconds=0.12)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(group.run)
+        tasks.start_soon(leader.run)
+        await anyio.sleep(4.0)
+        tasks.cancel_scope.cancel()
+    assert planner.done
+    held = lines('step held')[0]
+    armed = lines('map armed')[0]
+    assert armed == {
+        'version': held['version'],
+        'from_step': held['step'] + 1,
+        'ranks': SHAPE.ranks,
+    }
+
+
+async def test_lines_tell_what_a_leader_finds_to_settle(lines):
+    group = make_group(checks_token=False)
+    group.ranks[2].held = 2
+    leader, _ = make_leader(group, Board(), 'one')
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(group.run)
+        tasks.start_soon(leader.run)
+        await anyio.sleep(2.0)
+        tasks.cancel_scope.cancel()
+    assert {
+        'decision': 'Seal',
+        'versions': '0.0',
+        'ranks': '2',
+    } in lines('group to settle')
