Test that a rank whose entry lapses is not left out of a map change

A real leader and the real transport change the map of four ranks that check no tokens; no order is lost, late or refused. Once, in the middle of a change, the entry of one rank is unlisted for a second, while the rank itself goes on. The other three arm the map, the held pass is let go, and from then on each pass mixes two maps: what the users' monitoring saw.

--- a/tests/gateway/fake_ranks.py
+++ b/tests/gateway/fake_ranks.py
@@ -34,6 +34,7 @@
     """Ranks in lock-step, reached by orders that can go wrong.
 
     :ivar mixed: steps in which two ranks used different maps.
+    :ivar lapsed: names of ranks whose entries are not listed; they go on.
     :ivar fate: called with each order; returns ``(answered, delay)``: whether
         a reply comes, and the seconds after which the order is carried out,
         ``None`` for never.
@@ -47,6 +48,7 @@
         self.step = 0
         self.busy = True
         self.mixed = []
+        self.lapsed = set()
         self.orders = []
         self.changes = 0
         self.fate = lambda order: (True, 0.0)
@@ -66,9 +68,12 @@
         self.counts_now = [[1] * (experts * layers) for _ in range(size)]
 
     def names(self):
-        return tuple(f'rank-{number}' for number in range(self.size))
+        names = (f'rank-{number}' for number in range(self.size))
+        return tuple(name for name in names if name not in self.lapsed)
 
     def find(self, name):
+        if name in self.lapsed:
+            return None
         return endpoints.Endpoint(
             record=deployment.EndpointRecord(
                 identity=name,
--- a/tests/gateway/test_rank_transport.py
+++ b/tests/gateway/test_rank_transport.py
@@ -380,3 +380,51 @@
         'versions': '0.0',
         'ranks': '2',
     } in lines('group to settle')
+
+
+@pytest.mark.parametrize(
+    ('load_seconds', 'copy_seconds', 'told', 'delay'),
+    [
+        pytest.param(0.12, 0.1, ranks.Prepare, 0.05, id='while ranks copy'),
+        pytest.param(0.12, 0.1, ranks.Hold, 0.001, id='before ranks arm'),
+        pytest.param(None, 1.0, ranks.Prepare, 0.5, id='while leader asks'),
+    ],
+)
+async def test_rank_whose_entry_lapses_is_not_left_out_of_a_change(
+    load_seconds, copy_seconds, told, delay, monkeypatch
+):
+    """A pass mixes two maps when a rank is unlisted in the middle of a change.
+
+    The entry is back a second later.
+    """
+    monkeypatch.setattr(fake_ranks, 'COPY_SECONDS', copy_seconds)
+    group = make_group(checks_token=False)
+    leader, planner = make_leader(group, Board(), 'one', load_seconds)
+    seen = []
+
+    async def lapse():
+        await anyio.sleep(delay)
+        group.lapsed.add('rank-2')
+        await anyio.sleep(1.0)
+        group.lapsed.clear()
+
+    def fate(order):
+        if isinstance(order.body, told):
+            if not seen:
+                group.tasks.start_soon(lapse)
+            seen.append(order)
+        return True, 0.0
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(group.run)
+        tasks.start_soon(leader.run)
+        await anyio.sleep(2.0)
+        group.fate = fate
+        await anyio.sleep(2.0)
+        before = planner.done
+        await anyio.sleep(10.0)
+        tasks.cancel_scope.cancel()
+    assert seen
+    assert group.mixed == []
+    assert planner.done > before
+    assert len({rank.version for rank in group.ranks}) == 1
