Give the orders of a map change to all ranks of the group, listed or not

Callers got text of two expert maps: passes in which one rank of a group had another map than the rest.

Cause: an order to all went to the endpoints that were listed at that moment. When the entry of one lapsed in the middle of a change, as it does while the store loses the heartbeats of endpoints, the others armed, "all have armed" was true of all that were asked, and the held pass was let go. The state of the group had been checked against its size at the last look only.

Change: a conversation keeps the agents that were listed when the group was last looked at as its members. Orders to all and questions within a change go to the members; one that cannot be found any more counts as an order without a reply, so the change stops with the pass held, and the next look, which takes the list anew, sees that a rank is missing. Why it holds: a change begins only after a look that has seen every rank once, and the members do not change before the next look.

The property OneMap takes agents from the list and back as well.

--- a/marigoldramp/gateway/expert_planner.py
+++ b/marigoldramp/gateway/expert_planner.py
@@ -203,7 +203,7 @@
         """Return the ranks to read; the first ones are watched."""
         # A slow rank gets no requests, so it counts nothing.
         slow = {talk.find_agent(rank) for rank in self._slow_ranks()}
-        names = sorted(talk.agents())
+        names = sorted(talk.members())
         known = [name for name in names if name not in slow] or names
         places = _weigh(use, MEASURED_IDLE, MEASURED_FULL)
         return known[: min(MOST_MEASURED, math.ceil(places / self._slots))]
--- a/marigoldramp/map_changes.py
+++ b/marigoldramp/map_changes.py
@@ -140,7 +140,7 @@
             extra=logs.fields(
                 version=str(version),
                 from_step=order.from_step,
-                ranks=len(talk.agents()),
+                ranks=len(talk.members()),
             ),
         )
         await steps.reach(steps.Step.MAP_ARMED, self._instance)
@@ -213,7 +213,7 @@
     ) -> bool:
         """Have all ranks arm a map; return whether all of them have."""
         began = self._clock()
-        left = tuple(talk.agents())
+        left = tuple(talk.members())
         while left:
             answers = await talk.ask_each({agent: order for agent in left})
             self._note_orders(since=began)
@@ -249,7 +249,7 @@
         if trouble is not None:
             return False
         while self._clock() < until:
-            states = await talk.inspect()
+            states = await talk.inspect_members()
             if isinstance(states, Trouble):
                 return False
             if all(new.version in state.loaded for state in states):
@@ -269,7 +269,7 @@
         """
         until = self._clock() + SLACK_PATIENCE
         while True:
-            states = await talk.inspect()
+            states = await talk.inspect_members()
             if isinstance(states, Trouble) or talk.slack() >= stall:
                 return states
             if self._clock() >= until or not self._may_go_on():
@@ -300,7 +300,7 @@
         so that a late copy of an order to release, from the one before, ends
         nothing of ours.
         """
-        return HELD_RANK if self._fenced else talk.fence % len(talk.agents())
+        return HELD_RANK if self._fenced else talk.fence % len(talk.members())
 
 
 def _is_held(states: Sequence[map_orders.RankState]) -> bool:
--- a/marigoldramp/map_conversation.py
+++ b/marigoldramp/map_conversation.py
@@ -48,7 +48,12 @@
 class Conversation:
     """Numbers a leader's orders and remembers what agents answered.
 
-    :param agents: returns the names of the agents that carry the group.
+    An order to all goes to the members: the agents that were listed when the
+    group was last inspected.  One that is no longer listed in between stays a
+    member; were it left out, a change could end with all others armed.
+
+    :param agents: returns the names of the agents that are now listed for
+        the group.
     """
 
     __slots__ = (
@@ -59,6 +64,7 @@
         '_transport',
         '_numbers',
         '_incarnations',
+        '_members',
         'replies',
     )
 
@@ -79,6 +85,7 @@
         self._transport = transport
         self._numbers = numbers or Numbers()
         self._incarnations: dict[str, int] = {}
+        self._members: tuple[str, ...] = ()
         #: The latest answer of each agent, for operators.
         self.replies: dict[str, map_orders.Reply | map_orders.Lost] = {}
 
@@ -87,9 +94,9 @@
         """Return the fence under which this leader gives orders."""
         return self._fence
 
-    def agents(self) -> tuple[str, ...]:
-        """Return the names of the agents that carry the group."""
-        return tuple(self._agents())
+    def members(self) -> tuple[str, ...]:
+        """Return the agents that were listed at the last inspection."""
+        return self._members
 
     def name_map(self) -> expert_maps.Version:
         """Return a version that no other map of the group has."""
@@ -127,14 +134,23 @@
         """Return the states of all ranks, none of which an older leader
         can still change.
 
+        The agents that are now listed become the members.
+        """
+        self._members = tuple(self._agents())
+        self._forget_others()
+        return await self.inspect_members()
+
+    async def inspect_members(
+        self,
+    ) -> tuple[map_orders.RankState, ...] | Trouble:
+        """Return the states of all ranks of the members.
+
         Agents first take on this leader's fence and tell their incarnation;
         then all are asked again.  An agent that restarted in between may
         know a lower fence and may have obeyed an older leader; the second
         question, which names the incarnation, finds it out.
         """
-        agents = tuple(self._agents())
-        self._forget_others(agents)
-        new = [one for one in agents if one not in self._incarnations]
+        new = [one for one in self._members if one not in self._incarnations]
         trouble = await self.send_each(
             {agent: map_orders.Inspect() for agent in new}
         )
@@ -150,15 +166,15 @@
             for state in reply.states
         )
 
-    def _forget_others(self, agents: Sequence[str]) -> None:
-        for agent in set(self.replies) - set(agents):
+    def _forget_others(self) -> None:
+        for agent in set(self.replies) - set(self._members):
             del self.replies[agent]
-        for agent in set(self._incarnations) - set(agents):
+        for agent in set(self._incarnations) - set(self._members):
             del self._incarnations[agent]
 
     async def send_all(self, body: map_orders.Body) -> Trouble | None:
-        """Give all agents one order; return what went wrong, if anything."""
-        return await self.send_each({agent: body for agent in self._agents()})
+        """Give all members one order; return what went wrong, if anything."""
+        return await self.send_each({agent: body for agent in self._members})
 
     async def send_each(
         self, bodies: Mapping[str, map_orders.Body]
--- a/marigoldramp/map_settling.py
+++ b/marigoldramp/map_settling.py
@@ -159,7 +159,7 @@
             case map_completion.Abandon(version=version):
                 return await talk.send_all(map_orders.Undo(version=version))
             case map_completion.Seal(version=version, holders=holders):
-                trouble = await self._seal(talk, version, talk.agents())
+                trouble = await self._seal(talk, version, talk.members())
                 if trouble is not None:
                     return trouble
                 return await release(talk, holders, self._instance)
@@ -221,7 +221,7 @@
             trouble = await talk.send_all(map_orders.Prepare(expert_map=first))
             if trouble is not None:
                 return trouble
-            states = await talk.inspect()
+            states = await talk.inspect_members()
             if isinstance(states, Trouble):
                 return states
             if any(state.schedule is not None for state in states):
@@ -281,7 +281,7 @@
 ) -> expert_maps.ExpertMap | Trouble:
     """Return a map's contents from whichever agent has them."""
     trouble = Trouble.REFUSED
-    for agent in talk.agents():
+    for agent in talk.members():
         answer = await talk.send(agent, map_orders.Fetch(version=version))
         if isinstance(answer, Trouble):
             trouble = answer
--- a/marigoldramp_standins/group_network.py
+++ b/marigoldramp_standins/group_network.py
@@ -137,6 +137,7 @@
         self.envelopes: list[Envelope] = []
         self.paused: set[str] = set()
         self.cut: set[str] = set()
+        self.unlisted: set[str] = set()
         self.traps: dict[steps.Step, Fault] = {}
         self.trapped: list[steps.Step] = []
         #: The agent whose next order is faulty, ``None`` for any.
@@ -193,7 +194,7 @@
             return await map_fences.learn(
                 group=GROUP,
                 instance=agent,
-                agents=tuple(self._shares),
+                agents=self.list_agents(),
                 transport=_Transport(network=self, owner=agent),
                 read_fence=self._read_fence,
             )
@@ -231,7 +232,7 @@
             group=GROUP,
             instance=name,
             shape=self.shape,
-            agents=lambda: tuple(self._shares),
+            agents=self.list_agents,
             transport=_Transport(network=self, owner=name),
             lease=leases.Lease(
                 store=memory.MemoryStore(table=self.table),
@@ -296,6 +297,18 @@
         """Let a leader go on, which knows nothing of the time it lost."""
         self.paused.discard(name)
 
+    def list_agents(self) -> tuple[str, ...]:
+        """Return the agents that are listed for the group."""
+        return tuple(one for one in self._shares if one not in self.unlisted)
+
+    def unlist_agent(self, agent: str) -> None:
+        """Take an agent that goes on from the list."""
+        self.unlisted.add(agent)
+
+    def list_agent(self, agent: str) -> None:
+        """Put an agent back on the list."""
+        self.unlisted.discard(agent)
+
     def cut_agent(self, agent: str) -> None:
         """Let orders to an agent and its replies wait on their way."""
         self.cut.add(agent)
@@ -349,6 +362,8 @@
         self, owner: str, agent: str, order: map_orders.Order
     ) -> map_orders.Reply | map_orders.Lost:
         """Put an order on its way and wait for the reply."""
+        if agent in self.unlisted:
+            return map_orders.Lost(detail='the agent is not listed')
         future: asyncio.Future[map_orders.Reply | map_orders.Lost]
         future = self.loop.create_future()
         envelope = Envelope(
@@ -486,6 +501,7 @@
         self.table.faults = objects.Faults()
         self.paused.clear()
         self.cut.clear()
+        self.unlisted.clear()
         self.traps.clear()
         self.release_late()
         self.group.endless_loads.clear()
--- a/tests/gateway/test_expert_planner.py
+++ b/tests/gateway/test_expert_planner.py
@@ -32,7 +32,7 @@
     def __init__(self, names):
         self.names = names
 
-    def agents(self):
+    def members(self):
         return self.names
 
     def find_agent(self, rank):
--- a/tests/gateway/test_rank_transport.py
+++ b/tests/gateway/test_rank_transport.py
@@ -382,6 +382,7 @@
     } in lines('group to settle')
 
 
+@pytest.mark.parametrize('fenced', [True, False])
 @pytest.mark.parametrize(
     ('load_seconds', 'copy_seconds', 'told', 'delay'),
     [
@@ -391,14 +392,14 @@
     ],
 )
 async def test_rank_whose_entry_lapses_is_not_left_out_of_a_change(
-    load_seconds, copy_seconds, told, delay, monkeypatch
+    load_seconds, copy_seconds, told, delay, fenced, monkeypatch
 ):
     """A pass mixes two maps when a rank is unlisted in the middle of a change.
 
     The entry is back a second later.
     """
     monkeypatch.setattr(fake_ranks, 'COPY_SECONDS', copy_seconds)
-    group = make_group(checks_token=False)
+    group = make_group(checks_token=fenced)
     leader, planner = make_leader(group, Board(), 'one', load_seconds)
     seen = []
 
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -22,7 +22,14 @@
 )
 FAULTS = list(group_network.Fault)
 LEADER_WAYS = ['kill_leader', 'start_leader', 'pause_leader', 'wake_leader']
-AGENT_WAYS = ['cut_agent', 'join_agent', 'stop_agent', 'start_agent']
+AGENT_WAYS = [
+    'cut_agent',
+    'join_agent',
+    'stop_agent',
+    'start_agent',
+    'unlist_agent',
+    'list_agent',
+]
 STORE_WAYS = [
     'store_out',
     'store_back',
--- a/tests/test_map_leader.py
+++ b/tests/test_map_leader.py
@@ -83,6 +83,35 @@
     run_row(step, fault, agent=agent)
 
 
+@pytest.mark.parametrize('checks_fence', [False, True])
+@pytest.mark.parametrize('rounds', [0, 1, 3])
+@pytest.mark.parametrize('agent', ['agent-0', 'agent-1'])
+@pytest.mark.parametrize('step', MAP_STEPS)
+def test_agent_that_is_unlisted_is_not_left_out(
+    step, agent, rounds, checks_fence
+):
+    """A step mixes maps when an agent is unlisted in the middle of a change.
+
+    The agent goes on, and is listed again after some rounds.
+    """
+    network = make_network(checks_fence=checks_fence, steps_a_round=3)
+    seen = []
+
+    def unlist(_):
+        seen.append(step)
+        network.unlist_agent(agent)
+
+    try:
+        network.watch(step, unlist)
+        assert network.run_fairly(rounds=60, until=lambda: seen)
+        network.run_fairly(rounds=rounds)
+        network.list_agent(agent)
+        network.run_fairly(rounds=20)
+        finish(network)
+    finally:
+        network.close()
+
+
 def run_row(step, fault, checks_fence=False, agent=None):
     network = make_network(
         checks_fence=checks_fence, traps=[(step, fault)], steps_a_round=3
