Reach a rank whose entry has lapsed where it was last listed

Two ways: give the change up (a, as it stood) or go on by the address at which the rank was last listed (b). Orders name the start that they are for, so another endpoint at that address refuses them, and a rank that is gone leaves them without a reply, as before.

test_group_does_not_stand_while_an_entry_has_lapsed: 4 of 4 rows fail with a, none with b.

--- a/marigoldramp/gateway/rank_transport.py
+++ b/marigoldramp/gateway/rank_transport.py
@@ -63,11 +63,13 @@
     :ivar acted_at: when the last order went out.
     :ivar dropped: the last prepared map that was given up.
     :ivar armed: the map that our orders may have armed.
+    :ivar endpoint: where the rank was when it was last listed.
     """
 
-    __slots__ = ('report', 'acted_at', 'dropped', 'armed')
+    __slots__ = ('report', 'acted_at', 'dropped', 'armed', 'endpoint')
 
     def __init__(self) -> None:
+        self.endpoint: endpoints.Endpoint | None = None
         self.report: ranks.RankReport | None = None
         self.acted_at = float('-inf')
         self.dropped = 0
@@ -145,6 +147,17 @@
             if report is not None and report.pace >= quality.SLOW_PACE
         }
 
+    def _locate(self, name: str, link: _Link) -> endpoints.Endpoint | None:
+        """Return where a rank is, or was when it was last listed.
+
+        Its entry may lapse for a second or two though it goes on.  Given up
+        in the middle of a change, the group would stand all the while.
+        """
+        listed = self._find(name)
+        if listed is not None:
+            link.endpoint = listed
+        return link.endpoint
+
     async def _look(
         self,
         name: str,
@@ -159,7 +172,7 @@
         wait = link.acted_at + REPORT_LAG - self._clock()
         if settled and wait > 0.0:
             await self._sleep(wait)
-        endpoint = self._find(name)
+        endpoint = self._locate(name, link)
         if endpoint is None:
             return map_orders.Lost(detail='the endpoint is gone')
         found = await self._api.report(address=endpoint.address, identity=name)
@@ -227,7 +240,7 @@
         for number in range(TRIES):
             if number:
                 await self._sleep(RETRY_SECONDS)
-            endpoint = self._find(name)
+            endpoint = self._locate(name, link)
             if endpoint is None:
                 return ranks.NoReply(detail='the endpoint is gone')
             token = order.fence * TOKENS_A_FENCE + next(self._tokens)
--- a/tests/gateway/test_rank_transport.py
+++ b/tests/gateway/test_rank_transport.py
@@ -429,3 +429,32 @@
     assert group.mixed == []
     assert planner.done > before
     assert len({rank.version for rank in group.ranks}) == 1
+
+
+@pytest.mark.parametrize('told', [ranks.Hold, ranks.Arm])
+@pytest.mark.parametrize('fenced', [True, False])
+async def test_group_does_not_stand_while_an_entry_has_lapsed(fenced, told):
+    """A held group waits for a second until the entry of a rank is back."""
+    group = make_group(checks_token=fenced)
+    leader, planner = make_leader(group, Board(), 'one', load_seconds=0.12)
+    lapsed_at = []
+
+    def fate(order):
+        if isinstance(order.body, told) and not lapsed_at:
+            lapsed_at.append(group.step)
+            group.lapsed.add('rank-2')
+        return True, 0.0
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(group.run)
+        tasks.start_soon(leader.run)
+        await anyio.sleep(2.0)
+        before = planner.done
+        group.fate = fate
+        while not lapsed_at:
+            await anyio.sleep(0.01)
+        await anyio.sleep(1.0)
+        tasks.cancel_scope.cancel()
+    assert group.step >= lapsed_at[0] + 18
+    assert planner.done > before
+    assert group.mixed == []
--- a/tests/map_model.py
+++ b/tests/map_model.py
@@ -4,12 +4,15 @@
 what a leader decides comes from the product's own functions.  An order is
 carried out and answered, or carried out without an answer, or left without an
 answer and carried out at any later moment.  A leader that is frozen or killed
-is one that is not chosen to go on.  A group that forms anew is left out: ranks
-refuse orders of another epoch.
+is one that is not chosen to go on.
+
+Small systems are explored whole.  Larger ones, with reports that lag, groups
+that form anew and entries of ranks that lapse, are walked through at random.
 """
 
 import dataclasses
 import gc
+import random as random_module
 from typing import NamedTuple
 
 from marigoldramp import expert_maps
@@ -27,6 +30,7 @@
     :ivar ready: the prepared map is copied.
     :ivar armed: version and step.
     :ivar fence: the highest that it has obeyed, where it checks fences.
+    :ivar epoch: grows whenever the group forms anew.
     """
 
     version: int = 0
@@ -36,6 +40,7 @@
     armed: tuple[int, int] | None = None
     held: int = 0
     fence: int = 0
+    epoch: int = 0
 
 
 class Order(NamedTuple):
@@ -52,6 +57,7 @@
     leader: int
     rank: int
     order: Order
+    epoch: int = 0
 
 
 class Leader(NamedTuple):
@@ -63,6 +69,9 @@
     :ivar names: maps that it has named.
     :ivar inspected: it has taken all ranks over, where they check fences.
     :ivar dropped: for each rank the last prepared map that it gave up.
+    :ivar epochs: of each rank, as it was last seen.
+    :ivar since: for each rank, how many of its past states our last look or
+        order has outdated; used where reports lag.
     """
 
     view: tuple[Rank | None, ...]
@@ -73,12 +82,19 @@
     inspected: bool = False
     dropped: tuple[int, ...] = ()
     ended: bool = False
+    epochs: tuple[int, ...] = ()
+    since: tuple[int, ...] = ()
 
 
 class State(NamedTuple):
     """The whole system.
 
     :ivar losses: how many more orders may be left without an answer.
+    :ivar unlisted: ranks whose entries have lapsed.
+    :ivar lapses: how many more entries may lapse.
+    :ivar forms: how many more times the group may form anew.
+    :ivar past: the states that each rank had, with the present one; kept
+        where reports lag.
     """
 
     step: int
@@ -86,6 +102,10 @@
     leaders: tuple[Leader, ...]
     late: frozenset[Late]
     losses: int
+    unlisted: frozenset[int] = frozenset()
+    lapses: int = 0
+    forms: int = 0
+    past: tuple[tuple[Rank, ...], ...] = ()
 
 
 @dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
@@ -95,6 +115,9 @@
     :ivar fenced: ranks check fences.
     :ivar timed: a rank is held after the time of the loads, whether all have
         loaded or not.
+    :ivar lapses: how often the entry of a rank may lapse.
+    :ivar forms: how often the group may form anew.
+    :ivar lags: a report shows any state since the leader's last order.
     :ivar without: the guard that is left out, see the tests.
     """
 
@@ -105,11 +128,20 @@
     most_step: int = 4
     losses: int = 1
     timed: bool = False
+    lapses: int = 0
+    forms: int = 0
+    lags: bool = False
     without: str = ''
 
     def start(self) -> State:
-        leader = Leader(view=(None,) * self.ranks, dropped=(0,) * self.ranks)
+        none = (0,) * self.ranks
+        leader = Leader(
+            view=(None,) * self.ranks, dropped=none, epochs=none, since=none
+        )
         return State(
+            lapses=self.lapses,
+            forms=self.forms,
+            past=((Rank(),),) * self.ranks if self.lags else (),
             step=0,
             ranks=(Rank(),) * self.ranks,
             leaders=(leader,) * self.leaders,
@@ -126,11 +158,13 @@
 
     # Ranks
 
-    def obey(self, state, leader, number, order):
+    def obey(self, state, leader, number, order, epoch):
         """Return the rank after an order, ``None`` if it is refused."""
         rank = state.ranks[number]
         if self.fenced and rank.fence > self.fence(leader):
             return None
+        if rank.epoch != epoch:
+            return None
         found = self._obey(state, rank, order)
         if found is None or not self.fenced:
             return found
@@ -192,34 +226,86 @@
             )
             for rank in state.ranks
         )
-        return state._replace(step=step, ranks=ranks)
+        return self._note(state._replace(step=step, ranks=ranks))
+
+    def form_anew(self, state, crashed):
+        """Return the state after the group has formed anew.
+
+        The rank that crashed has forgotten which versions it had.
+        """
+        ranks = tuple(
+            Rank(
+                highest=0 if number == crashed else rank.highest,
+                fence=0 if number == crashed else rank.fence,
+                epoch=rank.epoch + 1,
+            )
+            for number, rank in enumerate(state.ranks)
+        )
+        return self._note(state._replace(ranks=ranks, forms=state.forms - 1))
+
+    def _note(self, state):
+        """Add the present states of the ranks to their past ones."""
+        if not self.lags:
+            return state
+        past = tuple(
+            rows if rows[-1] == rank else (*rows, rank)
+            for rows, rank in zip(state.past, state.ranks)
+        )
+        return state._replace(past=past)
 
     # Everything that can happen next
 
     def follow(self, state):
         """Yield the states that can follow."""
+        yield from self.happen(state)
+        for number in range(self.leaders):
+            yield from self.go_on(state, number)
+
+    def happen(self, state):
+        """Yield the states that follow without a leader's doing."""
         if state.step < self.most_step:
             found = self.begin_pass(state)
             if found is not None:
                 yield found
         for number, rank in enumerate(state.ranks):
             if rank.prepared and not rank.ready:
-                yield _put(state, number, rank._replace(ready=True))
+                ready = rank._replace(ready=True)
+                yield self._note(_put(state, number, ready))
+        yield from self._list_anew(state)
         for late in state.late:
             rest = state._replace(late=state.late - {late})
-            found = self.obey(state, late.leader, late.rank, late.order)
+            found = self.obey(
+                state, late.leader, late.rank, late.order, late.epoch
+            )
             yield (
                 rest
                 if found is None
                 else self._put_obeyed(rest, late.leader, late.rank, found)
             )
-        for number, leader in enumerate(state.leaders):
-            if not leader.ended:
-                yield from self._go_on(state, number, leader)
+
+    def go_on(self, state, number):
+        """Yield the states that follow when a leader goes on."""
+        leader = state.leaders[number]
+        if not leader.ended:
+            yield from self._go_on(state, number, leader)
+
+    def _list_anew(self, state):
+        """Yield the states after an entry has lapsed or come back."""
+        for number in range(self.ranks):
+            if number in state.unlisted:
+                unlisted = state.unlisted - {number}
+                yield state._replace(unlisted=unlisted)
+            elif state.lapses:
+                yield state._replace(
+                    unlisted=state.unlisted | {number},
+                    lapses=state.lapses - 1,
+                )
+            if state.forms:
+                yield self.form_anew(state, number)
 
     def _put_obeyed(self, state, leader, number, rank):
         """Put a rank; where fences count, older copies are dead now."""
-        state = _put(state, number, rank)
+        state = self._note(_put(state, number, rank))
         if not self.fenced or self.without == 'tokens':
             return state
         late = frozenset(
@@ -253,36 +339,71 @@
                     ('look',),
                 )
                 return
+            if state.unlisted:
+                return
             for rank, seen in enumerate(leader.view):
                 if seen is None:
-                    view = _set(leader.view, rank, state.ranks[rank])
-                    yield _lead(state, number, leader._replace(view=view))
+                    yield from self._view(state, number, leader, rank)
             return
         yield self._act(state, number, leader)
 
+    def _view(self, state, number, leader, rank):
+        """Yield what follows when a leader looks at one rank."""
+        past = (state.ranks[rank],)
+        if self.lags:
+            past = state.past[rank][leader.since[rank] :]
+        for place, seen in enumerate(reversed(past)):
+            if seen.epoch != leader.epochs[rank]:
+                epochs = _set(leader.epochs, rank, seen.epoch)
+                # A rank that has started anew knows no fence.
+                known = leader._replace(epochs=epochs, inspected=False)
+                yield self._look(state, number, known)
+                continue
+            since = leader.since
+            if self.lags:
+                # What a report has shown, no later one takes back.
+                shown = len(state.past[rank]) - 1 - place
+                since = _set(since, rank, max(since[rank], shown))
+            view = _set(leader.view, rank, seen)
+            yield _lead(
+                state, number, leader._replace(view=view, since=since)
+            )
+
+    def _outdate(self, state, leader, rank):
+        """Return a leader whose order to a rank has been answered."""
+        if not self.lags:
+            return leader
+        present = len(state.past[rank]) - 1
+        return leader._replace(since=_set(leader.since, rank, present))
+
     def _is_seen(self, leader):
         return all(one is not None for one in leader.view)
 
     def _send(self, state, number, leader, place):
         rank, order = leader.todo[place]
         rest = leader.todo[:place] + leader.todo[place + 1 :]
-        found = self.obey(state, number, rank, order)
+        epoch = leader.epochs[rank]
+        found = self.obey(state, number, rank, order, epoch)
         if found is None:
+            leader = self._outdate(state, leader, rank)
             yield self._refused(state, number, leader, rank, order)
         else:
             done = self._put_obeyed(state, number, rank, found)
+            leader = self._outdate(done, leader, rank)
             yield _lead(done, number, leader._replace(todo=rest))
         if not state.losses:
             return
         lost = state._replace(losses=state.losses - 1)
         if found is not None:
             yield self._put_obeyed(lost, number, rank, found)
-        copy = Late(leader=number, rank=rank, order=order)
+        copy = Late(leader=number, rank=rank, order=order, epoch=epoch)
         yield lost._replace(late=state.late | {copy})
 
     def _refused(self, state, number, leader, rank, order):
         if self.fenced and state.ranks[rank].fence > self.fence(number):
             return _lead(state, number, leader._replace(ended=True, todo=()))
+        if order.kind == 'none':
+            leader = leader._replace(inspected=False)
         if leader.then == ('complete',) and order.kind == 'arm':
             return self._seal(state, number, leader, [rank], ('look',))
         return self._look(state, number, leader)
@@ -308,6 +429,10 @@
     def _name(self, number, leader):
         return self.fence(number) * A_FENCE + leader.names + 1
 
+    def _is_told(self, state, rank):
+        """Whether an order to all goes to a rank."""
+        return self.without != 'members' or rank not in state.unlisted
+
     def _seal(self, state, number, leader, ranks, then):
         version = self._name(number, leader)
         if leader.names + 2 >= A_FENCE:
@@ -316,7 +441,11 @@
             state,
             number,
             leader._replace(names=leader.names + 1),
-            [(rank, Order('seal', version)) for rank in ranks],
+            [
+                (rank, Order('seal', version))
+                for rank in ranks
+                if self._is_told(state, rank)
+            ],
             then,
         )
 
@@ -336,6 +465,7 @@
                     [
                         (rank, Order('arm', version, step + 1))
                         for rank in range(self.ranks)
+                        if self._is_told(state, rank)
                     ],
                     ('armed', step),
                 )
@@ -355,6 +485,10 @@
     def _see(self, state, number, leader):
         """Look at all ranks at once, after an order has been answered."""
         view = state.ranks
+        if any(
+            rank.epoch != epoch for rank, epoch in zip(view, leader.epochs)
+        ):
+            return self._look(state, number, leader)
         return _lead(state, number, leader._replace(view=view))
 
     def _choose_held(self, number):
@@ -368,6 +502,14 @@
         if self.timed:
             # The one rank that is looked at is the one that is to be held.
             view = (view[rank],)
+        else:
+            view = tuple(
+                one
+                for place, one in enumerate(view)
+                if self._is_told(state, place)
+            )
+        if self.timed:
+            pass
         elif any(one.prepared != version for one in view):
             return self._look(state, number, leader)
         elif not all(one.ready for one in view):
@@ -480,7 +622,11 @@
             leader._replace(
                 names=leader.names + 1, changes=leader.changes + 1
             ),
-            [(rank, Order('prepare', version)) for rank in range(self.ranks)],
+            [
+                (rank, Order('prepare', version))
+                for rank in range(self.ranks)
+                if self._is_told(state, rank)
+            ],
             ('hold', version),
         )
 
@@ -549,6 +695,37 @@
     )
 
 
+#: Parts of the moves of a walk that are a leader's, and of these the ones at
+#: which another leader takes over.
+LEADING = 0.75
+SUCCEEDING = 0.08
+
+
+def walk(rules: Rules, *, seed: int, moves: int = 120) -> State:
+    """Return where a random walk ends: at mixed maps, or after its moves."""
+    random = random_module.Random(seed)
+    state = rules.start()
+    leader = 0
+    for _ in range(moves):
+        if random.random() < SUCCEEDING:
+            leader = random.randrange(rules.leaders)
+        following = []
+        if random.random() < LEADING:
+            following = list(rules.go_on(state, leader))
+        following = following or list(rules.follow(state))
+        if not following:
+            break
+        state = random.choice(following)
+        if mixes(state):
+            break
+    return state
+
+
+def mixes(state: State) -> bool:
+    """Whether ranks of a group use different maps."""
+    return len({rank.version for rank in state.ranks}) > 1
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Found:
     """What an exploration has found.
@@ -583,7 +760,7 @@
     place = 0
     while place < len(states):
         state = states[place]
-        if len({rank.version for rank in state.ranks}) > 1:
+        if mixes(state):
             return Found(
                 seen=len(states),
                 mixed=_tell(states, before, place),
