Test that a late release does not end a later hold of the same step

tests/map_model.py had explored one leader with loads that are timed for one change only. With two changes it finds a history of 33 states (one leader, two ranks without tokens, one order lost, 8,990 states seen): a change is given up as no rank has copied, the held pass is let go and one copy of that release is late; the group is idle, so the next change holds the same step of the same rank; the copy ends that hold while one rank has armed, and requests come.

Where ranks check tokens the copy is refused.

--- a/tests/gateway/fake_ranks.py
+++ b/tests/gateway/fake_ranks.py
@@ -15,7 +15,11 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class FakeRank:
-    """State of one rank."""
+    """State of one rank.
+
+    :ivar copy_seconds: time that it takes to copy a map's experts, ``None``
+        for the usual one.
+    """
 
     number: int
     token: int = 0
@@ -28,6 +32,7 @@
     armed: ranks.Armed | None = None
     held: int | None = None
     cut: bool = False
+    copy_seconds: float | None = None
 
 
 class FakeGroup(ranks.RankApi):
@@ -205,7 +210,10 @@
                     return False
                 rank.highest = version
                 rank.prepared = version
-                rank.prepared_at = self.clock() + COPY_SECONDS
+                copying = rank.copy_seconds
+                if copying is None:
+                    copying = COPY_SECONDS
+                rank.prepared_at = self.clock() + copying
                 rank.lists[version] = tuple(
                     layer[rank.number] for layer in layers
                 )
--- a/tests/gateway/test_rank_transport.py
+++ b/tests/gateway/test_rank_transport.py
@@ -458,3 +458,44 @@
     assert group.step >= lapsed_at[0] + 18
     assert planner.done > before
     assert group.mixed == []
+
+
+@pytest.mark.parametrize('fenced', [True, False])
+async def test_late_copy_of_a_release_does_not_end_a_later_hold(fenced):
+    """A pass mixes two maps when a release comes late to an idle group.
+
+    No rank copies in time for two changes, which are given up.  The step
+    that was held last has not begun when a third change has armed one rank.
+    """
+    group = make_group(checks_token=fenced)
+    group.busy = False
+    for rank in group.ranks:
+        rank.copy_seconds = 2.0
+    leader, _ = make_leader(group, Board(), 'one', load_seconds=0.05)
+    steps = set()
+    late = []
+
+    def fate(order):
+        if isinstance(order.body, ranks.Release):
+            steps.add(order.body.step)
+            if len(steps) == 2 and not late:
+                late.append(order)
+                group.ranks[3].copy_seconds = 0.0
+                return False, None
+        return True, 0.0
+
+    group.fate = fate
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(group.run)
+        tasks.start_soon(leader.run)
+        with anyio.fail_after(10.0):
+            while not any(rank.armed for rank in group.ranks):
+                await anyio.sleep(0.005)
+        for rank in group.ranks:
+            rank.copy_seconds = 0.0
+            group._carry_out(rank, late[0])
+        group.busy = True
+        await anyio.sleep(10.0)
+        tasks.cancel_scope.cancel()
+    assert group.mixed == []
+    assert group.step > 20
