Do not hold a step of a rank again whose hold was released

Callers of an idle group without tokens could get text of two expert maps once requests came.

Cause: a release that gets no reply is sent again, and the first copy may be carried out seconds later. An idle group does not begin the step that was held, so the next change held the same step of the same rank, and the copy ended that hold while some ranks had armed and others had not. The proof had left it out: the explorer knew one change only where loads are timed, and the transport sends the copies, which the explorer takes as given.

Evidence: test_late_copy_of_a_release_does_not_end_a_later_hold failed on the code before (passes mix from step 9 on); the explorer found a history of 33 states, with the guard taken out it still does (10,257 states seen), with it none in 28,329.

Change: the transport remembers, for each start of a rank, the last step that it has released there, and refuses to hold a step up to it; a change holds the first later step. Why it holds: whatever copy of a release is still on its way names a step that this leader does not hold again.

Walks with three leaders, reports that lag, new epochs and lapsed entries: 900 without mixed maps; without members or with fences given out again they find some.

--- a/marigoldramp/gateway/rank_transport.py
+++ b/marigoldramp/gateway/rank_transport.py
@@ -64,9 +64,17 @@
     :ivar dropped: the last prepared map that was given up.
     :ivar armed: the map that our orders may have armed.
     :ivar endpoint: where the rank was when it was last listed.
+    :ivar released: the last step whose hold was ended by us.
     """
 
-    __slots__ = ('report', 'acted_at', 'dropped', 'armed', 'endpoint')
+    __slots__ = (
+        'report',
+        'acted_at',
+        'dropped',
+        'armed',
+        'endpoint',
+        'released',
+    )
 
     def __init__(self) -> None:
         self.endpoint: endpoints.Endpoint | None = None
@@ -74,6 +82,7 @@
         self.acted_at = float('-inf')
         self.dropped = 0
         self.armed: int | None = None
+        self.released = 0
 
 
 class RankTransport:
@@ -136,6 +145,8 @@
                 return found
         if _has_no_effect(link, order.body):
             return _answer(order, link, order.fence)
+        if _was_released(link, order.body):
+            return _refuse(order, Refusal.STEP_ENTERED)
         return await self._act(rank_agent, link, order)
 
     def slow_ranks(self) -> dict[int, float]:
@@ -190,6 +201,7 @@
             # had.
             link.armed = None
             link.dropped = 0
+            link.released = 0
         link.report = found
         endpoint.quality.note_pace(pace=found.pace, now=self._clock())
         if found.version == link.armed:
@@ -287,7 +299,9 @@
                 link.armed = number_version(version)
                 return ranks.Arm(version=link.armed, step=step)
             case map_orders.Release():
-                return ranks.Release(step=link.report.held or 0)
+                step = link.report.held or 0
+                link.released = max(link.released, step)
+                return ranks.Release(step=step)
             case map_orders.Undo(version=version) if version is not None:
                 return ranks.Disarm(version=number_version(version))
             case map_orders.Undo() if link.armed is not None:
@@ -414,6 +428,18 @@
     return False
 
 
+def _was_released(link: _Link, body: map_orders.Body) -> bool:
+    """Whether a copy of a release could end a hold at any later moment.
+
+    An idle group does not begin the step that was held last.  Held again,
+    it could go on while some ranks have armed a map and others have not.
+    """
+    match body:
+        case map_orders.Hold(before_step=step):
+            return step <= link.released
+    return False
+
+
 def _answer(order: map_orders.Order, link: _Link, fence: int) -> Reply:
     assert link.report is not None
     return Reply(
--- a/marigoldramp/map_changes.py
+++ b/marigoldramp/map_changes.py
@@ -167,8 +167,9 @@
         if agent is None:
             return None
         entered = max((state.entered for state in states), default=0)
-        held = await self._hold(talk, agent, entered + self._pace.lead_steps)
-        return held if isinstance(held, int) else None
+        return await self._hold_first(
+            talk, agent, entered + self._pace.lead_steps
+        )
 
     async def _hold_timed(
         self,
@@ -199,6 +200,12 @@
         first = answer.states[0].entered + FIRST_LEAD
         if self._clock() < self._slow_until:
             first += SLOW_LEAD
+        return await self._hold_first(talk, agent, first)
+
+    async def _hold_first(
+        self, talk: map_conversation.Conversation, agent: str, first: int
+    ) -> int | None:
+        """Hold one rank before the first step that it does not refuse."""
         for step in range(first, first + MOST_LEAD):
             held = await self._hold(talk, agent, step)
             if held != Trouble.REFUSED:
--- a/tests/map_model.py
+++ b/tests/map_model.py
@@ -69,6 +69,7 @@
     :ivar names: maps that it has named.
     :ivar inspected: it has taken all ranks over, where they check fences.
     :ivar dropped: for each rank the last prepared map that it gave up.
+    :ivar released: for each rank the last step whose hold it ended.
     :ivar epochs: of each rank, as it was last seen.
     :ivar since: for each rank, how many of its past states our last look or
         order has outdated; used where reports lag.
@@ -82,6 +83,7 @@
     inspected: bool = False
     dropped: tuple[int, ...] = ()
     ended: bool = False
+    released: tuple[int, ...] = ()
     epochs: tuple[int, ...] = ()
     since: tuple[int, ...] = ()
 
@@ -136,7 +138,11 @@
     def start(self) -> State:
         none = (0,) * self.ranks
         leader = Leader(
-            view=(None,) * self.ranks, dropped=none, epochs=none, since=none
+            view=(None,) * self.ranks,
+            dropped=none,
+            released=none,
+            epochs=none,
+            since=none,
         )
         return State(
             lapses=self.lapses,
@@ -355,8 +361,11 @@
         for place, seen in enumerate(reversed(past)):
             if seen.epoch != leader.epochs[rank]:
                 epochs = _set(leader.epochs, rank, seen.epoch)
+                released = _set(leader.released, rank, 0)
                 # A rank that has started anew knows no fence.
-                known = leader._replace(epochs=epochs, inspected=False)
+                known = leader._replace(
+                    epochs=epochs, released=released, inspected=False
+                )
                 yield self._look(state, number, known)
                 continue
             since = leader.since
@@ -365,9 +374,14 @@
                 shown = len(state.past[rank]) - 1 - place
                 since = _set(since, rank, max(since[rank], shown))
             view = _set(leader.view, rank, seen)
-            yield _lead(
-                state, number, leader._replace(view=view, since=since)
-            )
+            yield _lead(state, number, leader._replace(view=view, since=since))
+
+    def _note_release(self, leader, rank, order):
+        """Return a leader that sends an order, which may end a hold."""
+        if self.fenced or order.kind != 'release':
+            return leader
+        step = max(leader.released[rank], order.step)
+        return leader._replace(released=_set(leader.released, rank, step))
 
     def _outdate(self, state, leader, rank):
         """Return a leader whose order to a rank has been answered."""
@@ -382,6 +396,8 @@
     def _send(self, state, number, leader, place):
         rank, order = leader.todo[place]
         rest = leader.todo[:place] + leader.todo[place + 1 :]
+        leader = self._note_release(leader, rank, order)
+        state = _lead(state, number, leader)
         epoch = leader.epochs[rank]
         found = self.obey(state, number, rank, order, epoch)
         if found is None:
@@ -519,6 +535,8 @@
         if self.without != 'no other hold' and any(one.held for one in view):
             return self._look(state, number, leader)
         step = state.step + 1
+        if self.without != 'hold anew':
+            step = max(step, leader.released[rank] + 1)
         return self._order(
             state,
             number,
