Have leaders that hold one rank hold other steps of it

Where ranks check no tokens, a late release of an older leader must not end the hold of a newer one. Leaders hold the rank that their fence names by its remainder, so those that follow each other differ; but two whose fences differ by a multiple of the ranks hold the same one, and so do, in a group of 16, the first leaders before and after a restore of the store, as fences then go up by 65,536.

Found by reading, after the explorer had found the same within one leader; nothing was seen of it.

Left: leaders whose fences differ by a multiple of twice the ranks, which takes 32 successions within the life of a late order.

--- a/marigoldramp/map_changes.py
+++ b/marigoldramp/map_changes.py
@@ -17,6 +17,7 @@
 import anyio
 
 from . import expert_maps
+from . import leases
 from . import logs
 from . import map_conversation
 from . import map_orders
@@ -207,6 +208,8 @@
     ) -> int | None:
         """Hold one rank before the first step that it does not refuse."""
         for step in range(first, first + MOST_LEAD):
+            if not self._may_hold(talk, step):
+                continue
             held = await self._hold(talk, agent, step)
             if held != Trouble.REFUSED:
                 return held if isinstance(held, int) else None
@@ -300,6 +303,20 @@
                 return state.hold_before
         return Trouble.REFUSED
 
+    def _may_hold(
+        self, talk: map_conversation.Conversation, step: int
+    ) -> bool:
+        """Whether a change of ours may hold a step.
+
+        Of the leaders that hold one rank without fences each holds every
+        other step, in turn, also where the store was restored in between.
+        """
+        if self._fenced:
+            return True
+        turn = talk.fence // len(talk.members())
+        turn += talk.fence // leases.FENCES_AN_ERA
+        return step % 2 == turn % 2
+
     def _choose_held(self, talk: map_conversation.Conversation) -> int:
         """Return the rank that is held during a change; any one does.
 
--- a/tests/gateway/test_rank_transport.py
+++ b/tests/gateway/test_rank_transport.py
@@ -9,6 +9,7 @@
 from marigoldramp import expert_maps
 from marigoldramp.gateway import rank_transport
 from marigoldramp.gateway import ranks
+from marigoldramp import leases
 from marigoldramp import map_changes
 from marigoldramp import map_leader
 from marigoldramp import map_settling
@@ -499,3 +500,33 @@
         tasks.cancel_scope.cancel()
     assert group.mixed == []
     assert group.step > 20
+
+
+@pytest.mark.parametrize('load_seconds', [None, 0.12])
+@pytest.mark.parametrize(
+    ('fence', 'other'), [(1, 5), (2, 6), (1, leases.FENCES_AN_ERA + 1)]
+)
+async def test_leaders_that_hold_one_rank_hold_other_steps(
+    fence, other, load_seconds
+):
+    """A late release of an older leader ends the hold of a newer one."""
+    steps = []
+    for one in (fence, other):
+        group = make_group(checks_token=False)
+        board = Board()
+        board.fence = one - 1
+        leader, planner = make_leader(group, board, 'one', load_seconds)
+        held = set()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(group.run)
+            tasks.start_soon(leader.run)
+            await anyio.sleep(8.0)
+            tasks.cancel_scope.cancel()
+        for name, order in group.orders:
+            if isinstance(order.body, ranks.Hold):
+                assert name == f'rank-{one % SHAPE.ranks}'
+                held.add(order.body.step % 2)
+        assert planner.done > 1
+        steps.append(held)
+    assert len(steps[0]) == len(steps[1]) == 1
+    assert steps[0].isdisjoint(steps[1])
--- a/tests/map_model.py
+++ b/tests/map_model.py
@@ -119,6 +119,7 @@
         loaded or not.
     :ivar lapses: how often the entry of a rank may lapse.
     :ivar forms: how often the group may form anew.
+    :ivar one_rank: leaders hold one rank, and every other step of it each.
     :ivar lags: a report shows any state since the leader's last order.
     :ivar without: the guard that is left out, see the tests.
     """
@@ -133,6 +134,7 @@
     lapses: int = 0
     forms: int = 0
     lags: bool = False
+    one_rank: bool = False
     without: str = ''
 
     def start(self) -> State:
@@ -508,7 +510,7 @@
         return _lead(state, number, leader._replace(view=view))
 
     def _choose_held(self, number):
-        if self.fenced or self.without == 'other rank':
+        if self.fenced or self.one_rank or self.without == 'other rank':
             return 0
         return (number + 1) % self.ranks
 
@@ -537,6 +539,8 @@
         step = state.step + 1
         if self.without != 'hold anew':
             step = max(step, leader.released[rank] + 1)
+        if self.one_rank and step % 2 != number % 2:
+            step += 1
         return self._order(
             state,
             number,
--- a/tests/test_map_model.py
+++ b/tests/test_map_model.py
@@ -179,6 +179,12 @@
             map_model.Rules(fenced=False, ranks=4, timed=True, **LARGE),
             id='loads are timed',
         ),
+        pytest.param(
+            map_model.Rules(
+                fenced=False, ranks=2, timed=True, one_rank=True, **LARGE
+            ),
+            id='leaders hold one rank',
+        ),
         pytest.param(
             map_model.Rules(fenced=False, ranks=4, **LARGE),
             id='loads are waited for',
