Let the soak's gateways lead a group of ranks, checked pass by pass

No run with real processes had a group of ranks under leaders, so nothing there could have shown two maps in one pass.

A pass that mixes maps and a group that stands after the faults break the seed.

--- a/marigoldramp_soak/__main__.py
+++ b/marigoldramp_soak/__main__.py
@@ -20,6 +20,8 @@
 JUDGED_SECONDS = 3.0
 START_SECONDS = 4.0
 LEAST_SERVED = 0.9
+#: Passes that a group makes at least in the judged seconds.
+LEAST_PASSES = 50
 #: Share of the seeds that have planned work only, in which nothing is cut.
 PLANNED_SHARE = 0.3
 #: Further kinds of trouble, each an option.
@@ -27,6 +29,7 @@
     'ends': 'callers come whose requests end their endpoints',
     'restores': 'the store comes back from older copies',
     'backoffs': 'endpoints decline requests and request a backoff',
+    'maps': 'a group of ranks changes its map under troubled leaders',
 }
 
 
@@ -40,6 +43,7 @@
     broken: list
     faults: list
     folder: str
+    changes: int
 
 
 async def run_seed(seed, seconds, more):
@@ -49,7 +53,10 @@
     planned_only = draw.random() < PLANNED_SHARE
     folder = site_module.make_folder()
     site = site_module.Site(
-        seed=seed, draw=random.Random(f'site {seed}'), folder=folder
+        seed=seed,
+        draw=random.Random(f'site {seed}'),
+        folder=folder,
+        has_group='maps' in more,
     )
     faults = faults_module.Faults(
         site=site,
@@ -73,6 +80,8 @@
         tasks.cancel_scope.cancel()
     broken = list(checks.check(site, faults, planned_only))
     broken += judge_calm(site, ends - JUDGED_SECONDS)
+    if site.group is not None:
+        broken += judge_passes(site.group, ends - JUDGED_SECONDS)
     return Outcome(
         seed=seed,
         requests=len(site.told),
@@ -80,9 +89,18 @@
         broken=broken,
         faults=faults.injected,
         folder=str(folder),
+        changes=0 if site.group is None else site.group.changes,
     )
 
 
+def judge_passes(group, since):
+    """Return a line if a group stood long after the faults."""
+    passes = sum(at > since for at in group.passes)
+    if passes >= LEAST_PASSES:
+        return []
+    return [f'{passes} passes in the last {JUDGED_SECONDS} s']
+
+
 def judge_calm(site, since):
     """Return a line if too few requests were served after the faults."""
     late = [
@@ -113,7 +131,8 @@
         verdict = 'BROKEN' if outcome.broken else 'kept'
         print(
             f'seed {seed}: {verdict}, {outcome.served} of '
-            f'{outcome.requests} served, faults: {" ".join(outcome.faults)}',
+            f'{outcome.requests} served, {outcome.changes} map changes, '
+            f'faults: {" ".join(outcome.faults)}',
             flush=True,
         )
         for line in outcome.broken[:10]:
--- a/marigoldramp_soak/checks.py
+++ b/marigoldramp_soak/checks.py
@@ -39,6 +39,8 @@
     broken += check_ends(site, faults)
     broken += check_backoffs(site, faults)
     broken += check_leaving(site)
+    if site.group is not None:
+        broken += site.group.mixed
     known = {told.request for told in site.told}
     broken += [f'{one}: run by nobody' for one in set(runs) - known]
     return broken
--- a/marigoldramp_soak/entries.py
+++ b/marigoldramp_soak/entries.py
@@ -30,7 +30,7 @@
 RetryBudgetRatio = 0.2
 BudgetWindowS = 10
 BudgetExtra = 60
-RequireFencing = true
+RequireFencing = {fenced}
 ttl_max_s = 5
 [PlatformStore]
 Address = "127.0.0.1:{store}"
@@ -44,7 +44,7 @@
     :ivar resumed_at: times at which its process started or resumed.
     """
 
-    def __init__(self, *, number, seed, ports, folder, store):
+    def __init__(self, *, number, seed, ports, folder, store, fenced):
         # Seeds that run at the same time keep apart by their addresses.
         self.host = f'127.{seed >> 8 & 63}.{seed & 255}.{20 + number}'
         self.calls = ports['calls']
@@ -54,7 +54,12 @@
         self._log = folder / f'entry-{number}.log'
         self._settings = folder / f'entry-{number}.toml'
         text = SETTINGS.format(
-            number=number, host=self.host, grace=GRACE, store=store, **ports
+            number=number,
+            host=self.host,
+            grace=GRACE,
+            store=store,
+            fenced=str(fenced).lower(),
+            **ports,
         )
         self._settings.write_text(text)
         self._process = None
--- a/marigoldramp_soak/faults.py
+++ b/marigoldramp_soak/faults.py
@@ -22,6 +22,12 @@
 )
 
 
+#: What happens to a group of ranks, and shares of orders without a reply.
+GROUP_TROUBLE = ('shift', 'shift', 'lose', 'idle', 'lapse')
+LOST_SHARES = (0.0, 0.0, 0.2, 0.5)
+RANKED_CALLERS = 4
+
+
 @dataclasses.dataclass(kw_only=True)
 class Disturbed:
     """When rules with a time bound do not hold."""
@@ -97,6 +103,33 @@
             await self._site.restore_store(draw)
             span.ended = anyio.current_time()
 
+    async def _come_maps(self, draw, until):
+        """Trouble a group of ranks while its map is being changed."""
+        group = self._site.group
+        async with anyio.create_task_group() as tasks:
+            for number in range(RANKED_CALLERS):
+                caller = self._site.make_ranked_caller(number)
+                tasks.start_soon(caller.run, lambda: until)
+            while anyio.current_time() < until:
+                await anyio.sleep(draw.uniform(0.2, 1.2))
+                kind = draw.choice(GROUP_TROUBLE)
+                self.injected.append(f'group_{kind}')
+                match kind:
+                    case 'shift':
+                        group.shift()
+                    case 'lose':
+                        group.lost_share = draw.choice(LOST_SHARES)
+                    case 'idle':
+                        tasks.start_soon(self._idle_group, draw)
+                    case 'lapse':
+                        tasks.start_soon(self._site.lapse, draw)
+        group.lost_share = 0.0
+
+    async def _idle_group(self, draw):
+        self._site.group.idle = True
+        await anyio.sleep(draw.uniform(0.2, 1.5))
+        self._site.group.idle = False
+
     def _begin(self):
         span = Disturbed(begun=anyio.current_time())
         self.disturbed.append(span)
--- a/marigoldramp_soak/runners.py
+++ b/marigoldramp_soak/runners.py
@@ -6,10 +6,14 @@
 import anyio
 import httpcore
 
+from . import ranks
+
 #: Seconds for which an endpoint serves on after it has said that it leaves.
 SERVES_ON = 4.0
 EVENTS = 12
 EVENT_SECONDS = 0.03
+#: Seconds that a request takes on an endpoint that carries a rank.
+RANKED_SECONDS = 0.3
 #: In the path of a request that ends each endpoint which begins to run it.
 ENDS = 'ends-'
 #: Share of requests that an endpoint declines while it requests a backoff.
@@ -57,11 +61,13 @@
     :ivar serves: it has neither left nor ended.
     :ivar fault: what it does wrong: ``decline``, ``fail``, ``cut``, ``slow``,
         ``hang`` or nothing.
+    :ivar rank: the rank that it carries, if any.
     """
 
-    def __init__(self, *, service, draw, runs, arrivals, on_end):
+    def __init__(self, *, service, draw, runs, arrivals, on_end, rank=None):
         self.identity = f'i-{next(_numbers):06x}'
         self.service = service
+        self.rank = rank
         self.fault = ''
         self.backoff = 0.0
         self.leaving_since = None
@@ -93,6 +99,9 @@
         if expected and expected != self.identity:
             await exchange.respond(status=421, headers=echo, body=b'')
             return
+        if self.rank is not None and exchange.head.path.startswith(ranks.PATH):
+            await self.rank.handle(exchange)
+            return
         await exchange.read_body(most=1 << 20, seconds=5.0)
         arrival = Arrival(
             request=request,
@@ -148,7 +157,7 @@
         if exchange.head.path.startswith('/stream/'):
             await self._stream(exchange, sealed, first, request, fault)
             return
-        await anyio.sleep(0.01)
+        await anyio.sleep(0.01 if self.rank is None else RANKED_SECONDS)
         await exchange.respond(
             status=200, headers=sealed, body=f'done {request}'.encode()
         )
--- a/marigoldramp_soak/site.py
+++ b/marigoldramp_soak/site.py
@@ -1,6 +1,7 @@
 """The site of one seed: a store, endpoints, gateways and callers."""
 
 import pathlib
+import random
 import socket
 import tempfile
 
@@ -10,6 +11,7 @@
 from . import entries
 from . import objects
 from . import proxies
+from . import ranks
 from . import runners
 
 HOST = '127.0.0.1'
@@ -20,6 +22,11 @@
 #: Seconds for which an endpoint that has ended is down, and after which it is
 #: listed no longer.
 DOWN_SECONDS = 1.5
+#: Service whose endpoints carry a group of ranks, and what callers ask of it.
+RANKED = 'ranked'
+RANKED_PATH = '/ranked/1'
+#: Seeds of which one has ranks that check tokens.
+SEEDS_A_CHECK = 3
 #: Copies of the store to which it may go back, and seconds between two.
 COPIES = 6
 COPY_SECONDS = 1.0
@@ -32,10 +39,20 @@
 
 
 class Site:
-    """Everything that one seed runs."""
+    """Everything that one seed runs.
 
-    def __init__(self, *, seed, draw, folder):
+    :param has_group: there is a group of ranks as well.
+    """
+
+    def __init__(self, *, seed, draw, folder, has_group=False):
         self._seed = seed
+        self.group = None
+        self.carriers = []
+        if has_group:
+            self.group = ranks.Group(
+                draw=random.Random(f'ranks {seed}'),
+                tokens=seed % SEEDS_A_CHECK == 0,
+            )
         self.store = objects.Objects()
         self.runs = []
         self.arrivals = []
@@ -63,6 +80,10 @@
         for service, count in SERVICES.items():
             for _ in range(count):
                 await self._add_runner(service)
+        if self.group is not None:
+            tasks.start_soon(self.group.run, tasks)
+            for rank in self.group.ranks:
+                await self._add_carrier(rank)
         ports = find_ports()
         for number in range(ENTRIES):
             proxy = proxies.Proxy(host=HOST, target=port)
@@ -74,6 +95,7 @@
                 ports=ports,
                 folder=self._folder,
                 store=proxy.port,
+                fenced=self.group is None or self.group.tokens,
             )
             entry.start()
             self.entries.append(entry)
@@ -119,6 +141,20 @@
         caller.key = lambda: key
         return caller
 
+    def make_ranked_caller(self, number):
+        """Return a caller of the endpoints that carry ranks."""
+        caller = self.make_callers()[0]
+        caller.name = f'ranked-{number}'
+        caller.paths = (RANKED_PATH,)
+        return caller
+
+    async def lapse(self, draw):
+        """Have the entry of a rank's endpoint lapse, and come back."""
+        carrier = draw.choice(self.carriers)
+        self.store.drop('servers', carrier.identity)
+        await anyio.sleep(draw.uniform(0.3, 1.8))
+        self.store.put('servers', carrier.identity, carrier.record())
+
     def customer_of(self, key):
         """Return the customer to whom a key belongs."""
         return 'house-' + key.rpartition('-')[2]
@@ -131,10 +167,10 @@
             'main',
             {
                 'Version': self._version,
-                'Routes': [self._make_route(*route) for route in ROUTES],
-                'Services': [
-                    {'Name': name, 'MaxConnections': 200} for name in SERVICES
+                'Routes': [
+                    self._make_route(*route) for route in self._list_routes()
                 ],
+                'Services': self._list_services(),
                 'Limits': {
                     'MaxHeaderBytes': 16384,
                     'MaxBodyBytes': 1000000,
@@ -148,6 +184,22 @@
             },
         )
 
+    def _list_routes(self):
+        if self.group is None:
+            return ROUTES
+        return (*ROUTES, ('/ranked/', 'idempotent', RANKED, 2, False))
+
+    def _list_services(self):
+        plain = [{'Name': name, 'MaxConnections': 200} for name in SERVICES]
+        if self.group is None:
+            return plain
+        ranked = {
+            'Name': RANKED,
+            'MaxConnections': 200,
+            'Engine': ranks.ENGINE,
+        }
+        return [*plain, ranked]
+
     async def keep_copies(self):
         """Make a copy of the store each second, until cancelled."""
         while True:
@@ -167,7 +219,7 @@
         self.store.away = False
         await anyio.sleep(draw.uniform(0.1, 1.5))
         self.configure()
-        for runner in self.runners:
+        for runner in [*self.runners, *self.carriers]:
             self.store.put('servers', runner.identity, runner.record())
         for runner in self.all_runners:
             if runner.leaving_since is not None and runner.serves:
@@ -219,12 +271,20 @@
         self.store.drop('servers', runner.identity)
 
     async def _add_runner(self, service):
+        self.runners.append(await self._register(service))
+
+    async def _add_carrier(self, rank):
+        self.carriers.append(await self._register(RANKED, rank))
+
+    async def _register(self, service, rank=None):
+        """Return a new endpoint that serves and is listed."""
         runner = runners.Runner(
             service=service,
             draw=self._draw,
             runs=self.runs,
             arrivals=self.arrivals,
             on_end=self.end_runner,
+            rank=rank,
         )
         _, runner.port = await objects.serve(
             runner.handle, HOST, 0, self._tasks
@@ -233,9 +293,9 @@
         await proxy.listen(self._tasks)
         runner.address = f'{HOST}:{proxy.port}'
         self._runner_proxies[runner.identity] = proxy
-        self.runners.append(runner)
         self.all_runners.append(runner)
         self.store.put('servers', runner.identity, runner.record())
+        return runner
 
     def _make_route(self, prefix, kind, service, attempts, resumes):
         return {
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,6 +17,7 @@
         *((seed, []) for seed in (2, *REGRESSIONS)),
         (301, ['--ends']),
         (402, ['--backoffs']),
+        (611, ['--maps']),
     ],
 )
 def test_seed_keeps_the_promises(seed, more):
