Log and count the rate limits that endpoints name

Change: the header is decoded; the lines 'rate limit of endpoint changed' and 'sent under rate limit' with counters. Values that are no positive decimal number, and repeated headers, are named in the log. No request goes another way by this.

Tests: the table of values in test_platform and the lines in test_endpoint_signals; both need the change.

--- a/marigoldramp/gateway/calls.py
+++ b/marigoldramp/gateway/calls.py
@@ -24,6 +24,7 @@
     :ivar version_age: seconds since that version was confirmed as newest, at
         admission.
     :ivar sends: how often it was sent to an endpoint.
+    :ivar sent_at: when it was last sent to an endpoint.
     :ivar runs: how often it may have run.
     :ivar excluded_endpoints: endpoints that it is not sent to again.
     :ivar endpoint: the endpoint that it was last sent to.
@@ -47,6 +48,7 @@
     version: int = 0
     version_age: float = 0.0
     sends: int = 0
+    sent_at: float = 0.0
     runs: int = 0
     excluded_endpoints: frozenset[str] = frozenset()
     endpoint: str = ''
--- a/marigoldramp/gateway/codecs.py
+++ b/marigoldramp/gateway/codecs.py
@@ -70,6 +70,9 @@
     :ivar leaving: the endpoint is shutting down.
     :ivar retry_after: seconds that an unavailable endpoint asks the gateway
         to wait before it sends another request; 0 if not specified.
+    :ivar rate_limit: requests per second that the endpoint accepts from all
+        gateways together; 0 if it names no limit.
+    :ivar has_unreadable_rate_limit: it names a limit whose value is invalid.
     """
 
     attempt_id: str
@@ -79,6 +82,8 @@
     load: ReportedLoad | None = None
     leaving: bool = False
     retry_after: float = 0.0
+    rate_limit: float = 0.0
+    has_unreadable_rate_limit: bool = False
 
 
 class Codec(abc.ABC):
--- a/marigoldramp/gateway/endpoint_signals.py
+++ b/marigoldramp/gateway/endpoint_signals.py
@@ -1,4 +1,7 @@
-"""Handles shutdown and backoff signals in response headers of endpoints."""
+"""Handles signals of endpoints in response headers.
+
+Endpoints signal a shutdown, a backoff, and a limit on their rate of requests.
+"""
 
 from typing import Callable
 
@@ -13,9 +16,9 @@
 
 
 class EndpointSignals:
-    """Handles shutdown and backoff signals of endpoints.
+    """Handles shutdown, backoff and rate limit signals of endpoints.
 
-    Also logs and counts requests sent during a backoff.
+    Also logs and counts requests sent during a backoff or under a rate limit.
 
     :param on_leaving: called with the record of an endpoint that reports
         that it is shutting down.
@@ -36,9 +39,36 @@
 
     def note_send(
         self, *, call: calls.Call, endpoint: endpoints.Endpoint
+    ) -> None:
+        """Record a request that was sent to an endpoint."""
+        now = self._clock()
+        call.sent_at = now
+        self._note_backoff_send(call, endpoint, now)
+        self._note_limited_send(call, endpoint)
+
+    def _note_limited_send(
+        self, call: calls.Call, endpoint: endpoints.Endpoint
+    ) -> None:
+        """Log and count a request sent under the endpoint's rate limit."""
+        if not endpoint.rate_limit:
+            return
+        service = endpoint.record.service
+        self._metrics.count('sends_under_rate_limit', service=service)
+        logging.info(
+            'sent under rate limit',
+            extra=logs.fields(
+                request=call.facts.attempt_id,
+                endpoint=endpoint.identity,
+                rate=endpoint.rate_limit,
+                sends=call.sends,
+            ),
+        )
+
+    def _note_backoff_send(
+        self, call: calls.Call, endpoint: endpoints.Endpoint, now: float
     ) -> None:
         """Log and count a request sent during the endpoint's backoff."""
-        left = endpoint.backoff_until - self._clock()
+        left = endpoint.backoff_until - now
         if left <= 0.0:
             return
         service = endpoint.record.service
@@ -60,9 +90,45 @@
         endpoint: endpoints.Endpoint,
         facts: codecs.AnswerFacts,
     ) -> None:
-        """Report a shutdown, and record, log and count a backoff."""
+        """Record the signals in the head of a response."""
         if facts.leaving:
             self._on_leaving(endpoint.record)
+        self._note_rate_limit(call, endpoint, facts)
+        self._note_backoff(call, endpoint, facts)
+
+    def _note_rate_limit(
+        self,
+        call: calls.Call,
+        endpoint: endpoints.Endpoint,
+        facts: codecs.AnswerFacts,
+    ) -> None:
+        """Record a rate limit, and log and count a change of it."""
+        rate = facts.rate_limit
+        if rate == endpoint.rate_limit:
+            return
+        if facts.has_unreadable_rate_limit and not rate:
+            return
+        before = endpoint.rate_limit
+        endpoint.rate_limit = rate
+        service = endpoint.record.service
+        self._metrics.count('rate_limit_changes', service=service)
+        logging.info(
+            'rate limit of endpoint changed',
+            extra=logs.fields(
+                request=call.facts.attempt_id,
+                endpoint=endpoint.identity,
+                rate=rate,
+                before=before,
+            ),
+        )
+
+    def _note_backoff(
+        self,
+        call: calls.Call,
+        endpoint: endpoints.Endpoint,
+        facts: codecs.AnswerFacts,
+    ) -> None:
+        """Record, log and count a backoff."""
         if facts.retry_after <= 0.0:
             return
         endpoint.note_backoff(seconds=facts.retry_after, now=self._clock())
--- a/marigoldramp/gateway/endpoints.py
+++ b/marigoldramp/gateway/endpoints.py
@@ -52,6 +52,8 @@
     :ivar peer_requests: number of requests on it that other gateways report.
     :ivar resting_until: end of the pause after a failure or a refusal.
     :ivar backoff_until: end of the backoff that the endpoint requested.
+    :ivar rate_limit: requests per second that it accepts from all gateways
+        together, as it last named; 0 for no limit.
     :ivar failures: number of consecutive failures.
     :ivar quality: estimates of its latency and error rate.
     :ivar seconds: smoothed duration of a whole request, 0 if unknown.
@@ -65,6 +67,7 @@
         'peer_requests',
         'resting_until',
         'backoff_until',
+        'rate_limit',
         'failures',
         'quality',
         'seconds',
@@ -78,6 +81,7 @@
         self.peer_requests = 0
         self.resting_until = 0.0
         self.backoff_until = 0.0
+        self.rate_limit = 0.0
         self.failures = 0
         self.quality = quality.Quality()
         self.seconds = 0.0
--- a/marigoldramp/platform/headers.py
+++ b/marigoldramp/platform/headers.py
@@ -1,6 +1,7 @@
 """Reads and writes the platform's HTTP headers."""
 
 import math
+import re
 
 from absl import logging
 
@@ -33,12 +34,16 @@
 #: Seconds that the sender of a request should wait before the next one; read
 #: from 503 responses only.
 RETRY_AFTER = b'retry-after'
+#: Requests per second that the endpoint accepts from all gateways together.
+RATE_LIMIT = b'server-limit'
 CONTENT_ENCODING = b'content-encoding'
 
 WRONG_ENDPOINT_STATUS = 421
 UNAVAILABLE_STATUS = 503
 MILLISECONDS_PER_SECOND = 1000.0
 
+_DECIMAL = re.compile(rb'[0-9]+(\.[0-9]+)?')
+
 #: Headers that the gateway sets itself, or must not forward.
 _NOT_FORWARDED = frozenset(
     (
@@ -93,6 +98,7 @@
         self, status: int, headers: codecs.Headers
     ) -> codecs.AnswerFacts:
         found = dict(headers)
+        rates, unreadable_rates = _read_rate_limits(status, headers)
         return codecs.AnswerFacts(
             attempt_id=found.get(ATTEMPT_ID, b'').decode('latin-1'),
             signed=ENDPOINT_SIGNATURE in found,
@@ -102,6 +108,8 @@
             load=_read_load(found.get(ENDPOINT_LOAD, b'')),
             leaving=_read_leaving(status, headers),
             retry_after=_read_retry_after(status, headers),
+            rate_limit=min(rates, default=0.0),
+            has_unreadable_rate_limit=bool(unreadable_rates),
         )
 
 
@@ -176,6 +184,37 @@
     return longest
 
 
+def _read_rate_limits(
+    status: int, headers: codecs.Headers
+) -> tuple[list[float], list[bytes]]:
+    """Return the rate limits of a response, and their unreadable values.
+
+    Values other than positive decimal numbers are unreadable.  These are
+    logged, and so are all values of a repeated header.  A 421 response has
+    none, as it comes from another endpoint that now has the address.
+    """
+    if status == WRONG_ENDPOINT_STATUS:
+        return [], []
+    values = [text for name, text in headers if name == RATE_LIMIT]
+    rates = [_parse_rate(text) for text in values]
+    readable = [rate for rate in rates if rate is not None]
+    if len(values) > 1 or len(readable) < len(values):
+        for text in values:
+            _log_invalid_header(RATE_LIMIT, text)
+    unreadable = [
+        text for text, rate in zip(values, rates, strict=True) if rate is None
+    ]
+    return readable, unreadable
+
+
+def _parse_rate(text: bytes) -> float | None:
+    """Return a positive decimal number, ``None`` for anything else."""
+    if not _DECIMAL.fullmatch(text):
+        return None
+    rate = float(text)
+    return rate if 0.0 < rate < math.inf else None
+
+
 def _log_invalid_header(name: bytes, value: bytes) -> None:
     """Log a response header that has an invalid value."""
     logging.warning(
--- a/tests/adapter/test_platform.py
+++ b/tests/adapter/test_platform.py
@@ -273,6 +273,39 @@
     assert messages == ['header not understood'] * warnings
 
 
+@pytest.mark.parametrize(
+    ('status', 'values', 'rate', 'is_unreadable', 'warnings'),
+    [
+        (200, [], 0.0, False, 0),
+        (200, [b'1'], 1.0, False, 0),
+        (500, [b'0.25'], 0.25, False, 0),
+        (503, [b'12.5'], 12.5, False, 0),
+        (421, [b'1'], 0.0, False, 0),
+        (421, [b'soon'], 0.0, False, 0),
+        (200, [b'0'], 0.0, True, 1),
+        (200, [b'-1'], 0.0, True, 1),
+        (200, [b'nan'], 0.0, True, 1),
+        (200, [b'1e999'], 0.0, True, 1),
+        (200, [b'9' * 400], 0.0, True, 1),
+        (200, [b'1_0'], 0.0, True, 1),
+        (200, [b''], 0.0, True, 1),
+        (200, [b'1, 2'], 0.0, True, 1),
+        (200, [b'3', b'2'], 2.0, False, 2),
+        (200, [b'3', b'soon'], 3.0, True, 2),
+    ],
+)
+def test_rate_limit_of_an_endpoint(
+    caplog, status, values, rate, is_unreadable, warnings
+):
+    """Guards against a limit that is missed, or invalid and not logged."""
+    sent = [(b'server-limit', value) for value in values]
+    found = headers.Codec().read_answer(status, sent)
+    assert found.rate_limit == rate
+    assert found.has_unreadable_rate_limit == is_unreadable
+    messages = [record.getMessage() for record in caplog.records]
+    assert messages == ['header not understood'] * warnings
+
+
 @pytest.mark.parametrize(
     ('status', 'values', 'leaving', 'warnings'),
     [
--- a/tests/gateway/test_endpoint_signals.py
+++ b/tests/gateway/test_endpoint_signals.py
@@ -55,6 +55,23 @@
     assert fields == {'request': 'a7', 'endpoint': 'i-1', 'seconds': 2.5}
 
 
+async def test_rate_limit_and_sends_under_it_are_logged(lines):
+    """Guards against a limit of an endpoint that no line tells of."""
+    limited = fake.answer(more='Server-Limit: 2.5\r\n')
+    unlimited = fake.answer()
+    scripts = [limited, limited, unlimited, unlimited]
+    async with site.run_site(Fake(identity='i-1', scripts=scripts)) as running:
+        for number in range(4):
+            await site.call(running, attempt=f'a{number}')
+    changes = [
+        (one['request'], one['rate'], one['before'])
+        for one in lines('rate limit of endpoint changed')
+    ]
+    assert changes == [('a0', 2.5, 0.0), ('a2', 0.0, 2.5)]
+    sends = [one['request'] for one in lines('sent under rate limit')]
+    assert sends == ['a1', 'a2']
+
+
 DECLINED = fake.decline(more=NOT_RUN + 'Retry-After: 60\r\n')
 FAILED = fake.answer(b'', 503, more='Retry-After: 60\r\n')
 #: Maximum number of requests from one gateway to an endpoint in backoff,
