Name rate limits and partition gateways in the soak

--limits has endpoints name limits that rise, fall and vanish, one of them or all of a service, and cuts one gateway off from its peers while it reaches everything else. The check sums the requests of all gateways that have passed on a response with the limit, in each window of 4 s; gateways that started or resumed in it are left out, and windows with delayed requests.

--- a/marigoldramp_soak/__main__.py
+++ b/marigoldramp_soak/__main__.py
@@ -29,6 +29,7 @@
     'ends': 'callers come whose requests end their endpoints',
     'restores': 'the store comes back from older copies',
     'backoffs': 'endpoints decline requests and request a backoff',
+    'limits': 'endpoints name rate limits, and gateways miss each other',
     'maps': 'a group of ranks changes its map under troubled leaders',
 }
 
--- a/marigoldramp_soak/checks.py
+++ b/marigoldramp_soak/checks.py
@@ -20,6 +20,14 @@
 #: arrive, and the maximum number from one entry in the rest of the backoff.
 BACKOFF_GRACE = 0.5
 MOST_IN_BACKOFF = 2
+#: Seconds in which the requests to an endpoint with a rate limit are counted,
+#: the factor and the requests by which they may exceed what it allows, and
+#: seconds since an entry passed on a response that names it from which the
+#: entry's requests count.
+LIMIT_WINDOW = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA = 5
+LIMIT_TOLD = 0.5
 #: Seconds within which the end of an unread request shows.
 AT_ONCE = 0.2
 
@@ -39,6 +47,7 @@
     broken += check_ends(site, faults)
     broken += check_backoffs(site, faults)
     broken += check_leaving(site)
+    broken += check_limits(site, faults)
     if site.group is not None:
         broken += site.group.mixed
     known = {told.request for told in site.told}
@@ -169,6 +178,72 @@
             )
 
 
+def check_limits(site, faults):
+    """Return the rate limits that were exceeded.
+
+    Excludes requests of entries that started or resumed in the window or
+    shortly before it, and windows in which requests may have been delayed on
+    their way.
+    """
+    by_endpoint = collections.defaultdict(list)
+    for (endpoint, number), found in group_arrivals(site).items():
+        by_endpoint[endpoint] += [(one, number) for one in found]
+    for runner in site.all_runners:
+        arrivals = sorted(
+            by_endpoint[runner.identity], key=lambda pair: pair[0].at
+        )
+        for span in runner.limit_spans:
+            allowed = LIMIT_FACTOR * span.rate * LIMIT_WINDOW + LIMIT_EXTRA
+            count = max(count_windows(site, faults, span, arrivals), default=0)
+            if count > allowed:
+                yield (
+                    f'{runner.identity}: got {count} requests in '
+                    f'{LIMIT_WINDOW} s under a limit of {span.rate:.2f} a '
+                    f'second; {allowed:.1f} are allowed'
+                )
+
+
+def count_windows(site, faults, span, arrivals):
+    """Return the number of requests in the window before each arrival.
+
+    :param arrivals: arrivals at the endpoint with their entries, in order.
+    """
+    told = find_told(site, span, arrivals)
+    for last, _ in arrivals:
+        begun = max(last.at - LIMIT_WINDOW, span.begun + CONTACT)
+        if not begun <= last.at <= span.ended:
+            continue
+        if any(
+            fault.begun <= last.at and fault.ended >= begun - SLACK
+            for fault in faults.network_faults
+        ):
+            continue
+        yield sum(
+            begun <= one.at <= last.at
+            and one.at >= told.get(number, float('inf')) + LIMIT_TOLD
+            and not any(
+                begun - CONTACT <= at <= last.at
+                for at in site.entries[number].resumed_at
+            )
+            for one, number in arrivals
+        )
+
+
+def find_told(site, span, arrivals):
+    """Return when each entry first passed on a response with the limit."""
+    told = {one.request: one for one in site.told}
+    found = {}
+    for one, number in arrivals:
+        answer = told[one.request]
+        if not span.begun <= one.at <= span.ended or not one.rate_limit:
+            continue
+        if answer.whole and answer.status == 200:
+            found[number] = min(
+                found.get(number, float('inf')), answer.ended_at
+            )
+    return found
+
+
 def group_arrivals(site):
     """Return the arrivals by endpoint and entry number."""
     entries = {told.request: told.entry for told in site.told}
--- a/marigoldramp_soak/entries.py
+++ b/marigoldramp_soak/entries.py
@@ -8,9 +8,13 @@
 
 import anyio
 
+from . import gateway
+
 ROOT = pathlib.Path(__file__).parent.parent
 #: Seconds after which a process that was asked to stop is killed.
 GRACE = 8
+#: File with the hosts that are partitioned from the other gateways.
+PARTITION = 'partition'
 
 SETTINGS = """\
 NodeName = "entry-{number}"
@@ -53,6 +57,7 @@
         self.resumed_at = []
         self._log = folder / f'entry-{number}.log'
         self._settings = folder / f'entry-{number}.toml'
+        self._partition = folder / PARTITION
         text = SETTINGS.format(
             number=number,
             host=self.host,
@@ -72,11 +77,12 @@
         environment = dict(
             os.environ,
             MARIGOLDRAMP_BOOT=str(self._settings),
+            **{gateway.VARIABLE: str(self._partition)},
             PYTHONPATH=str(ROOT),
         )
         with self._log.open('ab') as log:
             self._process = subprocess.Popen(
-                [sys.executable, '-m', 'marigoldramp.platform'],
+                [sys.executable, '-m', gateway.__name__],
                 env=environment,
                 stdout=log,
                 stderr=log,
--- a/marigoldramp_soak/faults.py
+++ b/marigoldramp_soak/faults.py
@@ -26,6 +26,15 @@
 GROUP_TROUBLE = ('shift', 'shift', 'lose', 'idle', 'lapse')
 LOST_SHARES = (0.0, 0.0, 0.2, 0.5)
 RANKED_CALLERS = 4
+#: Rate limits that endpoints name, in requests per second; 0 for none.
+RATE_LIMITS = (0.1, 0.5, 1.0, 1.0, 3.0, 10.0, 0.0)
+#: Share of the limits that all endpoints of a service name at once, and of
+#: the partitions between gateways among the troubles with limits.
+LIMITED_SERVICE_SHARE = 0.3
+PARTITION_SHARE = 0.25
+#: Seconds before the end of the faults from which no limit is named: the
+#: load returns in steps.
+LIMITS_END = 4.0
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -94,6 +103,44 @@
         await anyio.sleep(draw.uniform(1.0, 5.0))
         runner.backoff = 0.0
 
+    async def _come_limits(self, draw, until):
+        """Have endpoints name rate limits, and partition gateways."""
+        until -= LIMITS_END
+        async with anyio.create_task_group() as tasks:
+            while anyio.current_time() < until:
+                if draw.random() < PARTITION_SHARE:
+                    self.injected.append('partition')
+                    tasks.start_soon(self._partition, draw)
+                else:
+                    self.injected.append('limit')
+                    self._limit_runners(draw)
+                await anyio.sleep(draw.uniform(0.5, 5.0))
+        for runner in self._site.all_runners:
+            runner.limit(0.0)
+
+    def _limit_runners(self, draw):
+        """Have one endpoint or all of a service name another limit."""
+        if not self._site.runners:
+            return
+        chosen = [draw.choice(self._site.runners)]
+        if draw.random() < LIMITED_SERVICE_SHARE:
+            chosen = [
+                one
+                for one in self._site.runners
+                if one.service == chosen[0].service
+            ]
+        rate = draw.choice(RATE_LIMITS)
+        for runner in chosen:
+            runner.limit(rate)
+
+    async def _partition(self, draw):
+        """Cut one gateway off from the others; it reaches all else."""
+        span = self._begin()
+        self._site.partition([draw.choice(self._site.entries)])
+        await anyio.sleep(draw.uniform(0.3, 6.0))
+        self._site.partition([])
+        span.ended = anyio.current_time()
+
     async def _come_restores(self, draw, until):
         """Have the store come back from copies, now and then twice."""
         while anyio.current_time() < until:
--- a/marigoldramp_soak/runners.py
+++ b/marigoldramp_soak/runners.py
@@ -43,6 +43,8 @@
     :ivar leaving: the response reports that the endpoint is shutting down.
     :ivar backoff: duration in seconds of the backoff that the response
         requests, 0 if none.
+    :ivar rate_limit: requests per second from all gateways together that the
+        response names, 0 if none.
     """
 
     request: str
@@ -50,6 +52,16 @@
     endpoint: str
     leaving: bool
     backoff: float = 0.0
+    rate_limit: float = 0.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class LimitSpan:
+    """A time in which an endpoint names one rate limit."""
+
+    rate: float
+    begun: float
+    ended: float = float('inf')
 
 
 class Runner:
@@ -58,6 +70,9 @@
     :param arrivals: list to which each received request is added.
     :param on_end: called when its process ends.
     :ivar backoff: duration in seconds of the backoff it requests, 0 if none.
+    :ivar rate_limit: requests per second that it names in its responses, 0
+        for no limit.
+    :ivar limit_spans: the limits that it has named, in order.
     :ivar serves: it has neither left nor ended.
     :ivar fault: what it does wrong: ``decline``, ``fail``, ``cut``, ``slow``,
         ``hang`` or nothing.
@@ -70,6 +85,8 @@
         self.rank = rank
         self.fault = ''
         self.backoff = 0.0
+        self.rate_limit = 0.0
+        self.limit_spans = []
         self.leaving_since = None
         self.serves = True
         self.port = 0
@@ -79,6 +96,15 @@
         self._arrivals = arrivals
         self._on_end = on_end
 
+    def limit(self, rate):
+        """Name another rate limit from now on, 0 for none."""
+        now = anyio.current_time()
+        if self.rate_limit:
+            self.limit_spans[-1].ended = now
+        self.rate_limit = rate
+        if rate:
+            self.limit_spans.append(LimitSpan(rate=rate, begun=now))
+
     def record(self):
         """Return how it registers."""
         leaves = self.leaving_since is not None
@@ -110,6 +136,9 @@
             leaving=self.leaving_since is not None,
         )
         self._arrivals.append(arrival)
+        if self.rate_limit:
+            arrival.rate_limit = self.rate_limit
+            echo.append((b'server-limit', b'%.3f' % self.rate_limit))
         if arrival.leaving:
             echo.append((b'server-leaving', b'1'))
         if self.backoff and self._draw.random() < DECLINED_SHARE:
--- a/marigoldramp_soak/site.py
+++ b/marigoldramp_soak/site.py
@@ -155,6 +155,14 @@
         await anyio.sleep(draw.uniform(0.3, 1.8))
         self.store.put('servers', carrier.identity, carrier.record())
 
+    def partition(self, cut):
+        """Cut entries off from the other entries, and no others."""
+        hosts = ''.join(f'{entry.host}\n' for entry in cut)
+        path = self._folder / entries.PARTITION
+        fresh = path.with_suffix('.new')
+        fresh.write_text(hosts)
+        fresh.rename(path)
+
     def customer_of(self, key):
         """Return the customer to whom a key belongs."""
         return 'house-' + key.rpartition('-')[2]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,6 +18,7 @@
         (301, ['--ends']),
         (402, ['--backoffs']),
         (611, ['--maps']),
+        (801, ['--limits']),
     ],
 )
 def test_seed_keeps_the_promises(seed, more):
