--- a/marigoldramp_soak/callers.py
+++ b/marigoldramp_soak/callers.py
@@ -11,6 +11,8 @@
 NOT_RUN = frozenset((408, 421, 429, 503))
 PATHS = ('/safe/1', '/once/1', '/stream/1')
 PATIENCE = 8.0
+#: Longest pause between two requests on a connection, in seconds.
+MAX_PAUSE = 0.2
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -36,6 +38,7 @@
     """One caller: requests on connections that it keeps until they end.
 
     :ivar paths: what it asks for, by chance.
+    :ivar max_pause: longest pause between two requests, in seconds.
     :ivar key: returns the key that it sends.
     """
 
@@ -43,6 +46,7 @@
         self.name = name
         self.paths = PATHS
         self.key = key
+        self.max_pause = MAX_PAUSE
         self._draw = draw
         self._entries = entries
         self._told = told
@@ -64,7 +68,7 @@
                     if not await self._ask(stream, connection, number, entry):
                         break
                     connection.start_next_cycle()
-                    await anyio.sleep(self._draw.uniform(0.0, 0.2))
+                    await anyio.sleep(self._draw.uniform(0.0, self.max_pause))
 
     async def _ask(self, stream, connection, number, entry):
         """Make one request; whether the connection can carry another."""
--- a/marigoldramp_soak/faults.py
+++ b/marigoldramp_soak/faults.py
@@ -32,6 +32,8 @@
 #: the partitions between gateways among the troubles with limits.
 LIMITED_SERVICE_SHARE = 0.3
 PARTITION_SHARE = 0.25
+#: Further callers, without which the usual load stays below most limits.
+LIMITED_CALLERS = 8
 #: Seconds before the end of the faults from which no limit is named: the
 #: load returns in steps.
 LIMITS_END = 4.0
@@ -107,6 +109,9 @@
         """Have endpoints name rate limits, and partition gateways."""
         until -= LIMITS_END
         async with anyio.create_task_group() as tasks:
+            for number in range(LIMITED_CALLERS):
+                caller = self._site.make_eager_caller(number)
+                tasks.start_soon(caller.run, lambda: until)
             while anyio.current_time() < until:
                 if draw.random() < PARTITION_SHARE:
                     self.injected.append('partition')
@@ -114,7 +119,7 @@
                 else:
                     self.injected.append('limit')
                     self._limit_runners(draw)
-                await anyio.sleep(draw.uniform(0.5, 5.0))
+                await anyio.sleep(draw.uniform(0.5, 3.0))
         for runner in self._site.all_runners:
             runner.limit(0.0)
 
--- a/marigoldramp_soak/site.py
+++ b/marigoldramp_soak/site.py
@@ -25,6 +25,8 @@
 #: Service whose endpoints carry a group of ranks, and what callers ask of it.
 RANKED = 'ranked'
 RANKED_PATH = '/ranked/1'
+#: Longest pause between two requests of an eager caller, in seconds.
+EAGER_PAUSE = 0.05
 #: Seeds of which one has ranks that check tokens.
 SEEDS_A_CHECK = 3
 #: Copies of the store to which it may go back, and seconds between two.
@@ -141,6 +143,14 @@
         caller.key = lambda: key
         return caller
 
+    def make_eager_caller(self, number):
+        """Return a caller that makes more requests than the others."""
+        caller = self.make_callers()[0]
+        caller.name = f'eager-{number}'
+        caller.paths = ('/safe/1',)
+        caller.max_pause = EAGER_PAUSE
+        return caller
+
     def make_ranked_caller(self, number):
         """Return a caller of the endpoints that carry ranks."""
         caller = self.make_callers()[0]
