Show rate limits and shares in the status of a gateway

Operators could not see from outside why an endpoint gets nothing here: it was shown as resting, like one that has failed. It is 'limited' now, with its limit and this gateway's share.

--- a/marigoldramp/gateway/status.py
+++ b/marigoldramp/gateway/status.py
@@ -1,5 +1,6 @@
 """The status that a gateway shows to operators."""
 
+import math
 from typing import Callable
 
 import msgspec
@@ -12,12 +13,16 @@
 class EndpointStatus(msgspec.Struct, frozen=True, kw_only=True):
     """One endpoint as a gateway sees it.
 
-    :ivar state: ``open``, ``resting`` (in backoff after failures), or
+    :ivar state: ``open``, ``resting`` (in backoff after failures),
+        ``limited`` (this gateway's share of its rate limit is used up), or
         ``leaving``.
     :ivar own: requests of this gateway that run on it.
     :ivar elsewhere: requests that peers report to run on it.
     :ivar errors: fraction of its requests that fail, 0 to 1.
     :ivar slowness: latency relative to the usual one, 1 for usual.
+    :ivar rate_limit: requests per second that it accepts from all gateways
+        together, ``None`` if it names no limit.
+    :ivar rate_share: the part of this gateway, ``None`` if unlimited.
     """
 
     identity: str
@@ -29,6 +34,8 @@
     elsewhere: int
     errors: float
     slowness: float
+    rate_limit: float | None = None
+    rate_share: float | None = None
 
 
 class PeerStatus(msgspec.Struct, frozen=True, kw_only=True):
@@ -191,20 +198,30 @@
     def _describe_endpoint(self, one: endpoints.Endpoint) -> EndpointStatus:
         now = self._clock()
         usual = self._components.table.find_median_seconds(one.record.service)
-        state = 'open' if one.is_open(now=now) else 'resting'
+        limit = one.rate_limit
         return EndpointStatus(
             identity=one.identity,
             service=one.record.service,
             data_centre=one.record.data_centre,
             address=f'{one.record.host}:{one.record.port}',
-            state='leaving' if one.record.leaving else state,
+            state=_name_endpoint_state(one, now),
             own=one.own_requests,
             elsewhere=one.peer_requests,
             errors=round(one.quality.error_rate(now=now), 3),
             slowness=round(one.quality.slowness(usual=usual, now=now), 2),
+            rate_limit=limit.named_rate or None,
+            rate_share=None if math.isinf(limit.share) else limit.share,
         )
 
 
+def _name_endpoint_state(one: endpoints.Endpoint, now: float) -> str:
+    if one.record.leaving:
+        return 'leaving'
+    if one.is_open(now=now):
+        return 'open'
+    return 'limited' if one.rate_limit.opens_at > now else 'resting'
+
+
 def _describe_peer(peer: peers.Peer, now: float) -> PeerStatus:
     report = peer.report
     return PeerStatus(
--- a/marigoldramp/ui/gateway_status.py
+++ b/marigoldramp/ui/gateway_status.py
@@ -152,6 +152,8 @@
         'ELSEWHERE',
         'ERRORS',
         'SLOWNESS',
+        'LIMIT',
+        'SHARE',
     )
     rows = [
         (
@@ -163,12 +165,18 @@
             str(one.elsewhere),
             f'{one.errors:.2f}',
             f'{one.slowness:.1f}',
+            _show_rate(one.rate_limit),
+            _show_rate(one.rate_share),
         )
         for one in status.endpoints
     ]
     return output_module.format_table(head, rows)
 
 
+def _show_rate(rate: float | None) -> str:
+    return '-' if rate is None else f'{rate:.2f}/s'
+
+
 def _describe_peers(status: 'status_module.Status') -> str:
     head = (
         f'PEER OF {status.instance}',
--- a/tests/gateway/test_status.py
+++ b/tests/gateway/test_status.py
@@ -50,6 +50,16 @@
     assert found.queues[0].waiting == 0
 
 
+async def test_status_shows_a_rate_limit_and_the_share():
+    limited = fake.answer(more='Server-Limit: 0.5\r\n')
+    one = fake.FakeEndpoint(identity='i-1', scripts=[limited])
+    async with site.run_site(one) as entry:
+        await site.call(entry)
+        seen = entry.gateway.describer.describe().endpoints[0]
+    assert (seen.state, seen.rate_limit) == ('limited', 0.5)
+    assert 0.0 < seen.rate_share <= 0.5
+
+
 async def run_command(*arguments):
     return await anyio.to_thread.run_sync(ui.run, list(arguments))
 
