--- a/marigoldramp/gateway/rate_shares.py
+++ b/marigoldramp/gateway/rate_shares.py
@@ -306,7 +306,7 @@
         members: tuple[_Member, ...],
     ) -> float:
         """Return the share of this gateway as one of the members."""
-        holders = min(len(members), _count_holders(rate))
+        holders = min(len(members), count_holders(rate))
         rank = self._find_rank(endpoint, members)
         skipped = holders * self._count_unconfirmed(endpoint, rate / holders)
         if (rank - skipped) % len(members) < holders:
@@ -401,7 +401,7 @@
     )
 
 
-def _count_holders(rate: float) -> int:
+def count_holders(rate: float) -> int:
     """Return how many gateways hold shares of a limit.
 
     Each may send one request at any time, beyond its share of a few seconds.
--- /dev/null
+++ b/marigoldramp_measure/rate_shares.py
@@ -0,0 +1,181 @@
+"""Ways to divide the rate limits of endpoints among gateways.
+
+All endpoints of a service name a limit.  Compares equal parts, a few holders
+for each endpoint, and tokens that one gateway deals for each endpoint, on
+drawn demand: how much of the limits is used, and how many requests an endpoint
+gets in a few seconds at the most.
+"""
+
+import collections
+import dataclasses
+import pathlib
+import random
+from typing import Callable
+
+from marigoldramp.gateway import rate_shares
+
+from . import tables
+
+#: Gateways and endpoints.
+SIZES = ((6, 1), (6, 16), (36, 1), (36, 40), (350, 1), (350, 190))
+RATES = (1.0, 5.0)
+#: Demand as a multiple of the limits.
+LOADS = (1.0, 2.0)
+#: Requests for each endpoint.
+REQUESTS = 600
+WINDOW_SECONDS = 4.0
+WINDOW_FACTOR = 1.5
+WINDOW_EXTRA = 5.0
+#: Time for which a request can wait at its gateway.
+PATIENCE_SECONDS = 1.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Case:
+    """One deployment.
+
+    :ivar rate: limit of each endpoint, in requests per second.
+    """
+
+    gateways: int
+    endpoints: int
+    rate: float
+    load: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Result:
+    """What came of one way.
+
+    :ivar used: part of the limits that was used.
+    :ivar worst: most requests of an endpoint in a window.
+    :ivar allowed: how many it accepts in a window.
+    """
+
+    way: str
+    gateways: int
+    endpoints: int
+    rate: float
+    load: float
+    used: float
+    worst: int
+    allowed: float
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Part:
+    """The right of some gateways to send requests to an endpoint."""
+
+    endpoint: int
+    rate: float
+    opens_at: float = 0.0
+
+
+#: The parts that each gateway can use.
+Parts = list[list[Part]]
+
+
+def give_equal_parts(case: Case, draw: random.Random) -> Parts:
+    """Give each gateway an equal part of each limit."""
+    rate = case.rate / case.gateways
+    return [
+        [Part(endpoint=one, rate=rate) for one in range(case.endpoints)]
+        for _ in range(case.gateways)
+    ]
+
+
+def give_to_holders(case: Case, draw: random.Random) -> Parts:
+    """Give a few gateways equal parts, as the product does."""
+    count = min(case.gateways, rate_shares.count_holders(case.rate))
+    parts: Parts = [[] for _ in range(case.gateways)]
+    for endpoint in range(case.endpoints):
+        for holder in draw.sample(range(case.gateways), count):
+            part = Part(endpoint=endpoint, rate=case.rate / count)
+            parts[holder].append(part)
+    return parts
+
+
+def deal_tokens(case: Case, draw: random.Random) -> Parts:
+    """Deal tokens for each endpoint to all gateways."""
+    dealt = [
+        Part(endpoint=one, rate=case.rate) for one in range(case.endpoints)
+    ]
+    return [dealt] * case.gateways
+
+
+def deal_tokens_twice(case: Case, draw: random.Random) -> Parts:
+    """Deal tokens on both sides of a partition."""
+    sides = [deal_tokens(case, draw)[0], deal_tokens(case, draw)[0]]
+    return [sides[number % 2] for number in range(case.gateways)]
+
+
+WAYS: dict[str, Callable[[Case, random.Random], Parts]] = {
+    'equal parts': give_equal_parts,
+    'a few holders': give_to_holders,
+    'tokens dealt': deal_tokens,
+    'tokens dealt twice': deal_tokens_twice,
+}
+
+
+def send_requests(
+    case: Case, parts: Parts, draw: random.Random
+) -> list[list[float]]:
+    """Return the times of requests by endpoint.
+
+    Each request goes to a random gateway, and there to the endpoint that opens
+    first, if that is within the time for which it can wait.
+    """
+    times: list[list[float]] = [[] for _ in range(case.endpoints)]
+    now = 0.0
+    for _ in range(REQUESTS * case.endpoints):
+        now += draw.expovariate(case.rate * case.load * case.endpoints)
+        usable = draw.choice(parts)
+        if not usable:
+            continue
+        part = min(usable, key=lambda one: (one.opens_at, draw.random()))
+        start = max(now, part.opens_at)
+        if start - now <= PATIENCE_SECONDS:
+            part.opens_at = start + 1.0 / part.rate
+            times[part.endpoint].append(start)
+    return times
+
+
+def find_worst_window(times: list[float]) -> int:
+    """Return the largest number of requests in a window."""
+    window: collections.deque[float] = collections.deque()
+    worst = 0
+    for at in sorted(times):
+        window.append(at)
+        while window[0] < at - WINDOW_SECONDS:
+            window.popleft()
+        worst = max(worst, len(window))
+    return worst
+
+
+def measure(way: str, case: Case, seed: int) -> Result:
+    """Return what comes of one way in one deployment."""
+    draw = random.Random(f'{seed} {case}')
+    times = send_requests(case, WAYS[way](case, draw), draw)
+    limit = REQUESTS * case.endpoints / case.load
+    return Result(
+        way=way,
+        gateways=case.gateways,
+        endpoints=case.endpoints,
+        rate=case.rate,
+        load=case.load,
+        used=sum(map(len, times)) / limit,
+        worst=max(map(find_worst_window, times)),
+        allowed=WINDOW_FACTOR * WINDOW_SECONDS * case.rate + WINDOW_EXTRA,
+    )
+
+
+def run(*, seed: int, out: pathlib.Path) -> None:
+    """Measure all ways; write a table."""
+    cases = [
+        Case(gateways=gateways, endpoints=endpoints, rate=rate, load=load)
+        for gateways, endpoints in SIZES
+        for rate in RATES
+        for load in LOADS
+    ]
+    rows = [measure(way, case, seed) for case in cases for way in WAYS]
+    tables.write(rows=rows, path=out / 'rate_shares.csv')
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -249,7 +249,7 @@
     A part of the gateways is isolated, so that those that hear each other have
     replaced them, or one of the others holds a share too many.
     """
-    holders = min(gateways, rate_shares._count_holders(rate))
+    holders = min(gateways, rate_shares.count_holders(rate))
     isolated = math.floor(isolated_part * gateways)
     if 2 * isolated < gateways:
         sends = holders * count_most_sends(rate / holders)
@@ -396,7 +396,7 @@
             for gateway in fleet
             if gateway.table.find('i-0').rate_limit.share
         }
-        assert len(now) == rate_shares._count_holders(1.0)
+        assert len(now) == rate_shares.count_holders(1.0)
         holders |= now
     assert len(holders) == 6
 
