--- a/marigoldramp/gateway/endpoints.py
+++ b/marigoldramp/gateway/endpoints.py
@@ -123,7 +123,13 @@
     def is_open(self, *, now: float) -> bool:
         """Whether it may be sent requests."""
         # An endpoint in backoff is idle and would otherwise score best.
-        return now >= self.opens_at
+        return (
+            now >= self.resting_until
+            and now >= self.backoff_until
+            and now >= self.rate_limit.opens_at
+            and not self.record.leaving
+            and not self.is_removed
+        )
 
     @property
     def opens_at(self) -> float:
--- a/marigoldramp/gateway/rate_limits.py
+++ b/marigoldramp/gateway/rate_limits.py
@@ -32,6 +32,8 @@
     :ivar seen_at: when this gateway last learned of the limit or its end.
     :ivar share: requests per second that this gateway may send; infinite
         without a limit.
+    :ivar opens_at: when this gateway may send the next request; infinite for
+        never.
     """
 
     __slots__ = (
@@ -42,6 +44,7 @@
         'ended_at',
         'seen_at',
         'share',
+        'opens_at',
         '_sent_at',
     )
 
@@ -53,6 +56,7 @@
         self.ended_at = float('-inf')
         self.seen_at = float('-inf')
         self.share = float('inf')
+        self.opens_at = float('-inf')
         self._sent_at = float('-inf')
 
     @property
@@ -65,11 +69,6 @@
         """Seconds between two requests of this gateway, infinite for none."""
         return 1.0 / self.share if self.share else float('inf')
 
-    @property
-    def opens_at(self) -> float:
-        """When this gateway may send the next request; infinite for never."""
-        return self._sent_at + self.interval
-
     def find_rate(self, *, now: float) -> float:
         """Return the rate for all gateways together, infinite if lifted."""
         rate = max(self.rate, MIN_RATE)
@@ -90,10 +89,12 @@
         if not self.share or math.isinf(self.share):
             self._sent_at = max(self._sent_at, now)
         self.share = share
+        self.opens_at = self._sent_at + self.interval
 
     def note_send(self, *, now: float) -> None:
         """Count a request of this gateway."""
         self._sent_at = max(now, self._sent_at)
+        self.opens_at = self._sent_at + self.interval
 
     def name(
         self, rate: float, *, version: int, confirmed_at: float, now: float
--- a/marigoldramp/gateway/rate_shares.py
+++ b/marigoldramp/gateway/rate_shares.py
@@ -110,6 +110,7 @@
         '_started_at',
         '_position',
         '_ranks',
+        '_limited',
         '_changed_at',
         '_notified_at',
     )
@@ -137,6 +138,7 @@
         self._started_at = clock()
         self._position: _Isolated | _Members = _Isolated(gateways=1)
         self._ranks: dict[str, int] = {}
+        self._limited: dict[str, endpoints.Endpoint] = {}
         self._changed_at: dict[str, float] = {}
         self._notified_at = float('-inf')
 
@@ -236,6 +238,7 @@
     def _handle_change(self, endpoint: endpoints.Endpoint) -> None:
         """Apply a changed limit and report it to peers."""
         self._changed_at[endpoint.identity] = self._clock()
+        self._limited[endpoint.identity] = endpoint
         self._update_share(endpoint)
 
     def refresh(self) -> None:
@@ -244,9 +247,11 @@
         if position != self._position:
             self._position = position
             self._ranks.clear()
-        for endpoint in self._table:
-            if endpoint.rate_limit.version:
-                self._update_share(endpoint)
+        self._limited = {
+            one.identity: one for one in self._table if one.rate_limit.version
+        }
+        for endpoint in self._limited.values():
+            self._update_share(endpoint)
         self._notify()
 
     def _notify(self) -> None:
@@ -356,13 +361,10 @@
         """
         now = self._clock()
         known = {
-            one.identity: one
-            for one in self._table
-            if one.rate_limit.version
-            and not (
-                one.rate_limit.has_ended
-                and now - one.rate_limit.ended_at > RETENTION_SECONDS
-            )
+            identity: one
+            for identity, one in self._limited.items()
+            if not one.rate_limit.has_ended
+            or now - one.rate_limit.ended_at <= RETENTION_SECONDS
         }
         recent = [one for one in self._changed_at if one in known]
         chosen = recent[-MAX_LIMITS_PER_REPORT:]
