--- a/marigoldramp/gateway/rate_limits.py
+++ b/marigoldramp/gateway/rate_limits.py
@@ -96,7 +96,7 @@
         self._sent_at = max(now, self._sent_at)
         self.opens_at = self._sent_at + self.interval
 
-    def name(
+    def note_named(
         self, rate: float, *, version: int, confirmed_at: float, now: float
     ) -> None:
         """Record the limit that the endpoint names."""
--- a/marigoldramp/gateway/rate_shares.py
+++ b/marigoldramp/gateway/rate_shares.py
@@ -182,7 +182,9 @@
         ):
             limit.confirm(now=now)
             return
-        limit.name(rate, version=limit.version + 1, confirmed_at=now, now=now)
+        limit.note_named(
+            rate, version=limit.version + 1, confirmed_at=now, now=now
+        )
 
     def _is_late_rise(
         self, limit: rate_limits.RateLimit, rate: float, sent_at: float
@@ -217,7 +219,7 @@
                 now=now,
             )
         else:
-            limit.name(
+            limit.note_named(
                 reported.rate,
                 version=reported.version,
                 confirmed_at=now - reported.age,
--- a/marigoldramp_soak/__main__.py
+++ b/marigoldramp_soak/__main__.py
@@ -47,7 +47,7 @@
     changes: int
 
 
-async def run_seed(seed, seconds, more):
+async def run_seed(seed, seconds, more, gateways):
     """Run one seed."""
     # The schedule of faults does not depend on how callers get on.
     draw = random.Random(f'faults {seed}')
@@ -58,6 +58,7 @@
         draw=random.Random(f'site {seed}'),
         folder=folder,
         has_group='maps' in more,
+        gateways=gateways,
     )
     faults = faults_module.Faults(
         site=site,
@@ -121,6 +122,7 @@
     parser.add_argument('--first', type=int, default=1)
     parser.add_argument('--seeds', type=int, default=5)
     parser.add_argument('--seconds', type=float, default=FAULT_SECONDS)
+    parser.add_argument('--gateways', type=int, default=site_module.ENTRIES)
     for kind, told in MORE.items():
         parser.add_argument(f'--{kind}', action='store_true', help=told)
     options = parser.parse_args()
@@ -128,7 +130,9 @@
     more = [kind for kind in MORE if getattr(options, kind)]
     failed = 0
     for seed in range(options.first, options.first + options.seeds):
-        outcome = anyio.run(run_seed, seed, options.seconds, more)
+        outcome = anyio.run(
+            run_seed, seed, options.seconds, more, options.gateways
+        )
         verdict = 'BROKEN' if outcome.broken else 'kept'
         print(
             f'seed {seed}: {verdict}, {outcome.served} of '
--- a/marigoldramp_soak/site.py
+++ b/marigoldramp_soak/site.py
@@ -44,9 +44,12 @@
     """Everything that one seed runs.
 
     :param has_group: there is a group of ranks as well.
+    :param gateways: number of gateway processes.
     """
 
-    def __init__(self, *, seed, draw, folder, has_group=False):
+    def __init__(
+        self, *, seed, draw, folder, has_group=False, gateways=ENTRIES
+    ):
         self._seed = seed
         self.group = None
         self.carriers = []
@@ -71,6 +74,7 @@
         self._runner_proxies = {}
         self._draw = draw
         self._folder = folder
+        self._gateways = gateways
         self._tasks = None
 
     async def start(self, tasks):
@@ -87,7 +91,7 @@
             for rank in self.group.ranks:
                 await self._add_carrier(rank)
         ports = find_ports()
-        for number in range(ENTRIES):
+        for number in range(self._gateways):
             proxy = proxies.Proxy(host=HOST, target=port)
             await proxy.listen(tasks)
             self.store_proxies.append(proxy)
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -100,6 +100,25 @@
     assert all(one.served for one in outcomes)
 
 
+async def test_urgent_requests_get_the_next_turns():
+    """Guards against turns that go to requests which could wait."""
+    async with anyio.create_task_group() as tasks:
+        fleet = rate_limit_fleet.Fleet(tasks, gateways=1, endpoints=1)
+        await anyio.sleep(5.0)
+        gateway = fleet.gateways[0]
+        fleet.endpoints[0].name(2.0)
+        await gateway.serve()
+        await anyio.sleep(1.0)
+        for priority in (1, 1, 0, 0):
+            tasks.start_soon(gateway.serve, priority)
+        await anyio.sleep(2.0 * rate_limit_fleet.PATIENCE_SECONDS)
+        tasks.cancel_scope.cancel()
+    usual_first, usual_second, *urgent = gateway.outcomes[1:]
+    assert usual_first.served
+    assert all(one.served for one in urgent)
+    assert not usual_second.served
+
+
 @pytest.mark.parametrize('gateways', [2, 6, 36])
 async def test_all_gateways_learn_of_a_limit_within_a_second(gateways):
     """Guards against gateways that each learn of a limit by exceeding it."""
