--- a/marigoldramp_soak/__main__.py
+++ b/marigoldramp_soak/__main__.py
@@ -79,6 +79,7 @@
             await faults.run(anyio.current_time() + seconds)
             calm_since = anyio.current_time()
             ends = calm_since + CALM_SECONDS
+        site.close_listeners()
         tasks.cancel_scope.cancel()
     broken = list(checks.check(site, faults, planned_only))
     broken += judge_calm(site, ends - JUDGED_SECONDS)
--- a/marigoldramp_soak/site.py
+++ b/marigoldramp_soak/site.py
@@ -75,6 +75,7 @@
         self._draw = draw
         self._folder = folder
         self._gateways = gateways
+        self._listeners = []
         self._tasks = None
 
     async def start(self, tasks):
@@ -82,7 +83,8 @@
         self._tasks = tasks
         self.configure()
         tasks.start_soon(self.keep_copies)
-        _, port = await objects.serve(self.store.handle, HOST, 0, tasks)
+        listener, port = await objects.serve(self.store.handle, HOST, 0, tasks)
+        self._listeners.append(listener)
         for service, count in SERVICES.items():
             for _ in range(count):
                 await self._add_runner(service)
@@ -106,6 +108,15 @@
             entry.start()
             self.entries.append(entry)
 
+    def close_listeners(self):
+        """Accept no connections any more.
+
+        A connection that is accepted once the tasks have ended has no task
+        that could serve it.
+        """
+        for listener in [*self._listeners, *self.proxies()]:
+            listener.close()
+
     async def aclose(self):
         """End every process that was started.
 
@@ -308,9 +319,10 @@
             on_end=self.end_runner,
             rank=rank,
         )
-        _, runner.port = await objects.serve(
+        listener, runner.port = await objects.serve(
             runner.handle, HOST, 0, self._tasks
         )
+        self._listeners.append(listener)
         proxy = proxies.Proxy(host=HOST, target=runner.port)
         await proxy.listen(self._tasks)
         runner.address = f'{HOST}:{proxy.port}'
