Test a gateway that has just started; reword the soak's faults and checks

The guard for a gateway in its first seconds had no case of its own: with it taken out, a new gateway that learns of a limit before it hears a peer holds the whole limit, and the new test fails.

--- a/marigoldramp_soak/__main__.py
+++ b/marigoldramp_soak/__main__.py
@@ -36,7 +36,7 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Outcome:
-    """What came of one seed."""
+    """The result of one seed."""
 
     seed: int
     requests: int
@@ -49,7 +49,7 @@
 
 async def run_seed(seed, seconds, more, gateways):
     """Run one seed."""
-    # The schedule of faults does not depend on how callers get on.
+    # The schedule of faults does not depend on the callers' requests.
     draw = random.Random(f'faults {seed}')
     planned_only = draw.random() < PLANNED_SHARE
     folder = site_module.make_folder()
--- a/marigoldramp_soak/checks.py
+++ b/marigoldramp_soak/checks.py
@@ -1,4 +1,4 @@
-"""The promises, checked from what callers and endpoints have seen."""
+"""Checks of the guarantees, on what callers and endpoints have seen."""
 
 import collections
 
@@ -33,7 +33,7 @@
 
 
 def check(site, faults, planned_only):
-    """Return what was broken, a line each."""
+    """Return a line for each broken guarantee."""
     runs = collections.defaultdict(list)
     for run in site.runs:
         runs[run.request].append(run)
--- a/marigoldramp_soak/entries.py
+++ b/marigoldramp_soak/entries.py
@@ -1,4 +1,4 @@
-"""Real gateway processes, started and ended by their process identifiers."""
+"""Gateway processes, signalled by their process identifiers."""
 
 import os
 import pathlib
--- a/marigoldramp_soak/faults.py
+++ b/marigoldramp_soak/faults.py
@@ -22,7 +22,7 @@
 )
 
 
-#: What happens to a group of ranks, and shares of orders without a reply.
+#: Faults of a group of ranks, and shares of orders that get no reply.
 GROUP_TROUBLE = ('shift', 'shift', 'lose', 'idle', 'lapse')
 LOST_SHARES = (0.0, 0.0, 0.2, 0.5)
 RANKED_CALLERS = 4
@@ -52,8 +52,8 @@
 
     :ivar disturbed: when rules with a time bound do not hold.
     :ivar network_faults: when responses may be lost or delayed.
-    :param more: draws when further kinds of trouble come, by their names,
-        whatever the schedule of the others.
+    :param more: the source of random times of each further kind of fault, by
+        its name, so that the schedules do not depend on each other.
     """
 
     def __init__(self, *, site, draw, planned_only, more):
@@ -69,15 +69,15 @@
         """Inject until a time, then end all faults."""
         async with anyio.create_task_group() as tasks:
             for kind, draw in self._more.items():
-                tasks.start_soon(getattr(self, f'_come_{kind}'), draw, until)
+                tasks.start_soon(getattr(self, f'_inject_{kind}'), draw, until)
             while anyio.current_time() < until:
                 kind = self._draw.choice(self._kinds)
                 self.injected.append(kind)
                 tasks.start_soon(getattr(self, f'_{kind}'))
                 await anyio.sleep(self._draw.uniform(0.1, 1.5))
 
-    async def _come_ends(self, draw, until):
-        """Have callers come back with what ends endpoints, in series."""
+    async def _inject_ends(self, draw, until):
+        """Send requests that end their endpoints, in series."""
         async with anyio.create_task_group() as tasks:
             number = 0
             while anyio.current_time() < until:
@@ -89,7 +89,7 @@
                 tasks.start_soon(caller.run, lambda leaves=leaves: leaves)
                 await anyio.sleep(draw.uniform(0.5, 4.0))
 
-    async def _come_backoffs(self, draw, until):
+    async def _inject_backoffs(self, draw, until):
         """Start backoff periods on random endpoints; they may overlap."""
         async with anyio.create_task_group() as tasks:
             while anyio.current_time() < until:
@@ -105,7 +105,7 @@
         await anyio.sleep(draw.uniform(1.0, 5.0))
         runner.backoff = 0.0
 
-    async def _come_limits(self, draw, until):
+    async def _inject_limits(self, draw, until):
         """Have endpoints name rate limits, and partition gateways."""
         until -= LIMITS_END
         async with anyio.create_task_group() as tasks:
@@ -146,8 +146,8 @@
         self._site.partition([])
         span.ended = anyio.current_time()
 
-    async def _come_restores(self, draw, until):
-        """Have the store come back from copies, now and then twice."""
+    async def _inject_restores(self, draw, until):
+        """Restore the store from copies, sometimes twice in a row."""
         while anyio.current_time() < until:
             await anyio.sleep(draw.uniform(1.0, 5.0))
             self.injected.append('store_restored')
@@ -155,8 +155,8 @@
             await self._site.restore_store(draw)
             span.ended = anyio.current_time()
 
-    async def _come_maps(self, draw, until):
-        """Trouble a group of ranks while its map is being changed."""
+    async def _inject_maps(self, draw, until):
+        """Disturb a group of ranks while its expert map is changed."""
         group = self._site.group
         async with anyio.create_task_group() as tasks:
             for number in range(RANKED_CALLERS):
@@ -191,7 +191,7 @@
         await anyio.sleep(self._draw.uniform(low, high))
 
     def _entry(self):
-        """Return an entry that nothing is done to yet, if there is one."""
+        """Return a running entry without a fault, if there is one."""
         free = [
             one
             for one in self._site.entries
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -383,6 +383,23 @@
     assert gateway.table.find('i-0').rate_limit.named_rate == rate
 
 
+@pytest.mark.parametrize(
+    ('age', 'share'),
+    [
+        (0.0, rate_shares.ISOLATED_SHARE),
+        (rate_shares.STARTUP_SECONDS - 1.5, rate_shares.ISOLATED_SHARE),
+        (rate_shares.STARTUP_SECONDS, 1.0),
+    ],
+)
+def test_gateway_that_has_just_started_holds_no_whole_limit(age, share):
+    """Guards against a new gateway that takes itself for the only one."""
+    gateway = rate_limit_fleet.make_offline_gateway()
+    gateway.clock.now += age - rate_shares.STARTUP_SECONDS
+    gateway.shares.refresh()
+    gateway.answer('i-0', 1.0)
+    assert gateway.table.find('i-0').rate_limit.share == share
+
+
 def test_unreadable_first_limit_counts_as_a_low_one():
     """Guards against full load on an endpoint that asks for less."""
     gateway = rate_limit_fleet.make_offline_gateway()
