Log and count retries, and requests to leaving endpoints

The lines could not tell whether a request that was sent again had taken its retry from the budget just then or seconds before, how much of the budget a gateway thought it had left, how many gateways it divided by and how long it had been running; nor whether an endpoint that was sent a request was known here to be leaving, or had left the list and come back.

New: `retry allowed` (spent, limit, gateways, seconds since the start), `sent again`, `sent to leaving endpoint`, and the counters repeated_sends and sends_to_leaving_endpoints. Behaviour is the same; the tests of signals, budget, forwarding and endpoint requests pass (167 in the four files' run).

--- a/marigoldramp/gateway/endpoint_signals.py
+++ b/marigoldramp/gateway/endpoint_signals.py
@@ -19,7 +19,8 @@
 class EndpointSignals:
     """Handles shutdown, backoff and rate limit signals of endpoints.
 
-    Also logs and counts requests sent during a backoff or under a rate limit.
+    Also logs and counts requests that are sent again, to an endpoint that is
+    leaving, during a backoff or under a rate limit.
 
     :param on_leaving: called with the record of an endpoint that reports
         that it is shutting down.
@@ -47,9 +48,46 @@
         """Record a request that was sent to an endpoint."""
         now = self._clock()
         call.sent_at = now
+        self._note_repeated_send(call, endpoint)
+        self._note_leaving_send(call, endpoint)
         self._note_backoff_send(call, endpoint, now)
         self._note_limited_send(call, endpoint)
 
+    def _note_repeated_send(
+        self, call: calls.Call, endpoint: endpoints.Endpoint
+    ) -> None:
+        """Log and count a request that had been sent before."""
+        if call.sends <= 1:
+            return
+        self._metrics.count('repeated_sends', service=endpoint.record.service)
+        logging.info(
+            'sent again',
+            extra=logs.fields(
+                request=call.facts.attempt_id,
+                endpoint=endpoint.identity,
+                service=endpoint.record.service,
+                sends=call.sends,
+            ),
+        )
+
+    def _note_leaving_send(
+        self, call: calls.Call, endpoint: endpoints.Endpoint
+    ) -> None:
+        """Log and count a request sent to an endpoint that is leaving."""
+        if not endpoint.is_leaving:
+            return
+        service = endpoint.record.service
+        self._metrics.count('sends_to_leaving_endpoints', service=service)
+        logging.info(
+            'sent to leaving endpoint',
+            extra=logs.fields(
+                request=call.facts.attempt_id,
+                endpoint=endpoint.identity,
+                gone=endpoint.is_removed,
+                sends=call.sends,
+            ),
+        )
+
     def _note_limited_send(
         self, call: calls.Call, endpoint: endpoints.Endpoint
     ) -> None:
--- a/marigoldramp/gateway/retry_budget.py
+++ b/marigoldramp/gateway/retry_budget.py
@@ -11,6 +11,10 @@
 import dataclasses
 from typing import Callable
 
+from absl import logging
+
+from .. import logs
+
 #: Part of the budget that may be spent.  The rest allows for events at the
 #: edges of a window and for new gateways that are not known yet.
 MAX_SPENT_SHARE = 0.75
@@ -56,7 +60,14 @@
     :param entries: returns how many gateways may be alive, with this one.
     """
 
-    __slots__ = ('_bounds', '_entries', '_clock', '_requests', '_retries')
+    __slots__ = (
+        '_bounds',
+        '_entries',
+        '_clock',
+        '_started_at',
+        '_requests',
+        '_retries',
+    )
 
     def __init__(
         self,
@@ -68,6 +79,7 @@
         self._bounds = bounds
         self._entries = entries
         self._clock = clock
+        self._started_at = clock()
         self._requests: dict[str, _Window] = {}
         self._retries: dict[str, _Window] = {}
 
@@ -79,11 +91,21 @@
         """Spend one retry if the budget allows it, and return whether."""
         now = self._clock()
         retries = self._retries.setdefault(service, _Window())
-        if retries.count(
-            since=now - self._bounds().window
-        ) + 1 > self._find_limit(service, now):
+        spent = retries.count(since=now - self._bounds().window)
+        limit = self._find_limit(service, now)
+        if spent + 1 > limit:
             return False
         retries.add(now)
+        logging.info(
+            'retry allowed',
+            extra=logs.fields(
+                service=service,
+                spent=spent + 1,
+                limit=round(limit, 2),
+                gateways=self._entries(),
+                started=round(now - self._started_at, 1),
+            ),
+        )
         return True
 
     def _find_limit(self, service: str, now: float) -> float:
