Bring back no endpoint that has left since its record was written

What callers saw: nothing. What endpoints saw: requests up to ten seconds after they had left, also from gateways without any fault of their own.

Cause: records of endpoints had no order. A gateway that the store does not answer goes on listing endpoints that have left; its list, which is not settled, may add endpoints elsewhere, and so brought back those that the receiver had seen leave. At the next change the receiver called its list settled, and others took it from there. The class: a state is merged without the version at which it was true.

Change: a record carries the store's revision at which it was written. A list that is not settled brings back no endpoint whose record is older than what this gateway knows completely. An endpoint that has registered again has a newer record, and is added at once as before.

--- a/marigoldramp/gateway/deployment.py
+++ b/marigoldramp/gateway/deployment.py
@@ -149,6 +149,8 @@
     :ivar leaving: the endpoint must get no new requests.
     :ivar born: number that distinguishes starts of the endpoint and grows with
         each; 0 if unknown.
+    :ivar revision: the store's revision at which the record was written; 0 if
+        unknown.
     """
 
     identity: str
@@ -159,3 +161,4 @@
     slots: int
     leaving: bool
     born: int = 0
+    revision: int = 0
--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -9,6 +9,7 @@
 from .. import logs
 from .. import store
 from . import dependency_health
+from . import deployment
 from . import endpoints
 from . import listings
 from . import presence as presence_module
@@ -172,7 +173,9 @@
         if listing.newest <= known and self.listed:
             return
         for record in listing.records:
-            if not self.presence.is_unlisted(record.identity):
+            if self.presence.is_unlisted(record.identity):
+                continue
+            if listing.settled or not self._has_left(record):
                 self.presence.put_listed(record)
         logging.info(
             'endpoints told',
@@ -191,6 +194,15 @@
         self.listed = True
         self._on_change()
 
+    def _has_left(self, record: deployment.EndpointRecord) -> bool:
+        """Whether an endpoint has left since its record was written.
+
+        A peer that the store does not answer still lists such endpoints.
+        """
+        if not record.revision or record.revision > self.revision:
+            return False
+        return self._table.find(record.identity) is None
+
     def apply_listing(self, listing: listings.Listing) -> None:
         """Apply a complete list; treat missing endpoints as unlisted."""
         for record in listing.records:
--- a/marigoldramp/platform/endpoints.py
+++ b/marigoldramp/platform/endpoints.py
@@ -125,4 +125,5 @@
         slots=spec.slots,
         leaving=spec.state == _DRAINING_STATE,
         born=spec.born,
+        revision=found.meta.revision,
     )
--- a/tests/adapter/test_platform.py
+++ b/tests/adapter/test_platform.py
@@ -480,6 +480,21 @@
     assert [one.identity for one in found.records] == ['i-2']
 
 
+async def test_record_has_the_version_at_which_it_was_written():
+    """Guards against records that cannot be ordered by their age."""
+    older = make_endpoint_object('i-1')
+    newer = make_endpoint_object('i-2')
+    older['Metadata']['Revision'] = 2
+    newer['Metadata']['Revision'] = 3
+    page = {'Items': [older, newer], 'AtRev': 3}
+    object_store, _ = make_store(reply(200, page))
+    found = await endpoints.StoreEndpointSource(
+        objects=object_store
+    ).list_all()
+    first, second = found.records
+    assert 0 < first.revision < second.revision == found.revision
+
+
 def make_invalid_endpoint(**more):
     """Return an endpoint's object with fields replaced; None removes one."""
     endpoint_object = make_endpoint_object('i-1')
--- a/tests/gateway/drain_fleet.py
+++ b/tests/gateway/drain_fleet.py
@@ -97,6 +97,7 @@
 
     def write(self, record):
         """Write the record of an endpoint."""
+        record = dataclasses.replace(record, revision=self.revision + 1)
         self.records[record.identity] = record
         self._note(record.identity, record)
 
--- a/tests/gateway/test_departed_endpoints.py
+++ b/tests/gateway/test_departed_endpoints.py
@@ -37,7 +37,9 @@
     return fleet.broken
 
 
-@pytest.mark.parametrize(('gateways', 'seed'), [(6, 3)])
+@pytest.mark.parametrize(
+    ('gateways', 'seed'), [(6, 3), (6, 24), (6, 54), (6, 62)]
+)
 async def test_endpoint_that_has_left_is_not_used(gateways, seed, monkeypatch):
     """Guards against requests to endpoints that left during faults."""
     bounds = (
--- a/tests/gateway/test_gateway_state.py
+++ b/tests/gateway/test_gateway_state.py
@@ -1,5 +1,6 @@
 """Tests of a gateway's state: configuration, peers, endpoints and queues."""
 
+import dataclasses
 import random
 
 import anyio
@@ -524,6 +525,33 @@
     assert not table.find('i-1').is_open(now=0.0)
 
 
+@pytest.mark.parametrize(
+    ('written_at', 'settled', 'is_used'),
+    [
+        (1, False, False),
+        (5, False, False),
+        (6, False, True),
+        (6, True, True),
+    ],
+    ids=['before', 'at the removal', 'after', 'after, settled'],
+)
+def test_unsettled_list_brings_back_no_endpoint_that_has_left(
+    written_at, settled, is_used
+):
+    """Guards against requests to an endpoint that an older list still has."""
+    follower, table, _ = make_follower(Clock())
+    old = site.make_record(EndpointStub('i-1'), born=1, revision=1)
+    follower.apply_listing(listing(old))
+    follower.apply_changes(
+        listings.Changes(records=(), removed=('i-1',), revision=5, newest=5)
+    )
+    found = dataclasses.replace(old, revision=written_at)
+    follower.apply_peer_listing(
+        dataclasses.replace(listing(found, revision=7), settled=settled)
+    )
+    assert (table.find('i-1') is not None) is is_used
+
+
 @pytest.mark.parametrize('heard_by', ['list', 'watch', 'peer'])
 def test_state_of_an_earlier_start_is_discarded(heard_by):
     """Guards against a restarted endpoint that gets no requests or fails them.
