Notice at once that the store is back for this gateway

What callers saw: nothing. What endpoints saw: requests of a gateway that had been cut off from the store, up to ten seconds after they had left and after the time of contact had passed.

Cause: an endpoint that is missing after an outage is kept for 2.2 s from when this gateway notices that the store is back, in case its record has only lapsed. The gateway noticed it up to 2.5 s late: a call to a silent store takes a second to fail, and the wait before the next grows with the number of peers that read the store earlier, as those would tell of its return. They tell nothing if the store fails this gateway alone, or fails them as well. The class: a grace period that begins with the observation, not with the event.

Change: calls to a store that does not answer overlap. A gateway that the store fails while it answers peers retries as often as the first, unless those peers read the store for it, and a wait ends early when peers report that the store is back. If the store fails all, the number of calls is as before (test_store_that_is_down_is_tried_often_by_few_gateways).

--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -19,6 +19,8 @@
 #: Seconds between two attempts of the first gateway while the store is
 #: unavailable; others wait longer.
 RETRY_SECONDS = 0.5
+#: Seconds between two checks whether such a wait can end.
+PAUSE_STEP_SECONDS = 0.1
 #: Seconds for which a peer may know a newer change before this gateway's own
 #: watch counts as stalled.
 MAX_BEHIND_SECONDS = 0.4
@@ -47,8 +49,8 @@
         report changes to it.
     :param fetch_from_peers: returns the endpoints of a peer that has changes
         after a revision, or ``None``.
-    :param position: returns this gateway's place among those that report to
-        each other often, 0 for the first.
+    :param position: returns how many peers try the store before this gateway
+        while it is unavailable and would report its return.
     :ivar listed: whether a list of endpoints has been applied.
     :ivar revision: the store's revision up to which changes are known.
     :ivar store: whether the store answers calls about endpoints.
@@ -118,15 +120,35 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._remove_lapsed)
             while True:
-                found = await self._source.list_all()
-                match found:
-                    case listings.Listing():
-                        self._note_answer()
-                        self.apply_listing(found)
-                        await self._follow_store()
-                    case store.Unavailable(detail=detail):
-                        self._note_failure(detail)
-                        await self._pause()
+                found = await self._list_endpoints()
+                self._note_answer()
+                self.apply_listing(found)
+                await self._follow_store()
+
+    async def _list_endpoints(self) -> listings.Listing:
+        """List the endpoints as soon as the store answers.
+
+        A call to a store that is silent takes long to fail.  Calls therefore
+        overlap: endpoints that have left meanwhile are kept until some time
+        after this gateway has noticed that the store is back.
+        """
+        found: list[listings.Listing] = []
+        async with anyio.create_task_group() as calls:
+            while True:
+                calls.start_soon(self._try_to_list, found, calls.cancel_scope)
+                await self._pause()
+        return found[0]
+
+    async def _try_to_list(
+        self, found: list[listings.Listing], calls: anyio.CancelScope
+    ) -> None:
+        """List the endpoints once; end all calls if the store answers."""
+        match await self._source.list_all():
+            case listings.Listing() as listing:
+                found.append(listing)
+                calls.cancel()
+            case store.Unavailable(detail=detail):
+                self._note_failure(detail)
 
     def note_peer_revision(self, *, change_revision: int) -> None:
         """Record the newest change that a peer knows.
@@ -340,12 +362,16 @@
             self.presence.note_store_outage()
 
     async def _pause(self) -> None:
-        """Wait after a failed call to the store."""
-        await anyio.sleep(
-            dependency_health.scale_retry_delay(
-                RETRY_SECONDS, position=self._position()
-            )
-        )
+        """Wait before the store is called again.
+
+        The wait is shortened if peers report meanwhile that it is back.
+        """
+        waited = 0.0
+        while waited < dependency_health.scale_retry_delay(
+            RETRY_SECONDS, position=self._position()
+        ):
+            await anyio.sleep(PAUSE_STEP_SECONDS)
+            waited += PAUSE_STEP_SECONDS
 
     def _note_failure(self, detail: str) -> None:
         self.store.note_failure(detail)
--- a/marigoldramp/gateway/peers.py
+++ b/marigoldramp/gateway/peers.py
@@ -172,6 +172,25 @@
         )
         return answered >= MIN_STORE_READERS or len(near) >= MAX_STORE_READERS
 
+    def find_retry_position(self, *, capacity: float) -> int:
+        """Return how many peers retry the store before this gateway.
+
+        If the store answers peers, it fails this gateway alone: no peer would
+        report that it is back, so this gateway retries as often as the first.
+
+        :param capacity: capacity of this gateway.
+        """
+        # A gateway that the store does not answer reports that it cannot lead.
+        is_answered = any(
+            peer.report is not None and peer.report.can_lead
+            for peer in self.live()
+        )
+        if is_answered and not self.has_enough_store_readers(
+            capacity=capacity
+        ):
+            return 0
+        return len(self.list_earlier_readers(capacity=capacity))
+
     def count_known(self) -> int:
         """Return the number of known peers, live or not."""
         return len(self._peers)
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -177,7 +177,9 @@
                 capacity=self.settings.capacity
             ),
             fetch_from_peers=self._fetch_endpoints,
-            position=self._find_read_position,
+            position=lambda: self.peers.find_retry_position(
+                capacity=self.settings.capacity
+            ),
         )
         self.refresher = refresh.Refresher(
             configuration=self.active_configuration,
--- a/tests/gateway/drain_fleet.py
+++ b/tests/gateway/drain_fleet.py
@@ -293,8 +293,8 @@
             on_change=self._handle_change,
             relies_on_peers=self._relies_on_peers,
             fetch_from_peers=self._fetch,
-            position=lambda: len(
-                self.peers.list_earlier_readers(capacity=self.capacity)
+            position=lambda: self.peers.find_retry_position(
+                capacity=self.capacity
             ),
         )
         self._due_at = {}
--- a/tests/gateway/test_departed_endpoints.py
+++ b/tests/gateway/test_departed_endpoints.py
@@ -38,7 +38,18 @@
 
 
 @pytest.mark.parametrize(
-    ('gateways', 'seed'), [(6, 3), (6, 24), (6, 54), (6, 62)]
+    ('gateways', 'seed'),
+    [
+        (6, 3),
+        (6, 15),
+        (6, 16),
+        (6, 24),
+        (6, 54),
+        (6, 57),
+        (6, 62),
+        (6, 87),
+        (6, 97),
+    ],
 )
 async def test_endpoint_that_has_left_is_not_used(gateways, seed, monkeypatch):
     """Guards against requests to endpoints that left during faults."""
