Earn retries by requests, so that the budget outlasts restarts and moves

What callers saw: nothing; a service that failed anyway got more repeats in a window than the operator allows all gateways together.

Cause: each gateway kept its part of the budget in a sliding window of its own. A restart forgot what was spent; when callers moved from killed gateways, the others spent a share of the same requests again; a gateway that had started without store and peers took the whole extra for itself, and one that had not been heard for 90 s was no longer divided by. A repeat was counted when it was decided on, and sent up to eight seconds later. The class: a bound on a sum that each part keeps by what it remembers of itself.

The extra is divided in whole retries among the gateways of the registry, the remainder by rendezvous hashing, and not before a window has passed since the start. A retry is reserved first and counts as it is sent.

--- a/marigoldramp/gateway/attempts.py
+++ b/marigoldramp/gateway/attempts.py
@@ -84,7 +84,12 @@
     framed: bool = True
 
 
-Result = Unreached | Declined | Broken | Answer | Streamed
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class OverBudget:
+    """Nothing was sent, as the retry budget does not allow it any more."""
+
+
+Result = Unreached | Declined | Broken | Answer | Streamed | OverBudget
 
 WRONG_ENDPOINT = 421
 
@@ -127,9 +132,9 @@
             return connection
         is_complete = False
         try:
-            unreached = self._send(call, endpoint, connection)
-            if unreached is not None:
-                return unreached
+            unsent = self._send(call, endpoint, connection)
+            if unsent is not None:
+                return unsent
             result = await self._receive(call, endpoint, connection)
             is_complete = isinstance(result, Answer | Streamed)
             return result
@@ -167,7 +172,7 @@
         call: calls.Call,
         endpoint: endpoints.Endpoint,
         connection: outbound.Connection,
-    ) -> Unreached | None:
+    ) -> Unreached | OverBudget | None:
         remaining = call.deadline - boot_clock.read_clock()
         if remaining <= 0.0:
             return Unreached(
@@ -183,6 +188,8 @@
         headers = self._codec.write_request(head.headers, outgoing)
         if call.body or head.method not in (b'GET', b'HEAD'):
             headers.append((b'content-length', b'%d' % len(call.body)))
+        if call.sends and not call.spend_retry():
+            return OverBudget()
         call.endpoint = endpoint.identity
         try:
             connection.send(
--- a/marigoldramp/gateway/calls.py
+++ b/marigoldramp/gateway/calls.py
@@ -5,6 +5,7 @@
 from . import codecs
 from . import deployment
 from . import inbound
+from . import retry_budget
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -28,6 +29,7 @@
     :ivar runs: how often it may have run.
     :ivar excluded_endpoints: endpoints that it is not sent to again.
     :ivar endpoint: the endpoint that it was last sent to.
+    :ivar retry: the reserved retry that its next send spends, if any.
     :ivar waited: seconds spent waiting for slots.
     :ivar first_event: seconds until the first event was passed on, 0 for
         none yet.
@@ -52,6 +54,7 @@
     runs: int = 0
     excluded_endpoints: frozenset[str] = frozenset()
     endpoint: str = ''
+    retry: retry_budget.Reservation | None = None
     waited: float = 0.0
     first_event: float = 0.0
     longest_pause: float = 0.0
@@ -66,6 +69,17 @@
         """Exclude an endpoint from further attempts."""
         self.excluded_endpoints |= {identity}
 
+    def spend_retry(self) -> bool:
+        """Spend the reserved retry; return whether there was a valid one."""
+        retry, self.retry = self.retry, None
+        return retry is not None and retry.spend()
+
+    def cancel_retry(self) -> None:
+        """Give back the reserved retry, if there is one."""
+        if self.retry is not None:
+            self.retry.cancel()
+            self.retry = None
+
     def note_event(self, *, now: float) -> float:
         """Note that events are passed on; return the pause before them.
 
--- a/marigoldramp/gateway/forwarding.py
+++ b/marigoldramp/gateway/forwarding.py
@@ -100,6 +100,8 @@
             outcome = await self._serve(call)
         finally:
             self.running -= 1
+            if call is not None:
+                call.cancel_retry()
             self._log_outcome(exchange, call, outcome)
 
     async def _serve(self, call: calls.Call) -> str:
@@ -115,12 +117,17 @@
     async def _run_attempts(self, call: calls.Call) -> str:
         """Attempt a call until its final response; return the outcome."""
         unreached = 0
+        sent: attempts.Result | None = None
         while True:
             slot = await self._acquire_slot(call)
             if isinstance(slot, NotRun):
                 return await self._end_with_refusal(call, slot)
             call.waited += slot.waited
             result = await self._run_attempt(call, slot)
+            if isinstance(result, attempts.OverBudget) and sent is not None:
+                result = sent
+            elif not isinstance(result, attempts.Unreached):
+                sent = result
             match result:
                 case attempts.Streamed():
                     return 'served'
@@ -137,7 +144,7 @@
                         call, _describe_failure(result)
                     )
                 case attempts.Declined():
-                    if self._budget.take(call.service):
+                    if self._reserve_retry(call):
                         continue
                     if call.runs and await self._await_budget(call):
                         continue
@@ -282,7 +289,7 @@
         )
 
     def _take_retry(self, call: calls.Call, answer: attempts.Answer) -> bool:
-        """Take a retry from the budget for an error response.
+        """Reserve a retry for an error response.
 
         Return whether the call is retried at another endpoint.
         """
@@ -291,7 +298,13 @@
         if not self._may_run_again(call):
             return False
         call.exclude_endpoint(call.endpoint)
-        return self._budget.take(call.service)
+        return self._reserve_retry(call)
+
+    def _reserve_retry(self, call: calls.Call) -> bool:
+        """Reserve a retry for a call; return whether it has one."""
+        if call.retry is None:
+            call.retry = self._budget.reserve(call.service)
+        return call.retry is not None
 
     def _may_run_again(self, call: calls.Call) -> bool:
         """Whether a call that may already have run may run once more."""
@@ -300,12 +313,12 @@
         return call.runs < call.route.attempts
 
     async def _await_budget(self, call: calls.Call) -> bool:
-        """Wait for the retry budget and take a retry from it.
+        """Wait for the retry budget and reserve a retry from it.
 
         The call's deadline ends the wait.  A stream that was cut off loses
         nothing by waiting, and its caller cannot retry it.
         """
-        while not self._budget.take(call.service):
+        while not self._reserve_retry(call):
             await anyio.sleep(BUDGET_POLL_SECONDS)
         return True
 
--- a/marigoldramp/gateway/peer_registry.py
+++ b/marigoldramp/gateway/peer_registry.py
@@ -48,6 +48,7 @@
         '_address',
         '_random',
         '_restored',
+        '_listed',
     )
 
     def __init__(
@@ -65,6 +66,20 @@
         self._address = address
         self._random = random
         self._restored = anyio.Event()
+        self._listed: frozenset[str] | None = None
+
+    def find_members(self) -> frozenset[str] | None:
+        """Return the names of all gateways that may be alive.
+
+        Those that have not reported for long count as well: they may be
+        partitioned from this one.
+
+        :returns: ``None`` while the registry has not been read.
+        """
+        if self._listed is None:
+            return None
+        heard = {peer.instance for peer in self._table}
+        return self._listed | heard | {self._instance}
 
     async def run(self) -> None:
         """Keep the row up to date and find other gateways until cancelled."""
@@ -107,6 +122,7 @@
         found = await self._store.list_objects(kind=KIND)
         if isinstance(found, store_module.Unavailable):
             return False
+        self._listed = frozenset(one.key.name for one in found.objects)
         own: store_module.Stored | None = None
         for stored in found.objects:
             if stored.key.name == self._instance:
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -151,8 +151,10 @@
                 on_events=self._record_events,
             ),
             budget=retry_budget.RetryBudget(
+                instance=settings.instance,
                 bounds=lambda: self.settings.bounds.retries,
-                entries=lambda: self.peers.count_known() + 1,
+                members=lambda: self._registry.find_members(),
+                random=random,
                 clock=clock,
             ),
             containment=self.containment,
