Send nothing to an endpoint that has left since it was chosen

What callers saw: nothing. What endpoints could see: a request up to 0.4 s after a gateway knew that they had left, and later from one that stood still in between.

Cause: an endpoint is chosen, then its connection opens, and nothing looked again before the request was written. The class: a check before a wait is not repeated after it.

Change: the request is written only if the endpoint is still in use; otherwise another one is chosen. This is no failure of the endpoint or its service.

The other waits between the choice and the sending (for a slot, for reports of ended endpoints, for the retry budget) come before the choice or end in the same check.

--- a/marigoldramp/gateway/attempts.py
+++ b/marigoldramp/gateway/attempts.py
@@ -89,7 +89,14 @@
     """Nothing was sent, as the retry budget does not allow it any more."""
 
 
-Result = Unreached | Declined | Broken | Answer | Streamed | OverBudget
+@dataclasses.dataclass(slots=True, frozen=True, kw_only=True)
+class Withdrawn:
+    """Nothing was sent, as the endpoint is leaving."""
+
+
+Result = (
+    Unreached | Declined | Broken | Answer | Streamed | OverBudget | Withdrawn
+)
 
 WRONG_ENDPOINT = 421
 
@@ -172,7 +179,10 @@
         call: calls.Call,
         endpoint: endpoints.Endpoint,
         connection: outbound.Connection,
-    ) -> Unreached | OverBudget | None:
+    ) -> Unreached | OverBudget | Withdrawn | None:
+        if endpoint.is_leaving:
+            # It has left since it was chosen, while the connection opened.
+            return Withdrawn()
         remaining = call.deadline - boot_clock.read_clock()
         if remaining <= 0.0:
             return Unreached(
--- a/marigoldramp/gateway/forwarding.py
+++ b/marigoldramp/gateway/forwarding.py
@@ -123,10 +123,12 @@
             if isinstance(slot, NotRun):
                 return await self._end_with_refusal(call, slot)
             call.waited += slot.waited
+            sends = call.sends
             result = await self._run_attempt(call, slot)
             if isinstance(result, attempts.OverBudget) and sent is not None:
+                # The reserved retry is void: decide again on the last send.
                 result = sent
-            elif not isinstance(result, attempts.Unreached):
+            elif call.sends > sends:
                 sent = result
             match result:
                 case attempts.Streamed():
@@ -135,6 +137,8 @@
                     if self._take_retry(call, result):
                         continue
                     return await self._send_answer(call, result)
+                case attempts.Withdrawn():
+                    continue
                 case attempts.Unreached():
                     unreached += 1
                     if unreached < MAX_UNREACHED:
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -5,6 +5,7 @@
 import pytest
 
 from marigoldramp.gateway import deployment
+from marigoldramp.gateway import outbound
 
 from . import fake_endpoint as fake
 from . import site
@@ -469,3 +470,30 @@
     assert 'marigoldramp_request_seconds_count{outcome="served"} 1' in page
     assert 'marigoldramp_configuration_version 1' in page
     assert 'marigoldramp_known_endpoints 1.0' in page
+
+
+@pytest.mark.parametrize('change', ['leaving', 'gone'])
+async def test_endpoint_that_leaves_while_a_connection_opens_gets_no_request(
+    change, monkeypatch
+):
+    """Guards against requests that are sent long after the choice."""
+    one = make_endpoint('i-1', fake.answer(b'late'))
+    two = make_endpoint('i-2', fake.answer(b'ran'))
+    opened = outbound.Pool.open
+
+    async with site.run_site(one, two) as running:
+        presence = running.gateway.follower.presence
+
+        async def open_connection(pool, *, address, **more):
+            if address.port == one.port:
+                if change == 'leaving':
+                    presence.note_leaving(site.make_record(one))
+                else:
+                    presence.note_unlisted('i-1')
+            return await opened(pool, address=address, **more)
+
+        monkeypatch.setattr(outbound.Pool, 'open', open_connection)
+        for _ in range(8):
+            got = await site.call(running)
+            assert (got.status, got.body) == (200, b'ran')
+    assert not one.seen
