Check the retry budget in the soak

Arrivals beyond the first of each request, over all gateway processes and for each service, against the requests that callers sent in the window, the one before or the one half a window before.

--- a/marigoldramp_soak/checks.py
+++ b/marigoldramp_soak/checks.py
@@ -28,6 +28,11 @@
 LIMIT_FACTOR = 1.5
 LIMIT_EXTRA = 5
 LIMIT_TOLD = 0.5
+#: The budget of repeats: its window in seconds, repeats for each request, and
+#: further repeats in each window.
+BUDGET_WINDOW = 10.0
+BUDGET_RATIO = 0.2
+BUDGET_EXTRA = 60
 #: Seconds within which the end of an unread request shows.
 AT_ONCE = 0.2
 
@@ -48,6 +53,7 @@
     broken += check_backoffs(site, faults)
     broken += check_leaving(site)
     broken += check_limits(site, faults)
+    broken += check_budget(site)
     if site.group is not None:
         broken += site.group.mixed
     known = {told.request for told in site.told}
@@ -244,6 +250,48 @@
     return found
 
 
+def check_budget(site):
+    """Return the services that got more repeats than the budget allows."""
+    sent = collections.defaultdict(list)
+    for told in site.told:
+        sent[site.find_service(told.path)].append(told.sent_at)
+    for service, repeats in group_repeats(site).items():
+        for begun in repeats:
+            ended = begun + BUDGET_WINDOW
+            requests = max(
+                count_between(sent[service], start, start + BUDGET_WINDOW)
+                for start in (
+                    begun,
+                    begun - BUDGET_WINDOW / 2.0,
+                    begun - BUDGET_WINDOW,
+                )
+            )
+            allowed = BUDGET_RATIO * requests + BUDGET_EXTRA
+            found = count_between(repeats, begun, ended)
+            if found > allowed:
+                yield (
+                    f'{service}: got {found} repeats in {BUDGET_WINDOW} s for '
+                    f'{requests} requests; {allowed:.1f} are allowed'
+                )
+                break
+
+
+def group_repeats(site):
+    """Return the times of arrivals beyond the first of each request."""
+    services = {one.identity: one.service for one in site.all_runners}
+    seen = set()
+    found = collections.defaultdict(list)
+    for one in sorted(site.arrivals, key=lambda arrival: arrival.at):
+        if one.request in seen:
+            found[services[one.endpoint]].append(one.at)
+        seen.add(one.request)
+    return found
+
+
+def count_between(times, since, until):
+    return sum(since <= at <= until for at in times)
+
+
 def group_arrivals(site):
     """Return the arrivals by endpoint and entry number."""
     entries = {told.request: told.entry for told in site.told}
--- a/marigoldramp_soak/site.py
+++ b/marigoldramp_soak/site.py
@@ -217,6 +217,14 @@
             },
         )
 
+    def find_service(self, path):
+        """Return the service that runs the requests of a path."""
+        return next(
+            service
+            for prefix, _, service, _, _ in self._list_routes()
+            if path.startswith(prefix)
+        )
+
     def _list_routes(self):
         if self.group is None:
             return ROUTES
