Split the handling of a send from the loop of attempts; test reservations

No change of behaviour: what follows a send (an answer, a refusal, a broken connection, a retry that is void) stands in a function of its own. New tests: a reserved retry expires like any other, so that retries that wait for a place do not go out together; reservations are limited, and can be given back.

--- a/marigoldramp/gateway/forwarding.py
+++ b/marigoldramp/gateway/forwarding.py
@@ -123,20 +123,8 @@
             if isinstance(slot, NotRun):
                 return await self._end_with_refusal(call, slot)
             call.waited += slot.waited
-            sends = call.sends
             result = await self._run_attempt(call, slot)
-            if isinstance(result, attempts.OverBudget) and sent is not None:
-                # The reserved retry is void: decide again on the last send.
-                result = sent
-            elif call.sends > sends:
-                sent = result
             match result:
-                case attempts.Streamed():
-                    return 'served'
-                case attempts.Answer():
-                    if self._take_retry(call, result):
-                        continue
-                    return await self._send_answer(call, result)
                 case attempts.Withdrawn():
                     continue
                 case attempts.Unreached():
@@ -147,22 +135,41 @@
                     return await self._end_with_refusal(
                         call, _describe_failure(result)
                     )
-                case attempts.Declined():
-                    if self._reserve_retry(call):
-                        continue
-                    if call.runs and await self._await_budget(call):
-                        continue
-                    return await self._end_with_refusal(
-                        call, self._describe_no_slot(call)
-                    )
-                case attempts.Broken():
-                    if self._may_run_again(call):
-                        await self._await_budget(call)
-                        await self._stagger_retry(result)
-                        continue
-                    return await self._end_with_refusal(
-                        call, _describe_failure(result)
-                    )
+                case attempts.OverBudget():
+                    # The reserved retry is void: decide again.
+                    assert sent is not None
+                case _:
+                    sent = result
+            outcome = await self._conclude_send(call, sent)
+            if outcome is not None:
+                return outcome
+
+    async def _conclude_send(
+        self, call: calls.Call, result: attempts.Result
+    ) -> str | None:
+        """Return the outcome of a call after a send, ``None`` to repeat it."""
+        match result:
+            case attempts.Answer():
+                if self._take_retry(call, result):
+                    return None
+                return await self._send_answer(call, result)
+            case attempts.Declined():
+                if self._reserve_retry(call):
+                    return None
+                if call.runs and await self._await_budget(call):
+                    return None
+                return await self._end_with_refusal(
+                    call, self._describe_no_slot(call)
+                )
+            case attempts.Broken():
+                if self._may_run_again(call):
+                    await self._await_budget(call)
+                    await self._stagger_retry(result)
+                    return None
+                return await self._end_with_refusal(
+                    call, _describe_failure(result)
+                )
+        return 'served'
 
     async def _acquire_slot(self, call: calls.Call) -> dispatch.Slot | NotRun:
         """Wait for a slot, unless the call is or becomes blocked."""
--- a/tests/gateway/test_retry_budget.py
+++ b/tests/gateway/test_retry_budget.py
@@ -1,5 +1,7 @@
 """Tests of the retry budget over all gateways, from arrivals at endpoints."""
 
+import random
+
 import anyio
 import pytest
 import virtual_time
@@ -171,3 +173,39 @@
         for name in names
     ]
     assert extra - extra // members - members <= sum(parts) <= extra
+
+
+@pytest.mark.parametrize(
+    ('waited', 'is_valid'), [(0.0, True), (2.4, True), (2.6, False)]
+)
+def test_reserved_retry_expires_like_any_other(waited, is_valid):
+    """Guards against retries that wait for a place and go out together."""
+    now = 100.0
+    budget = retry_budget.RetryBudget(
+        instance='entry-1',
+        bounds=lambda: BOUNDS,
+        members=lambda: None,
+        random=random.Random(1),
+        clock=lambda: now,
+    )
+    for _ in range(14):
+        budget.note_request('notes')
+    reserved = budget.reserve('notes')
+    now += waited
+    assert reserved.spend() is is_valid
+
+
+def test_reservations_are_limited_and_can_be_given_back():
+    budget = retry_budget.RetryBudget(
+        instance='entry-1',
+        bounds=lambda: BOUNDS,
+        members=lambda: None,
+        random=random.Random(1),
+        clock=lambda: 100.0,
+    )
+    for _ in range(14):
+        budget.note_request('notes')
+    reserved = [budget.reserve('notes') for _ in range(3)]
+    assert [one is not None for one in reserved] == [True, True, False]
+    reserved[0].cancel()
+    assert budget.reserve('notes') is not None
