Play random faults against the retry budget of several gateways

Restarts, kills, freezes, partitions and outages of the store and the endpoints within a few windows.

--- a/tests/gateway/test_retry_budget.py
+++ b/tests/gateway/test_retry_budget.py
@@ -112,6 +112,44 @@
     await anyio.sleep(30.0)
 
 
+class RandomFaults:
+    """Random restarts, kills, freezes and outages within a few windows."""
+
+    def __init__(self, seed):
+        self._random = random.Random(seed)
+
+    async def __call__(self, fleet):
+        fleet.fail()
+        for _ in range(self._random.randint(4, 8)):
+            await anyio.sleep(self._random.uniform(0.0, 3.0))
+            self._play_fault(fleet)
+        await anyio.sleep(BOUNDS.window)
+
+    def _play_fault(self, fleet):
+        count = self._random.randint(1, len(fleet.gateways))
+        chosen = self._random.sample(fleet.gateways, count)
+        match self._random.choice(('restart', 'kill', 'freeze', 'cut', 'all')):
+            case 'restart':
+                for gateway in chosen:
+                    gateway.start()
+            case 'kill':
+                for gateway in chosen[1:]:
+                    gateway.stop()
+            case 'freeze':
+                for gateway in chosen[1:]:
+                    gateway.freeze()
+            case 'cut':
+                fleet.cut = set(chosen)
+                fleet.store.away = not fleet.store.away
+            case 'all':
+                fleet.fail(fails=self._random.random() < 0.7)
+                fleet.close(is_closed=self._random.random() < 0.3)
+                for gateway in fleet.gateways:
+                    gateway.resumed.set()
+                    if gateway.is_down:
+                        gateway.start()
+
+
 async def run(play, *, gateways, rate=60.0, **more):
     """Return the fleet after a scenario."""
     async with anyio.create_task_group() as tasks:
@@ -153,6 +191,18 @@
     assert fleet.find_excess() <= 0.0
 
 
+@pytest.mark.parametrize(
+    ('gateways', 'seed'), [(2, 1), (6, 7), (6, 10), (6, 13), (15, 1), (39, 1)]
+)
+async def test_repeats_stay_within_the_budget_under_random_faults(
+    gateways, seed
+):
+    """Guards against more repeats than the operator allows all gateways."""
+    fleet = await run(RandomFaults(seed), gateways=gateways, seed=seed)
+    assert fleet.repeats
+    assert fleet.find_excess() <= 0.0
+
+
 @pytest.mark.parametrize('gateways', [3, 6, 39, 350])
 async def test_budget_is_used_while_there_is_need(gateways):
     """Guards against a budget that is safe because nobody can spend it."""
