Build the budget of three tests in one place

The same construction stood three times in the tests of reservations and of memory; they keep their assertions and pass, as do format and lint of the file.

--- a/tests/gateway/test_retry_budget.py
+++ b/tests/gateway/test_retry_budget.py
@@ -226,19 +226,24 @@
     assert extra - extra // members - members <= sum(parts) <= extra
 
 
+def make_budget(clock):
+    """Return the budget of a gateway that does not know the others."""
+    return retry_budget.RetryBudget(
+        instance='entry-1',
+        bounds=lambda: BOUNDS,
+        members=lambda: None,
+        random=random.Random(1),
+        clock=clock,
+    )
+
+
 @pytest.mark.parametrize(
     ('waited', 'is_valid'), [(0.0, True), (2.4, True), (2.6, False)]
 )
 def test_reserved_retry_expires_like_any_other(waited, is_valid):
     """Guards against retries that wait for a place and go out together."""
     now = 100.0
-    budget = retry_budget.RetryBudget(
-        instance='entry-1',
-        bounds=lambda: BOUNDS,
-        members=lambda: None,
-        random=random.Random(1),
-        clock=lambda: now,
-    )
+    budget = make_budget(lambda: now)
     for _ in range(14):
         budget.note_request('notes')
     reserved = budget.reserve('notes')
@@ -247,13 +252,7 @@
 
 
 def test_reservations_are_limited_and_can_be_given_back():
-    budget = retry_budget.RetryBudget(
-        instance='entry-1',
-        bounds=lambda: BOUNDS,
-        members=lambda: None,
-        random=random.Random(1),
-        clock=lambda: 100.0,
-    )
+    budget = make_budget(lambda: 100.0)
     for _ in range(14):
         budget.note_request('notes')
     reserved = [budget.reserve('notes') for _ in range(3)]
@@ -265,13 +264,7 @@
 def test_budget_does_not_grow_while_no_request_is_retried():
     """Guards against memory that grows with each request."""
     now = 100.0
-    budget = retry_budget.RetryBudget(
-        instance='entry-1',
-        bounds=lambda: BOUNDS,
-        members=lambda: None,
-        random=random.Random(1),
-        clock=lambda: now,
-    )
+    budget = make_budget(lambda: now)
     sizes = []
     for _ in range(2):
         for _ in range(2000):
