Log a checksum of the endpoints that a gateway holds

The lines on lists and changes do not show whether two gateways hold the same endpoints, nor up to which revision a peer's list is complete. So neither a removal that a list did not show nor an older list that was applied over a newer one can be told from the logs. Each line is now followed by 'endpoints held' with a checksum, and a peer's list shows its revision.

Nothing reads the checksum. tests/gateway/test_gateway_state.py and test_departed_endpoints.py pass.

--- a/marigoldramp/gateway/balancing/endpoints.py
+++ b/marigoldramp/gateway/balancing/endpoints.py
@@ -198,9 +198,12 @@
 
     :param data_centre: the data centre of this gateway.
     :param random: samples endpoints and breaks ties.
+    :ivar checksum: checksum of the records, equal at gateways that hold the
+        same ones.
     """
 
     __slots__ = (
+        'checksum',
         '_by_identity',
         '_by_service',
         '_data_centre',
@@ -213,6 +216,7 @@
     def __init__(
         self, *, data_centre: str, random: random_module.Random
     ) -> None:
+        self.checksum = 0
         self._kept_signals: dict[tuple[str, int], _KeptSignals] = {}
         self._by_identity: dict[str, Endpoint] = {}
         self._by_service: dict[str, dict[str, Endpoint]] = {}
@@ -256,8 +260,11 @@
                 # Whether it is cold is decided anew by its new record.
                 known.rate_limit.cold.record = None
             self._by_identity[record.identity] = known
-        elif known.record.service != record.service:
-            self._by_service[known.record.service].pop(record.identity)
+        else:
+            self.checksum ^= _hash_record(known.record)
+            if known.record.service != record.service:
+                self._by_service[known.record.service].pop(record.identity)
+        self.checksum ^= _hash_record(record)
         known.record = record
         known.is_evacuated = self._is_evacuated(record)
         self._by_service.setdefault(record.service, {})[
@@ -284,6 +291,7 @@
         known = self._by_identity.pop(identity, None)
         if known is None:
             return None
+        self.checksum ^= _hash_record(known.record)
         known.is_removed = True
         self._by_service[known.record.service].pop(identity, None)
         self._keep_signals(known)
@@ -422,6 +430,12 @@
         return (1.0 + endpoint.in_flight + penalty) * slowness / slot_count
 
 
+def _hash_record(record: deployment.EndpointRecord) -> int:
+    """Return a hash that changes whenever the record is written anew."""
+    text = f'{record.identity} {record.born} {record.revision}'
+    return zlib.crc32(text.encode())
+
+
 def _choose_isolated(suspect: str, found: list[Endpoint]) -> Endpoint | None:
     """Return the endpoint to run a suspect on, if one has no other suspect.
 
--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -214,6 +214,8 @@
                 settled=listing.settled,
                 newest=listing.newest,
                 before=self.change_revision,
+                complete=listing.revision,
+                complete_before=self.revision,
             ),
         )
         if listing.settled:
@@ -222,6 +224,7 @@
             self.settled_revision = max(self.settled_revision, listing.newest)
         self.change_revision = max(self.change_revision, listing.newest)
         self.listed = True
+        self._log_held()
         self._on_change()
 
     def _has_left(self, record: deployment.EndpointRecord) -> bool:
@@ -249,6 +252,7 @@
                 endpoints=len(listing.records), revision=listing.revision
             ),
         )
+        self._log_held()
         self._on_change()
 
     def apply_changes(self, changes: listings.Changes) -> None:
@@ -270,9 +274,23 @@
             )
             self.change_revision = max(self.change_revision, changes.newest)
             self.settled_revision = self.change_revision
+            self._log_held()
             self._on_change()
         self._behind_since = float('inf')
 
+    def _log_held(self) -> None:
+        """Log what tells whether two gateways hold the same endpoints."""
+        logging.info(
+            'endpoints held',
+            extra=logs.fields(
+                endpoints=len(self._table),
+                checksum=self._table.checksum,
+                revision=self.revision,
+                newest=self.change_revision,
+                settled=self._is_settled(),
+            ),
+        )
+
     def make_listing(self) -> listings.Listing:
         """Return the known endpoints, for a peer."""
         return listings.Listing(
