Tell peers up to which revision a list is complete, and its checksum

Callers' requests went to endpoints that had left, at gateways that take their lists of endpoints from peers. Gateways compared the revision of the newest change that they knew. A list shows no removals: a gateway that lists the endpoints anew, as it was restarted or the store forgot its history, announced the same number as before, and no peer asked it.

A report now has the revision up to which the sender's list is complete and a checksum of its records. A gateway fetches the list of a peer that is complete up to a later revision and has other records, and restarts a watch that stays behind such a peer.

--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -37,8 +37,10 @@
 UNSETTLED_RETRY_SECONDS = 0.5
 
 
-#: Fetches the endpoints from a peer that has changes after a revision.
-FetchFromPeers = Callable[[int], Awaitable[listings.Listing | None]]
+#: Fetches the endpoints from a peer that knows more of them than a summary.
+FetchFromPeers = Callable[
+    [listings.Summary], Awaitable[listings.Listing | None]
+]
 
 
 class EndpointFollower:
@@ -48,8 +50,8 @@
     :param on_change: called after each update.
     :param relies_on_peers: whether peers follow the store for this gateway and
         report changes to it.
-    :param fetch_from_peers: returns the endpoints of a peer that has changes
-        after a revision, or ``None``.
+    :param fetch_from_peers: returns the endpoints of a peer that knows more
+        of them, or ``None``.
     :param position: returns how many peers try the store before this gateway
         while it is unavailable and would report its return.
     :param find_cold_seconds: returns for how much longer an endpoint is cold,
@@ -70,7 +72,7 @@
         '_fetch_from_peers',
         '_position',
         '_find_cold_seconds',
-        '_peer_revision',
+        '_peer',
         '_wake',
         '_behind_since',
         '_watching',
@@ -109,7 +111,7 @@
         self._fetch_from_peers = fetch_from_peers
         self._position = position
         self._find_cold_seconds = find_cold_seconds
-        self._peer_revision = 0
+        self._peer = listings.Summary(newest=0)
         self._wake = anyio.Event()
         self._behind_since = float('inf')
         self._watching: anyio.CancelScope | None = None
@@ -158,33 +160,55 @@
             case store.Unavailable(detail=detail):
                 self._note_failure(detail)
 
-    def note_peer_revision(self, *, change_revision: int) -> None:
-        """Record the newest change that a peer knows.
+    def note_peer(self, peer: listings.Summary) -> None:
+        """Record what a peer knows of the endpoints.
 
         If this gateway stays behind, its own watch has stalled and is
         restarted.  Without this it alone would go on using a leaving endpoint.
         """
-        if change_revision > self._peer_revision:
-            self._peer_revision = change_revision
-            self._wake.set()
-        known = max(self.revision, self.change_revision, self._restarted_for)
-        if change_revision <= known:
+        self._merge_peer(peer)
+        ahead = self._find_revision_ahead(peer)
+        if not ahead:
             self._behind_since = float('inf')
             return
         now = self._clock()
         self._behind_since = min(self._behind_since, now)
         if now - self._behind_since > MAX_BEHIND_SECONDS:
             self._behind_since = float('inf')
-            self._restarted_for = change_revision
+            self._restarted_for = ahead
             if self._watching is not None:
                 logging.info(
                     'watch behind peers',
-                    extra=logs.fields(
-                        revision=self.revision, heard=change_revision
-                    ),
+                    extra=logs.fields(revision=self.revision, heard=ahead),
                 )
                 self._watching.cancel()
 
+    def _merge_peer(self, peer: listings.Summary) -> None:
+        """Keep the newest change and the most complete list of all peers."""
+        latest = self._peer
+        if peer.complete < latest.complete:
+            peer = msgspec.structs.replace(latest, newest=peer.newest)
+        merged = msgspec.structs.replace(
+            peer, newest=max(peer.newest, latest.newest)
+        )
+        if merged != latest:
+            self._peer = merged
+            self._wake.set()
+
+    def _find_revision_ahead(self, peer: listings.Summary) -> int:
+        """Return the revision by which a peer is ahead, 0 if it is not."""
+        if peer.newest > max(
+            self.revision, self.change_revision, self._restarted_for
+        ):
+            return peer.newest
+        if (
+            self._is_settled()
+            and peer.complete > self._restarted_for
+            and peer.is_more_complete(self.summarize_held())
+        ):
+            return peer.complete
+        return 0
+
     def note_restore(self) -> None:
         """List the endpoints again after the store was restored."""
         self.presence.note_store_outage()
@@ -197,10 +221,7 @@
         Endpoints are added and marked as leaving; those that are missing in
         the list are removed only if it is settled.
         """
-        known = self.change_revision
-        if listing.settled:
-            known = self.settled_revision
-        if listing.newest <= known and self.listed:
+        if self.listed and not self._knows_less(listing):
             return
         for record in listing.records:
             if self.presence.is_unlisted(record.identity):
@@ -227,6 +248,15 @@
         self._log_held()
         self._on_change()
 
+    def _knows_less(self, listing: listings.Listing) -> bool:
+        """Whether a peer's list may hold something new."""
+        if not listing.settled:
+            return listing.newest > self.change_revision
+        return (
+            listing.newest > self.settled_revision
+            or listing.revision > self.revision
+        )
+
     def _has_left(self, record: deployment.EndpointRecord) -> bool:
         """Whether an endpoint has left since its record was written.
 
@@ -323,9 +353,20 @@
             return False
         return self.settled_revision >= self.change_revision
 
-    def reported_settled_revision(self) -> int:
-        """Return the settled revision for peers, 0 if unsettled."""
-        return self.settled_revision if self._is_settled() else 0
+    def summarize(self) -> listings.Summary:
+        """Return what this gateway knows, for peers."""
+        if not self._is_settled():
+            return listings.Summary(newest=self.change_revision)
+        return self.summarize_held()
+
+    def summarize_held(self) -> listings.Summary:
+        """Return what this gateway knows, though it may not be settled."""
+        return listings.Summary(
+            newest=self.change_revision,
+            settled=self.settled_revision,
+            complete=self.revision,
+            checksum=self._table.checksum,
+        )
 
     async def _follow_store(self) -> None:
         """Watch until the store fails or has dropped the needed changes."""
@@ -369,7 +410,7 @@
         while self.relies_on_peers():
             if self._is_peer_due():
                 self._asked_at = self._clock()
-                found = await self._fetch_from_peers(self.settled_revision)
+                found = await self._fetch_from_peers(self.summarize_held())
                 if found is not None:
                     self.apply_peer_listing(found)
             self._wake = anyio.Event()
@@ -383,9 +424,12 @@
         seconds.  That it has settled is not announced as a change, so peers
         are polled for it.
         """
-        if self._peer_revision > self.change_revision:
+        if self._peer.newest > self.change_revision:
             return True
-        if self.settled_revision >= self.change_revision:
+        is_settled = self.settled_revision >= self.change_revision
+        if is_settled and not self._peer.is_more_complete(
+            self.summarize_held()
+        ):
             return False
         return self._clock() - self._asked_at >= UNSETTLED_RETRY_SECONDS
 
--- a/marigoldramp/gateway/listings.py
+++ b/marigoldramp/gateway/listings.py
@@ -22,6 +22,32 @@
     settled: bool = False
 
 
+class Summary(msgspec.Struct, frozen=True, kw_only=True):
+    """What a gateway knows of the endpoints, without their records.
+
+    :ivar newest: revision of the newest change of an endpoint that it knows.
+    :ivar settled: newest of these at which its list was settled, 0 for none.
+    :ivar complete: revision up to which its list is complete, 0 if the list is
+        not settled.
+    :ivar checksum: checksum of the records, see :class:`.EndpointTable`.
+    """
+
+    newest: int
+    settled: int = 0
+    complete: int = 0
+    checksum: int = 0
+
+    def is_more_complete(self, other: 'Summary') -> bool:
+        """Whether its list is later and has other records.
+
+        A list shows no removals.  After one that no gateway has seen as a
+        change, ``newest`` is equal at gateways that hold different endpoints.
+        """
+        return (
+            self.complete > other.complete and self.checksum != other.checksum
+        )
+
+
 class Changes(msgspec.Struct, frozen=True, kw_only=True):
     """The changes up to a revision of the store.
 
--- a/marigoldramp/gateway/peer_exchange.py
+++ b/marigoldramp/gateway/peer_exchange.py
@@ -139,24 +139,29 @@
         return sorted(known, key=self._peers.is_near, reverse=True)
 
     async def fetch_endpoints(
-        self, *, newer_than: int
+        self, known: listings.Summary
     ) -> listings.Listing | None:
-        """Return the endpoints that a peer with a newer revision knows.
+        """Return the endpoints of a peer that knows more of them.
 
         Peers whose list is settled come first.  Where the store has turned
         gateways away, most lists stay unsettled for two seconds, during which
         an endpoint that has left would still be used.
+
+        :param known: what this gateway knows of them.
         """
-        known = [
+        ahead = [
             peer
             for peer in self._peers.live()
             if peer.report is not None
             and peer.report.revision_age >= 0.0
-            and peer.report.revision > newer_than
+            and (
+                peer.report.revision > known.settled
+                or _has_settled_more(peer, known)
+            )
         ]
         ordered = sorted(
-            self._order_for_asking(known),
-            key=lambda peer: _settled_revision(peer) > newer_than,
+            self._order_for_asking(ahead),
+            key=lambda peer: _has_settled_more(peer, known),
             reverse=True,
         )
         for peer in ordered:
@@ -166,8 +171,12 @@
         return None
 
 
-def _settled_revision(peer: peers.Peer) -> int:
-    return 0 if peer.report is None else peer.report.settled
+def _has_settled_more(peer: peers.Peer, known: listings.Summary) -> bool:
+    """Whether a peer's list is settled and has what this gateway lacks."""
+    if peer.report is None:
+        return False
+    summary = peer.report.summarize_endpoints()
+    return summary.settled > known.settled or summary.is_more_complete(known)
 
 
 def _address(peer: peers.Peer) -> outbound.Address:
--- a/marigoldramp/gateway/peer_reports.py
+++ b/marigoldramp/gateway/peer_reports.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from . import listings
 from .shared_state import suspects
 
 #: Datagrams up to this size are not fragmented.
@@ -126,6 +127,9 @@
     :ivar delay_ms: milliseconds by which the sender's timers are late.
     :ivar ready_seconds: seconds for which callers may have been sent to the
         sender, up to ``MAX_READY_SECONDS``.
+    :ivar complete: revision of the store up to which the sender's list of
+        endpoints is complete; 0 if the list is not known to be complete.
+    :ivar checksum: checksum of that list.
     """
 
     instance: str
@@ -161,6 +165,17 @@
     demands: tuple[ReportedDemand, ...] = ()
     delay_ms: int = 0
     ready_seconds: int = MAX_READY_SECONDS
+    complete: int = 0
+    checksum: int = 0
+
+    def summarize_endpoints(self) -> listings.Summary:
+        """Return what the sender knows of the endpoints."""
+        return listings.Summary(
+            newest=self.revision,
+            settled=self.settled,
+            complete=self.complete,
+            checksum=self.checksum,
+        )
 
 
 def encode(report: Report) -> bytes:
--- a/marigoldramp/gateway/periodic_tasks.py
+++ b/marigoldramp/gateway/periodic_tasks.py
@@ -125,7 +125,7 @@
             if follower.store.reached:
                 continue
             found = await self._components.peer_client.fetch_endpoints(
-                newer_than=follower.settled_revision
+                follower.summarize_held()
             )
             if found is not None:
                 follower.apply_peer_listing(found)
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -626,9 +626,9 @@
             self._notify_peers()
 
     async def _fetch_endpoints(
-        self, newer_than: int
+        self, known: listings.Summary
     ) -> listings.Listing | None:
-        return await self._peer_client.fetch_endpoints(newer_than=newer_than)
+        return await self._peer_client.fetch_endpoints(known)
 
     def _notify_peers(self) -> None:
         """Send the current state to all peers at once."""
--- a/marigoldramp/gateway/reporting.py
+++ b/marigoldramp/gateway/reporting.py
@@ -141,9 +141,7 @@
         )
         self._components.containment.exchange.handle_report(report)
         self._components.refresher.note_peer_version(report.version)
-        self._components.follower.note_peer_revision(
-            change_revision=report.revision
-        )
+        self._components.follower.note_peer(report.summarize_endpoints())
         self._apply_confirmation(report)
         self._apply_slowness(report)
         for limit in report.rate_limits:
@@ -169,6 +167,7 @@
         components = self._components
         settings = self._settings()
         calls = settings.calls
+        known = components.follower.summarize()
         return peer_reports.Report(
             instance=settings.instance,
             host=settings.peers.host,
@@ -185,9 +184,11 @@
             version_age=_age(
                 now, components.active_configuration.confirmed_at
             ),
-            revision=components.follower.change_revision,
+            revision=known.newest,
             revision_age=_age(now, components.follower.store.reached_at),
-            settled=components.follower.reported_settled_revision(),
+            settled=known.settled,
+            complete=known.complete,
+            checksum=known.checksum,
             in_flight={
                 endpoint.identity: endpoint.own_requests
                 for endpoint in components.table
--- a/tests/gateway/drain_fleet.py
+++ b/tests/gateway/drain_fleet.py
@@ -2,8 +2,8 @@
 
 Each gateway has the product's follower, presence, table of peers and client of
 peers.  The store fails for all gateways or for some, answers late or forgets
-its history; gateways are killed, frozen and partitioned.  Endpoints leave, with
-and without a report of it, or restart.
+its history; gateways are killed, frozen and partitioned.  Endpoints leave,
+with and without a report of it, or restart.
 """
 
 import asyncio
@@ -32,7 +32,7 @@
 #: Seconds after which a call to a silent store fails, and a watch of it.
 CALL_TIMEOUT_SECONDS = 1.0
 PROBE_SECONDS = 3.0
-#: Longest delay of an answer of the store to a gateway with the fault ``late``.
+#: Longest delay of the store's answers to a gateway with the fault ``late``.
 MAX_DELAY_SECONDS = 0.9
 #: Seconds for which watches hear nothing before the history is forgotten.
 MUTE_SECONDS = 1.0
@@ -344,9 +344,9 @@
     def _relies_on_peers(self):
         return self.peers.has_enough_store_readers(capacity=self.capacity)
 
-    async def _fetch(self, newer_than):
+    async def _fetch(self, known):
         await self.wait_while_frozen()
-        found = await self._client.fetch_endpoints(newer_than=newer_than)
+        found = await self._client.fetch_endpoints(known)
         await self.wait_while_frozen()
         return found
 
@@ -358,7 +358,7 @@
                 self.follower.presence.note_store_outage()
             if self.follower.store.reached:
                 continue
-            found = await self._fetch(self.follower.settled_revision)
+            found = await self._fetch(self.follower.summarize_held())
             if found is not None:
                 self.follower.apply_peer_listing(found)
 
@@ -394,6 +394,7 @@
 
     def _make_report(self, interval):
         follower = self.follower
+        known = follower.summarize()
         reached_at = follower.store.reached_at
         now = virtual_time.now()
         return site.make_report(
@@ -404,9 +405,11 @@
             data_centre=self.data_centre,
             capacity=self.capacity,
             period=interval,
-            revision=follower.change_revision,
+            revision=known.newest,
             revision_age=now - reached_at if reached_at >= 0.0 else -1.0,
-            settled=follower.reported_settled_revision(),
+            settled=known.settled,
+            complete=known.complete,
+            checksum=known.checksum,
             can_lead=follower.store.reached and follower.listed,
         )
 
@@ -415,7 +418,7 @@
         if self.is_frozen or self.is_down:
             return
         if self.peers.apply_report(report) is not None:
-            self.follower.note_peer_revision(change_revision=report.revision)
+            self.follower.note_peer(report.summarize_endpoints())
 
     def is_in_touch(self, seconds):
         """Whether it was without a fault for some seconds."""
--- a/tests/gateway/test_departed_endpoints.py
+++ b/tests/gateway/test_departed_endpoints.py
@@ -72,6 +72,14 @@
     assert not broken
 
 
+async def leave_while_history_is_lost(fleet):
+    """Have an endpoint leave while the store forgets its history."""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(fleet.store.compact)
+        await anyio.sleep(drain_fleet.MUTE_SECONDS / 2.0)
+        fleet.leave('i-3', reports=False)
+
+
 async def leave_while_readers_restart(fleet):
     """Have an endpoint leave while no gateway reads the store."""
     reading = [
@@ -86,8 +94,10 @@
         fleet.leave('i-3', reports=False)
 
 
-@pytest.mark.parametrize('gateways', [39])
-@pytest.mark.parametrize('play', [leave_while_readers_restart])
+@pytest.mark.parametrize('gateways', [6, 12, 39])
+@pytest.mark.parametrize(
+    'play', [leave_while_history_is_lost, leave_while_readers_restart]
+)
 async def test_departure_that_only_a_list_shows_is_known_to_all(
     gateways, play, monkeypatch
 ):
@@ -109,3 +119,18 @@
         bounds=choose_bounds(gateways),
     )
     assert not broken
+
+
+@pytest.mark.parametrize(('gateways', 'seed'), [(12, 33), (12, 37)])
+async def test_departures_are_known_whatever_the_readers_suffer(
+    gateways, seed, monkeypatch
+):
+    """Guards against endpoints that are used for ever after faults."""
+    broken = await run(
+        lambda fleet: drain_schedules.WideSchedule(fleet, seed).run(),
+        monkeypatch,
+        gateways=gateways,
+        bounds=choose_bounds(gateways),
+        seed=seed,
+    )
+    assert not broken
--- a/tests/gateway/test_gateway_state.py
+++ b/tests/gateway/test_gateway_state.py
@@ -655,7 +655,7 @@
             )
         ]
         for _ in range(8):
-            follower.note_peer_revision(change_revision=9)
+            follower.note_peer(listings.Summary(newest=9))
             await anyio.sleep(0.1)
         tasks.cancel_scope.cancel()
     assert table.find('i-1').record.leaving
@@ -685,16 +685,16 @@
         await anyio.sleep(0.5)
         watching = follower._watching
         for _ in range(20):
-            follower.note_peer_revision(change_revision=other.change_revision)
+            follower.note_peer(other.summarize())
             await anyio.sleep(0.1)
         assert follower._watching is watching
         for _ in range(40):
-            follower.note_peer_revision(change_revision=99)
+            follower.note_peer(listings.Summary(newest=99))
             await anyio.sleep(0.1)
         again = follower._watching
         assert again is not watching
         for _ in range(40):
-            follower.note_peer_revision(change_revision=99)
+            follower.note_peer(listings.Summary(newest=99))
             await anyio.sleep(0.1)
         assert follower._watching is again
         tasks.cancel_scope.cancel()
--- a/tests/gateway/test_large_deployments.py
+++ b/tests/gateway/test_large_deployments.py
@@ -375,15 +375,15 @@
             fetch_from_peers=self.fetch,
         )
 
-    async def fetch(self, newer_than):
-        self.asked.append(newer_than)
+    async def fetch(self, known):
+        self.asked.append(known.settled)
         return self.listing
 
     def announce(self, *records, settled, newest):
         self.listing = listings.Listing(
             records=records, revision=newest, newest=newest, settled=settled
         )
-        self.follower.note_peer_revision(change_revision=newest)
+        self.follower.note_peer(listings.Summary(newest=newest))
 
 
 @pytest.mark.parametrize('settled', [True, False])
@@ -489,7 +489,7 @@
 
     monkeypatch.setattr(peer_exchange, 'fetch_endpoints', fetch)
     for _ in range(20):
-        await client.fetch_endpoints(newer_than=4)
+        await client.fetch_endpoints(listings.Summary(newest=4, settled=4))
     assert {one.host for one in asked} == {'q2'}
 
 
@@ -503,7 +503,7 @@
         await anyio.sleep(presence.KEEP_UNLISTED_SECONDS + 1.0)
         relying.announce(relying.record, settled=settles, newest=9)
         await anyio.sleep(0.3)
-        seen = relying.follower.reported_settled_revision()
+        seen = relying.follower.summarize().settled
         tasks.cancel_scope.cancel()
     assert seen == expected
 
