Discard an answer of the store that is older than a peer's list

A call to a store that is away takes a second, calls overlap, and a peer's list may come meanwhile. A list or watch of the store that was made before the peer's was applied over it: an endpoint that had left was in use again, and the known revision fell, or stayed above the removal, which then was never read.

An answer with a revision below what became known during the call is discarded and the call repeated. A lower revision than before the call still counts, as a store that was restored answers so.

Failed before: test_older_answer_of_the_store_brings_back_no_endpoint[list] and [watch]; test_list_after_a_restore_without_era_is_applied holds before and after. test_gateway_state.py and test_departed_endpoints.py pass.

--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -152,14 +152,31 @@
     async def _try_to_list(
         self, found: list[listings.Listing], calls: anyio.CancelScope
     ) -> None:
-        """List the endpoints once; end all calls if the store answers."""
+        """List the endpoints once; end all calls if the store answers.
+
+        A list that was made before a peer's list, which arrived meanwhile, is
+        discarded: it can have endpoints that have left since.
+        """
+        known = self.revision
         match await self._source.list_all():
+            case listings.Listing(revision=revision) if self._has_passed(
+                revision, since=known
+            ):
+                return
             case listings.Listing() as listing:
                 found.append(listing)
                 calls.cancel()
             case store.Unavailable(detail=detail):
                 self._note_failure(detail)
 
+    def _has_passed(self, revision: int, *, since: int) -> bool:
+        """Whether more than a revision became known during a call.
+
+        :param since: revision that was known before the call.  A store that
+            answers with a lower one was restored.
+        """
+        return self.revision > max(revision, since)
+
     def note_peer(self, peer: listings.Summary) -> None:
         """Record what a peer knows of the endpoints.
 
@@ -388,6 +405,10 @@
             match found:
                 case None:
                     continue
+                case listings.Changes(revision=revision) if self._has_passed(
+                    revision, since=asked_after
+                ):
+                    continue
                 case listings.Changes():
                     self._note_answer()
                     self.apply_changes(found)
--- a/tests/gateway/drain_schedules.py
+++ b/tests/gateway/drain_schedules.py
@@ -78,7 +78,7 @@
 
 
 class WideSchedule(Schedule):
-    """Also restarts, late answers, lost history, endpoints that restart.
+    """Also restarts, late answers, lost history and restarted endpoints.
 
     Often few endpoints leave: a later change would make up for one that a
     gateway has missed.
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -141,6 +141,23 @@
         self.changed.set()
 
 
+class LateEndpoints(listings.EndpointSource):
+    """Answers a call when a test says so, however late."""
+
+    def __init__(self):
+        self._send, self._answers = anyio.create_memory_object_stream(9)
+
+    def answer(self, found):
+        """Have the call that waits return this."""
+        self._send.send_nowait(found)
+
+    async def list_all(self):
+        return await self._answers.receive()
+
+    async def watch(self, *, after, seconds):
+        return await self._answers.receive()
+
+
 def make_route(**more):
     """Return a route; ``more`` overrides its default fields."""
     values = dict(
--- a/tests/gateway/test_gateway_state.py
+++ b/tests/gateway/test_gateway_state.py
@@ -560,6 +560,56 @@
     assert (table.find('i-1') is not None) is is_used
 
 
+@pytest.mark.parametrize('answer', ['list', 'watch'])
+async def test_older_answer_of_the_store_brings_back_no_endpoint(answer):
+    """Guards against requests to an endpoint that a late answer still has.
+
+    The store's answer was made before a peer's list, which lacks an endpoint
+    that has left meanwhile, and arrives after it.
+    """
+    source = site.LateEndpoints()
+    record = site.make_record(EndpointStub('i-1'), revision=1)
+    other = site.make_record(EndpointStub('i-2'), revision=2)
+    follower, table, _ = make_follower(source=source)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follower.run)
+        await anyio.sleep(0.1)
+        if answer == 'watch':
+            source.answer(listing(record, other, revision=3))
+            await anyio.sleep(0.1)
+        follower.apply_peer_listing(
+            msgspec.structs.replace(
+                listing(other, revision=9), newest=9, settled=True
+            )
+        )
+        if answer == 'list':
+            source.answer(listing(record, other, revision=3))
+        else:
+            source.answer(
+                listings.Changes(
+                    records=(record,), removed=(), revision=4, newest=4
+                )
+            )
+        await anyio.sleep(0.1)
+        assert table.find('i-1') is None
+        assert follower.revision == 9
+        tasks.cancel_scope.cancel()
+
+
+def test_list_after_a_restore_without_era_is_applied():
+    """Guards against endpoints that are never learned after a restore.
+
+    The revisions of a store that was restored may have fallen, so a list that
+    was asked for after a newer one counts.
+    """
+    follower, table, _ = make_follower(Clock())
+    follower.apply_listing(listing(revision=9))
+    follower.apply_listing(
+        listing(site.make_record(EndpointStub('i-1')), revision=3)
+    )
+    assert table.find('i-1') is not None
+
+
 @pytest.mark.parametrize('heard_by', ['list', 'watch', 'peer'])
 def test_state_of_an_earlier_start_is_discarded(heard_by):
     """Guards against a restarted endpoint that gets no requests or fails them.
