Remember that an endpoint is leaving when its record is gone

That the list had shown an endpoint as leaving was forgotten with its record. A record that lapsed and came back as it was before, from a restored store or an older writer, was used again, while the endpoint was shutting down.

What the list shows and what the endpoint itself says are now remembered in one place, by the endpoint and its start, for the same time. A restarted endpoint is another start and is used.

Failed before: test_leaving_endpoint_stays_so_after_its_record_was_gone[same]. test_gateway_state.py, test_departed_endpoints.py, test_restores.py, test_closed_endpoints.py and test_endpoint_signals.py pass.

--- a/marigoldramp/gateway/presence.py
+++ b/marigoldramp/gateway/presence.py
@@ -23,9 +23,9 @@
 
 #: Seconds for which an unlisted endpoint is kept after an outage of the store.
 KEEP_UNLISTED_SECONDS = 2.2
-#: Seconds for which the shutdown report of an endpoint is kept; must exceed
+#: Seconds for which it is remembered that an endpoint is leaving; must exceed
 #: the duration of a shutdown.
-LEAVING_REPORT_RETENTION_SECONDS = 600.0
+LEAVING_RETENTION_SECONDS = 600.0
 
 
 class Presence:
@@ -47,7 +47,6 @@
         '_unlisted',
         '_outage_until',
         '_leaving',
-        '_leaving_reports',
         '_departures',
     )
 
@@ -68,8 +67,7 @@
         self._on_put = on_put
         self._unlisted: dict[str, float] = {}
         self._outage_until = float('-inf')
-        self._leaving: set[str] = set()
-        self._leaving_reports: dict[tuple[str, int], float] = {}
+        self._leaving: dict[tuple[str, int], float] = {}
         self._departures = departures.Departures(
             restored_at=restored_at, clock=clock
         )
@@ -109,30 +107,35 @@
     def note_leaving(self, record: deployment.EndpointRecord) -> None:
         """Mark an endpoint as leaving after it reported its shutdown.
 
-        The report is kept separately because the record in the store may never
-        show the shutdown, or may lapse and come back without it.
+        The record in the store may never show the shutdown.
         """
-        now = self._clock()
-        for key, reported_at in list(self._leaving_reports.items()):
-            if now - reported_at > LEAVING_REPORT_RETENTION_SECONDS:
-                del self._leaving_reports[key]
-        self._leaving_reports[record.identity, record.born] = now
+        self._mark_leaving(record)
         known = self._table.find(record.identity)
         if known is None or known.record.born != record.born:
             return
-        self._mark_leaving(known.record)
         self._table.put(msgspec.structs.replace(known.record, leaving=True))
 
     def _mark_leaving(self, record: deployment.EndpointRecord) -> None:
-        if record.identity in self._leaving:
+        """Remember that an endpoint is leaving, also without its record.
+
+        The record may lapse and come back as it was before.
+        """
+        if self._is_leaving(record):
             return
+        now = self._clock()
+        for start, since in list(self._leaving.items()):
+            if now - since > LEAVING_RETENTION_SECONDS:
+                del self._leaving[start]
         logging.info(
             'endpoint leaving',
             extra=logs.fields(
                 endpoint=record.identity, service=record.service
             ),
         )
-        self._leaving.add(record.identity)
+        self._leaving[record.identity, record.born] = now
+
+    def _is_leaving(self, record: deployment.EndpointRecord) -> bool:
+        return (record.identity, record.born) in self._leaving
 
     def _put(self, record: deployment.EndpointRecord) -> None:
         identity = record.identity
@@ -142,9 +145,9 @@
                 # An outdated list shows the process before the restart.
                 return
             self._note_restart(known.record, record)
-        if record.leaving or (identity, record.born) in self._leaving_reports:
+        if record.leaving:
             self._mark_leaving(record)
-        if identity in self._leaving:
+        if self._is_leaving(record):
             # An outdated list must not bring a leaving endpoint back.
             record = msgspec.structs.replace(record, leaving=True)
         has_returned = self._unlisted.pop(identity, None) is not None
@@ -177,7 +180,6 @@
                 endpoint=old.identity, before=old.born, born=new.born
             ),
         )
-        self._leaving.discard(old.identity)
         self._on_restart(old.identity)
 
     def drop_unlisted(
@@ -196,14 +198,15 @@
         """
         self._departures.forget_deferred(identity)
         now = self._clock()
-        if now < self._outage_until and identity not in self._leaving:
+        known = self._table.find(identity)
+        is_leaving = known is not None and known.record.leaving
+        if now < self._outage_until and not is_leaving:
             self._unlisted.setdefault(identity, self._outage_until)
             return
         self._remove(identity)
 
     def _remove(self, identity: str) -> None:
         self._unlisted.pop(identity, None)
-        self._leaving.discard(identity)
         removed = self._table.remove(identity)
         if removed is not None:
             self._departures.note_departure(removed.record)
--- a/tests/gateway/test_gateway_state.py
+++ b/tests/gateway/test_gateway_state.py
@@ -610,6 +610,33 @@
     assert table.find('i-1') is not None
 
 
+@pytest.mark.parametrize(
+    ('born', 'is_used'), [(1, False), (2, True)], ids=['same', 'restarted']
+)
+def test_leaving_endpoint_stays_so_after_its_record_was_gone(born, is_used):
+    """Guards against requests to a leaving endpoint whose record lapsed.
+
+    The record comes back as it was before the endpoint began to leave.
+    """
+    follower, table, _ = make_follower(Clock())
+    record = site.make_record(EndpointStub('i-1'), born=1, revision=1)
+    follower.apply_listing(listing(record))
+    follower.apply_changes(
+        listings.Changes(
+            records=(msgspec.structs.replace(record, leaving=True),),
+            removed=(),
+            revision=2,
+            newest=2,
+        )
+    )
+    follower.apply_changes(
+        listings.Changes(records=(), removed=('i-1',), revision=3, newest=3)
+    )
+    back = msgspec.structs.replace(record, born=born, revision=4)
+    follower.apply_listing(listing(back, revision=4))
+    assert table.find('i-1').is_open(now=0.0) is is_used
+
+
 @pytest.mark.parametrize('heard_by', ['list', 'watch', 'peer'])
 def test_state_of_an_earlier_start_is_discarded(heard_by):
     """Guards against a restarted endpoint that gets no requests or fails them.
