--- a/tests/gateway/drain_schedules.py
+++ b/tests/gateway/drain_schedules.py
@@ -71,7 +71,7 @@
 #: Faults beside those of :class:`Schedule`: gateways that read the store for
 #: others are restarted, the store's answers are late, or its history is gone.
 MORE_FAULTS = (*FAULTS, 'restart', 'late', 'compact')
-#: Seconds that a restart takes: peers do not notice that the gateway is silent.
+#: Seconds that a restart takes: peers do not notice the silence.
 RESTART_SECONDS = 0.4
 #: Seconds between the faults of a series.
 SERIES_SECONDS = 1.5
