Log which parts of its prompt a request shares with others

Requests that share a part of their prompts and nothing else could not be told from unrelated ones in the logs, so ends by such a part not from ends by chance. Nothing else reads them.

--- a/marigoldramp/gateway/admission.py
+++ b/marigoldramp/gateway/admission.py
@@ -104,11 +104,12 @@
         priority = route.priority
         if customer is not None and customer.priority is not None:
             priority = customer.priority
+        service = routes.pick_service(route=route, random=self._random)
         return calls.Call(
             exchange=exchange,
             facts=facts,
             route=route,
-            service=routes.pick_service(route=route, random=self._random),
+            service=service,
             customer='' if customer is None else customer.name,
             priority=priority,
             body=body,
@@ -121,6 +122,9 @@
             fingerprint=fingerprints.compute_fingerprint(
                 head=head, customer=_find_key_holder(config, facts), body=body
             ),
+            parts=fingerprints.compute_part_fingerprints(
+                service=service, parts=facts.shared_parts
+            ),
             version=config.version,
             version_age=self.version_age(),
         )
--- a/marigoldramp/gateway/calls.py
+++ b/marigoldramp/gateway/calls.py
@@ -15,6 +15,8 @@
     :ivar customer: name of the customer, empty for none.
     :ivar fingerprint: equal for requests of the same customer and content,
         see :mod:`.fingerprints`.
+    :ivar parts: fingerprints of the parts of its prompt that other requests
+        may have too.
     :ivar priority: 0 is the most urgent.
     :ivar deadline: when the caller must have its final response.
     :ivar first_asked_at: when the caller made its first attempt, estimated
@@ -46,6 +48,7 @@
     first_asked_at: float
     last_event: str
     fingerprint: str = ''
+    parts: tuple[str, ...] = ()
     version: int = 0
     version_age: float = 0.0
     sends: int = 0
--- a/marigoldramp/gateway/codecs.py
+++ b/marigoldramp/gateway/codecs.py
@@ -22,6 +22,8 @@
     :ivar last_event: identifier of the last event that the caller has.
     :ivar prompt_tokens: tokens of the prompt, 0 if not stated.
     :ivar answer_tokens: maximum tokens of the response, 0 if not stated.
+    :ivar shared_parts: identifiers of the leading parts of the prompt, which
+        other requests may have too, in order.
     """
 
     attempt_id: str
@@ -30,6 +32,7 @@
     last_event: str
     prompt_tokens: int = 0
     answer_tokens: int = 0
+    shared_parts: tuple[str, ...] = ()
 
 
 class OutgoingFacts(msgspec.Struct, frozen=True, kw_only=True):
--- a/marigoldramp/gateway/fingerprints.py
+++ b/marigoldramp/gateway/fingerprints.py
@@ -1,17 +1,23 @@
-"""Computes fingerprints, by which retries of the same request are recognized.
+"""Computes fingerprints, by which requests that are alike are recognized.
 
 A caller gives each retry a new identifier, so the identifier does not show
 what earlier attempts did to the endpoints that ran them.  The fingerprint
 covers everything in a request that an endpoint acts on.
+
+Requests that differ can have a part of their prompts in common.  Each such
+part has a fingerprint of its own.
 """
 
 import hashlib
+from typing import Iterable
 
 from . import inbound
 
 #: Size of a fingerprint in bytes.  With a few million requests a day, the
 #: probability of a collision is less than one in a million a day.
 DIGEST_BYTES = 8
+#: First characters of the fingerprint of a part of a prompt.
+PART_MARK = 'part-'
 
 
 def compute_fingerprint(
@@ -30,3 +36,26 @@
         digest.update(b'%d:' % len(part))
         digest.update(part)
     return digest.hexdigest()
+
+
+def compute_part_fingerprints(
+    *, service: str, parts: Iterable[str]
+) -> tuple[str, ...]:
+    """Return the fingerprints of parts of a prompt.
+
+    They do not cover the customer: a part has the same content whoever sends
+    it.
+
+    :param parts: identifiers of the parts.
+    """
+    found = []
+    for part in parts:
+        digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+        digest.update(f'{len(service)}:{service}{part}'.encode())
+        found.append(PART_MARK + digest.hexdigest())
+    return tuple(found)
+
+
+def is_part(fingerprint: str) -> bool:
+    """Whether a fingerprint is of a part of a prompt, not of a request."""
+    return fingerprint.startswith(PART_MARK)
--- a/marigoldramp/platform/headers.py
+++ b/marigoldramp/platform/headers.py
@@ -17,6 +17,11 @@
 LAST_EVENT_ID = b'last-event-id'
 #: Tokens of the prompt and maximum tokens of the answer, comma-separated.
 TOKEN_COUNTS = b'token-counts'
+#: Parts of the prompt in order, each as identifier and tokens with a colon
+#: between them, comma-separated.  The last one belongs to the request alone.
+PROMPT_PARTS = b'prompt-prefix'
+#: Number of parts of a prompt that are read.
+MAX_PROMPT_PARTS = 16
 AUTHORIZATION = b'authorization'
 BEARER_PREFIX = 'bearer '
 #: Name of the customer; the gateway replaces any value from the caller.
@@ -76,6 +81,7 @@
             last_event=found.get(LAST_EVENT_ID, b'').decode('latin-1'),
             prompt_tokens=prompt,
             answer_tokens=answer,
+            shared_parts=_read_shared_parts(found.get(PROMPT_PARTS, b'')),
         )
 
     def write_request(
@@ -148,6 +154,17 @@
     return int(parts[0]), int(parts[1])
 
 
+def _read_shared_parts(text: bytes) -> tuple[str, ...]:
+    """Return the identifiers of all parts of a prompt but the last.
+
+    At most ``MAX_PROMPT_PARTS`` are returned.
+    """
+    entries = text.decode('latin-1').lower().split(',')[:-1]
+    names = (entry.partition(':')[0].strip() for entry in entries)
+    found = dict.fromkeys(name for name in names if name)
+    return tuple(found)[:MAX_PROMPT_PARTS]
+
+
 def _read_load(text: bytes) -> codecs.ReportedLoad | None:
     parts = [part.strip() for part in text.split(b',')]
     if len(parts) != 3 or not all(part.isdigit() for part in parts):
--- a/tests/adapter/test_platform.py
+++ b/tests/adapter/test_platform.py
@@ -241,6 +241,27 @@
     assert found.key == key
 
 
+@pytest.mark.parametrize(
+    ('text', 'parts'),
+    [
+        (b'', ()),
+        (b'5c1e:800', ()),
+        (b'5c1e:800,91bd:410,e440:250', ('5c1e', '91bd')),
+        (b'5C1E:800, 91bd:410,e440:250', ('5c1e', '91bd')),
+        (b'5c1e:800,5c1e:800,e440:250', ('5c1e',)),
+        (b':800,,91bd,e440:250', ('91bd',)),
+        (b'\xff:1,e440:250', ('\xff',)),
+        (
+            b','.join(b'%x:1' % number for number in range(99)),
+            tuple(f'{number:x}' for number in range(16)),
+        ),
+    ],
+)
+def test_shared_parts_of_a_prompt(text, parts):
+    found = headers.Codec().read_request([(b'prompt-prefix', text)])
+    assert found.shared_parts == parts
+
+
 @pytest.mark.parametrize('text', [b'soon', b'-1', b'inf', b'nan'])
 def test_invalid_time_budget_is_refused(text):
     with pytest.raises(ValueError, match='time budget'):
--- a/tests/gateway/test_fingerprints.py
+++ b/tests/gateway/test_fingerprints.py
@@ -42,3 +42,25 @@
 )
 def test_same_caller_and_content_share_a_fingerprint(more, same):
     assert (compute(**more) == compute()) is same
+
+
+@pytest.mark.parametrize(
+    ('service', 'parts', 'same'),
+    [
+        ('notes', ('a', 'b'), (True, True)),
+        ('notes', ('c', 'b'), (False, True)),
+        ('other', ('a', 'b'), (False, False)),
+        ('notesa', ('', 'b'), (False, False)),
+    ],
+)
+def test_a_part_has_one_fingerprint_for_each_service(service, parts, same):
+    found = fingerprints.compute_part_fingerprints(
+        service=service, parts=parts
+    )
+    expected = fingerprints.compute_part_fingerprints(
+        service='notes', parts=('a', 'b')
+    )
+    equal = [one == two for one, two in zip(found, expected, strict=True)]
+    assert equal == list(same)
+    assert all(fingerprints.is_part(one) for one in found)
+    assert not fingerprints.is_part(compute())
