Add a failing test: one part of prompts ends endpoint after endpoint

Three real gateways before stand-ins that end when a prompt has a certain part; requests at each gateway in turn, no two alike, share that part and the one before it.

--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -1,8 +1,8 @@
 """Runs several gateways that report to each other, and endpoints that can end.
 
-An endpoint ends when it begins to run a request whose body says so: its port
-and all its connections close.  It is replaced by one with another name, of
-which each gateway learns from discovery.
+An endpoint ends when it begins to run a request whose body says so, or whose
+prompt has a certain part: its port and all its connections close.  It is
+replaced by one with another name, of which each gateway learns from discovery.
 """
 
 import contextlib
@@ -71,7 +71,8 @@
             await self._fleet.go_on.wait()
         customer = seen.headers.get('tenant', '')
         sound = customer in self._fleet.sound_customers
-        if ENDS_ENDPOINT in seen.body and not sound:
+        ends = ENDS_ENDPOINT in seen.body or self._fleet.has_ending_part(seen)
+        if ends and not sound:
             if streams:
                 more = 'Content-Type: text/event-stream\r\n'
                 more += 'Transfer-Encoding: chunked\r\n'
@@ -118,6 +119,7 @@
     :ivar ends: endpoints that have ended, in order.
     :ivar gateways: running gateways by instance.
     :ivar sound_customers: customers whose requests never end an endpoint.
+    :ivar ending_part: part of a prompt that ends endpoints, empty for none.
     :ivar cut: instances that are partitioned from all other gateways.
     :ivar go_on: set to let requests with ``HELD`` in the body finish.
     """
@@ -128,6 +130,7 @@
         self.gateways = {}
         self.endpoints = []
         self.sound_customers = set()
+        self.ending_part = ''
         self.cut = set()
         self.go_on = anyio.Event()
         self.store = site.FakeStore()
@@ -216,6 +219,16 @@
         """Return how often a request that ends endpoints was sent."""
         return sum(ENDS_ENDPOINT in seen.body for seen in self.sends[since:])
 
+    def has_ending_part(self, seen):
+        """Whether the prompt of a request has the part that ends endpoints."""
+        parts = seen.headers.get('prompt-prefix', '').split(',')
+        names = [part.partition(':')[0] for part in parts]
+        return bool(self.ending_part) and self.ending_part in names
+
+    def count_ending(self, since=0):
+        """Return how often a request with that part was sent."""
+        return sum(self.has_ending_part(seen) for seen in self.sends[since:])
+
     def _show(self, entry):
         """Make a gateway's discovery list the current endpoints."""
         records = [site.make_record(one) for one in self.endpoints]
--- /dev/null
+++ b/tests/gateway/test_ending_parts.py
@@ -0,0 +1,50 @@
+"""Tests of prompts with a part that ends each endpoint which answers it."""
+
+import pytest
+
+from . import fleet as fleets
+
+pytestmark = pytest.mark.anyio
+#: Limit of sends of requests with a part after it has ended five endpoints and
+#: all gateways have received reports of it.
+MAX_SENDS = 3
+#: Ends from which the limit holds.
+ENDS = 5
+KINDS = {'idempotent': '/safe/1', 'once': '/once/1', 'stream': '/stream/1'}
+GATEWAYS = ('entry-0', 'entry-1', 'entry-2')
+#: A part of the prompts of all callers.
+COMMON = 'c0'
+
+
+def name_parts(*parts):
+    """Return the header line for a prompt with these parts and one more."""
+    entries = ','.join(f'{part}:40' for part in (*parts, 'f0'))
+    return f'Prompt-Prefix: {entries}\r\n'
+
+
+async def call(fleet, number, path, *parts):
+    """Send a request that is like no other but for its parts."""
+    return await fleet.call(
+        GATEWAYS[number % 3], path, b'%d' % number, more=name_parts(*parts)
+    )
+
+
+@pytest.mark.parametrize('kind', ['stream'])
+async def test_part_that_ends_endpoints_is_sent_to_few(monkeypatch, kind):
+    """Guards against an outage while requests share a harmful part.
+
+    No two requests are alike.  Gateways have to recognize what they share.
+    """
+    async with fleets.run_fleet(monkeypatch, endpoints=6) as fleet:
+        fleet.ending_part = 'bad'
+        counted_from = None
+        for number in range(14):
+            await call(fleet, number, KINDS[kind], COMMON, 'bad')
+            await fleet.revive()
+            await fleet.exchange()
+            got = await call(fleet, 100 + number, KINDS[kind], COMMON)
+            assert got.status == 200
+            if counted_from is None and len(fleet.ends) >= ENDS:
+                counted_from = len(fleet.sends)
+        sent = fleet.count_ending(counted_from) if counted_from else 0
+    assert sent <= MAX_SENDS
