Let the soak end endpoints by a part of prompts that requests share

Every second caller whose requests end endpoints now sends requests of which no two are alike, but which share one part of their prompts. A part may be sent at most three times more, later than the time of contact after its fifth end.

--- a/marigoldramp_soak/callers.py
+++ b/marigoldramp_soak/callers.py
@@ -38,6 +38,8 @@
     """One caller: requests on connections that it keeps until they end.
 
     :ivar paths: what it asks for, by chance.
+    :ivar part: part that the prompts of its requests share, empty for none;
+        each of them then has a path of its own.
     :ivar max_pause: longest pause between two requests, in seconds.
     :ivar key: returns the key that it sends.
     """
@@ -45,6 +47,7 @@
     def __init__(self, *, name, draw, entries, key, told):
         self.name = name
         self.paths = PATHS
+        self.part = ''
         self.key = key
         self.max_pause = MAX_PAUSE
         self._draw = draw
@@ -73,6 +76,8 @@
     async def _ask(self, stream, connection, number, entry):
         """Make one request; whether the connection can carry another."""
         path = self._draw.choice(self.paths)
+        if self.part:
+            path += f'/{number}'
         method = 'GET' if path.startswith('/safe/') else 'POST'
         told = Told(
             request=f'{self.name}-{number}',
@@ -89,6 +94,9 @@
             ('Authorization', f'Bearer {told.key}'),
             ('Content-Length', '0'),
         ]
+        if self.part:
+            parts = f'c0:40,{self.part}:40,{told.request}:9'
+            headers.append(('Prompt-Prefix', parts))
         data = connection.send(
             h11.Request(method=method, target=path, headers=headers)
         )
--- a/marigoldramp_soak/checks.py
+++ b/marigoldramp_soak/checks.py
@@ -17,6 +17,8 @@
 #: How often a request is sent at most by entries in touch with each other,
 #: after it has ended so many endpoints.
 MOST_SENDS = 3
+#: The same for a part of prompts.
+PART_ENDS = 5
 ENDS = 3
 #: Seconds after the start of a backoff in which requests in transit may
 #: arrive, and the maximum number from one entry in the rest of the backoff.
@@ -366,19 +368,22 @@
 
 def check_ends(site, faults):
     """Return the requests that came to too many endpoints that they ended."""
-    by_path = collections.defaultdict(list)
+    by_cause = collections.defaultdict(list)
     for run in site.runs:
-        if runners.ENDS in run.path:
-            by_path[run.path].append(run)
-    for path, runs in by_path.items():
+        if run.part.startswith(runners.ENDS_BY_PART):
+            by_cause[run.part].append(run)
+        elif runners.ENDS in run.path:
+            by_cause[run.path].append(run)
+    for cause, runs in by_cause.items():
+        most = ENDS if runners.ENDS in runs[0].path else PART_ENDS
         ended = {run.endpoint: run.at for run in reversed(runs)}
-        if len(ended) < ENDS:
+        if len(ended) < most:
             continue
-        third = sorted(ended.values())[ENDS - 1]
+        since = sorted(ended.values())[most - 1] + CONTACT
         late = [
             run
             for run in runs
-            if run.at > third + CONTACT
+            if run.at > since
             and not any(
                 span.begun < run.at and span.ended > run.at - CONTACT
                 for span in faults.disturbed
@@ -386,6 +391,6 @@
         ]
         if len(late) > MOST_SENDS:
             yield (
-                f'{path}: sent {len(late)} times more after it had ended '
-                f'{ENDS} endpoints, {len(ended)} in all'
+                f'{cause}: sent {len(late)} times more after it had ended '
+                f'{most} endpoints, {len(ended)} in all'
             )
--- a/marigoldramp_soak/runners.py
+++ b/marigoldramp_soak/runners.py
@@ -16,6 +16,9 @@
 RANKED_SECONDS = 0.3
 #: In the path of a request that ends each endpoint which begins to run it.
 ENDS = 'ends-'
+#: The same for requests of which no two are alike, but which share a part of
+#: their prompts with this name.
+ENDS_BY_PART = 'part-ends-'
 #: Share of requests that an endpoint declines while it requests a backoff.
 DECLINED_SHARE = 0.6
 #: Seconds for which an endpoint is cold after a restart.
@@ -28,10 +31,12 @@
     """One request that an endpoint began to work on.
 
     :ivar path: of the request.
+    :ivar part: last part of its prompt that other requests may have too.
     """
 
     request: str
     path: str
+    part: str
     at: float
     endpoint: str
     customer: str
@@ -184,17 +189,19 @@
             await exchange.respond(status=503, headers=refused, body=b'')
             return
         first = int(headers.get(b'last-event-id', b'0')) + 1
+        part = find_shared_part(headers.get(b'prompt-prefix', b''))
         self._runs.append(
             Run(
                 request=request,
                 path=exchange.head.path,
+                part=part,
                 at=anyio.current_time(),
                 endpoint=self.identity,
                 customer=headers.get(b'tenant', b'').decode(),
                 first_event=first,
             )
         )
-        if ENDS in exchange.head.path:
+        if ENDS in exchange.head.path or part.startswith(ENDS_BY_PART):
             await self._on_end(self)
             return
         sealed = [*echo, (b'runner-seal', b's')]
@@ -232,3 +239,9 @@
 def make_event(number, request):
     """Return one event of the answer to a request."""
     return f'id: {number}\ndata: {request} {number}\n\n'.encode()
+
+
+def find_shared_part(text):
+    """Return the last but one part of a prompt, empty without one."""
+    entries = text.decode().split(',')
+    return entries[-2].partition(':')[0] if len(entries) > 1 else ''
--- a/marigoldramp_soak/site.py
+++ b/marigoldramp_soak/site.py
@@ -179,10 +179,12 @@
         """Return a caller whose requests end the endpoints that run them."""
         caller = self.make_callers()[0]
         caller.name = f'ending-{number}'
-        caller.paths = (
-            self._draw.choice(('/safe/', '/stream/', '/once/'))
-            + f'{runners.ENDS}{number}',
-        )
+        path = self._draw.choice(('/safe/', '/stream/', '/once/'))
+        if number % 2:
+            caller.paths = (f'{path}{runners.ENDS}{number}',)
+        else:
+            caller.paths = (f'{path}{number}',)
+            caller.part = f'{runners.ENDS_BY_PART}{number}'
         key = self._draw.choice(self._keys)
         caller.key = lambda: key
         return caller
