--- a/tests/gateway/test_suspects.py
+++ b/tests/gateway/test_suspects.py
@@ -358,8 +358,7 @@
 def test_request_that_ended_with_a_blocked_part_is_not_blocked():
     """Guards against blocking requests that ran beside a harmful part."""
     known = SuspectsSite()
-    known.end('i-1', 'a', 'part-B')
-    known.end('i-2', 'a', 'part-B')
-    known.end('i-3', 'c', 'part-B')
+    for endpoint in ('i-1', 'i-2', 'i-3'):
+        known.end(endpoint, 'a', 'part-B')
     assert known.decide('part-B') == 'Blocked'
     assert known.decide('a') == 'Suspected'
