--- a/tests/gateway/test_ending_parts.py
+++ b/tests/gateway/test_ending_parts.py
@@ -1,5 +1,6 @@
 """Tests of prompts with a part that ends each endpoint which answers it."""
 
+import anyio
 import pytest
 
 from . import fleet as fleets
@@ -65,3 +66,29 @@
         assert got.status == 502
         got = await call(fleet, 1, '/stream/1', COMMON, 'bad')
         assert not got.complete
+
+
+async def test_unframed_answer_of_a_leaving_endpoint_is_whole(monkeypatch):
+    """Guards against losing the last answer of an endpoint that shuts down."""
+    async with fleets.run_fleet(monkeypatch, entries=1, endpoints=1) as fleet:
+        fleet.ending_part = 'bad'
+        fleet.unframed = True
+        answers = []
+
+        async def call_held():
+            got = await fleet.call(
+                'entry-0',
+                '/once/1',
+                fleets.HELD,
+                more=name_parts(COMMON, 'bad'),
+            )
+            answers.append(got.status)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(call_held)
+            await fleet.until_sent(1)
+            gateway = fleet.gateways['entry-0'].gateway
+            [endpoint] = gateway.table
+            gateway.follower.presence.note_leaving(endpoint.record)
+            fleet.go_on.set()
+        assert answers == [200]
