--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -204,6 +204,8 @@
         """Keep the newest change and the most complete list of all peers."""
         latest = self._peer
         if peer.complete < latest.complete:
+            if peer.newest <= latest.newest:
+                return
             peer = msgspec.structs.replace(latest, newest=peer.newest)
         merged = msgspec.structs.replace(
             peer, newest=max(peer.newest, latest.newest)
