Log that an endpoint is kept although it is no longer listed

The lines did not tell whether a gateway used an endpoint on because it had not heard of its departure or because it took it for a lapse: `endpoint gone` came late in both cases. `endpoint kept` says that it is missing and for how long it is kept; nothing else changes.

--- a/marigoldramp/gateway/presence.py
+++ b/marigoldramp/gateway/presence.py
@@ -201,10 +201,21 @@
         known = self._table.find(identity)
         is_leaving = known is not None and known.record.leaving
         if now < self._outage_until and not is_leaving:
-            self._unlisted.setdefault(identity, self._outage_until)
+            self._keep_unlisted(identity, self._outage_until)
             return
         self._remove(identity)
 
+    def _keep_unlisted(self, identity: str, until: float) -> None:
+        if identity in self._unlisted:
+            return
+        logging.info(
+            'endpoint kept',
+            extra=logs.fields(
+                endpoint=identity, seconds=until - self._clock()
+            ),
+        )
+        self._unlisted[identity] = until
+
     def _remove(self, identity: str) -> None:
         self._unlisted.pop(identity, None)
         removed = self._table.remove(identity)
