Take an outage of the store for one by its length, not by a failed call

Cause: after any failed call of its own, a gateway kept endpoints that the store had removed for 2.2 s, as if their records had lapsed, and announced no list meanwhile. A watch that is cut off, a rejected call or a stall of the process was enough. Endpoints that had left got requests for that long and longer. A record lapses after three heartbeats of silence, so nothing can have lapsed unless the store answered nobody for about two heartbeats.

Change: gateways note when the store answers them or, by reports, a peer, and keep endpoints only around a time without answers that is long enough. The field revision_age of reports now covers all calls to the store. HeartbeatMs is read from the settings.

Tests that reported a failed call to the presence now let the store be silent for long, or restore it; they check the same.

--- a/marigoldramp/gateway/dependency_health.py
+++ b/marigoldramp/gateway/dependency_health.py
@@ -53,14 +53,12 @@
         self.reached_at = float('-inf')
         self.failed_at = float('-inf')
 
-    def note_answer(self) -> bool:
-        """Note a response; return whether it is the first after a failure."""
+    def note_answer(self) -> None:
+        """Note a response."""
         self.reached_at = self._clock()
-        if self.reached:
-            return False
-        self.reached = True
-        self._log('regained', away=self.reached_at - self.failed_at)
-        return True
+        if not self.reached:
+            self.reached = True
+            self._log('regained', away=self.reached_at - self.failed_at)
 
     def note_failure(self, detail: str) -> None:
         """Note that no response came."""
--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -167,7 +167,7 @@
                 found.append(listing)
                 calls.cancel()
             case store.Unavailable(detail=detail):
-                self._note_failure(detail)
+                self.store.note_failure(detail)
 
     def _has_passed(self, revision: int, *, since: int) -> bool:
         """Whether more than a revision became known during a call.
@@ -230,7 +230,7 @@
 
     def note_restore(self) -> None:
         """List the endpoints again after the store was restored."""
-        self.presence.note_store_outage()
+        self.presence.outages.note_restore()
         if self._watching is not None:
             self._watching.cancel()
 
@@ -423,7 +423,7 @@
                     )
                     return
                 case store.Unavailable(detail=detail):
-                    self._note_failure(detail)
+                    self.store.note_failure(detail)
                     await self._pause()
                     return
 
@@ -460,12 +460,11 @@
         """Remove unlisted endpoints that have not come back in time."""
         while True:
             await anyio.sleep(CHECK_INTERVAL_SECONDS)
-            if self.store.reached:
-                self.presence.remove_lapsed()
+            self.presence.remove_lapsed()
 
     def _note_answer(self) -> None:
-        if self.store.note_answer():
-            self.presence.note_store_outage()
+        self.store.note_answer()
+        self.presence.outages.note_answer()
 
     async def _pause(self) -> None:
         """Wait before the store is called again.
@@ -478,7 +477,3 @@
         ):
             await anyio.sleep(PAUSE_STEP_SECONDS)
             waited += PAUSE_STEP_SECONDS
-
-    def _note_failure(self, detail: str) -> None:
-        self.store.note_failure(detail)
-        self.presence.note_store_outage()
--- a/marigoldramp/gateway/peer_reports.py
+++ b/marigoldramp/gateway/peer_reports.py
@@ -98,8 +98,8 @@
         newest; negative if it never was.
     :ivar revision: revision of the newest change of endpoints that the sender
         knows.
-    :ivar revision_age: seconds since the store last answered the sender about
-        endpoints; negative if it never did.
+    :ivar revision_age: seconds since the store last answered the sender;
+        negative if it never did.
     :ivar settled: revision up to which the sender's list of endpoints is
         complete, so that an endpoint missing from it no longer exists; 0 if
         the list is not known to be complete.
--- a/marigoldramp/gateway/periodic_tasks.py
+++ b/marigoldramp/gateway/periodic_tasks.py
@@ -27,9 +27,6 @@
 SETTINGS_INTERVAL_SECONDS = 1.0
 #: Interval of fetches from peers while the store does not answer.
 PEER_FETCH_INTERVAL_SECONDS = 0.5
-#: Age of the store's last failure up to which registrations of running
-#: endpoints may lapse.
-MAX_FAILURE_AGE_SECONDS = 1.0
 
 
 class Components(msgspec.Struct, frozen=True, kw_only=True):
@@ -60,7 +57,6 @@
         '_components',
         '_read_settings',
         '_begin_stop',
-        '_clock',
         'settings',
     )
 
@@ -71,12 +67,10 @@
         settings: settings_module.Settings,
         read_settings: Callable[[], settings_module.Settings],
         begin_stop: Callable[[], None],
-        clock: Callable[[], float],
     ) -> None:
         self._components = components
         self._read_settings = read_settings
         self._begin_stop = begin_stop
-        self._clock = clock
         self.settings = settings
 
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
@@ -112,16 +106,10 @@
                 components.peers.update_endpoint(endpoint)
 
     async def _fetch_endpoints_from_peers(self) -> None:
-        """Fetch endpoints from a peer while the store does not answer.
-
-        Also note failures of the store, after which registrations may lapse.
-        """
+        """Fetch endpoints from a peer while the store does not answer."""
         follower = self._components.follower
         while True:
             await anyio.sleep(PEER_FETCH_INTERVAL_SECONDS)
-            failed_at = self._components.refresher.store.failed_at
-            if self._clock() - failed_at < MAX_FAILURE_AGE_SECONDS:
-                follower.presence.note_store_outage()
             if follower.store.reached:
                 continue
             found = await self._components.peer_client.fetch_endpoints(
--- a/marigoldramp/gateway/presence.py
+++ b/marigoldramp/gateway/presence.py
@@ -1,9 +1,9 @@
 """Decides which endpoints are present, from lists and changes of the store.
 
-While the store is unavailable, the record of a live endpoint may lapse; the
+During a long outage of the store, the record of a live endpoint may lapse; the
 endpoint registers again soon after the store is back.  So an endpoint that is
-no longer listed around an outage is kept for a short time.  An endpoint that
-reports its shutdown gets no more requests at once, in any case.
+no longer listed around such an outage is kept for a short time.  An endpoint
+that reports its shutdown gets no more requests at once, in any case.
 
 A store that is restored from an older copy lists endpoints that have left
 since, and lacks some that are live.  The latter are kept in the same way; the
@@ -19,10 +19,9 @@
 from .. import logs
 from . import departures
 from . import deployment
+from . import store_outages
 from .balancing import endpoints
 
-#: Seconds for which an unlisted endpoint is kept after an outage of the store.
-KEEP_UNLISTED_SECONDS = 2.2
 #: Seconds for which it is remembered that an endpoint is leaving; must exceed
 #: the duration of a shutdown.
 LEAVING_RETENTION_SECONDS = 600.0
@@ -36,16 +35,17 @@
     :param on_put: called with the identity of an endpoint that was added or
         updated, and whether it had been unlisted around an outage.
     :param restored_at: returns when the store was last restored from a copy.
+    :ivar outages: outages of the store in which records may have lapsed.
     """
 
     __slots__ = (
+        'outages',
         '_table',
         '_clock',
         '_on_gone',
         '_on_restart',
         '_on_put',
         '_unlisted',
-        '_outage_until',
         '_leaving',
         '_departures',
     )
@@ -54,19 +54,20 @@
         self,
         *,
         table: endpoints.EndpointTable,
+        outages: store_outages.StoreOutages,
         clock: Callable[[], float],
         on_gone: Callable[[str], None],
         on_restart: Callable[[str], None],
         restored_at: Callable[[], float] = lambda: float('-inf'),
         on_put: Callable[[str, bool], None] = lambda identity, returned: None,
     ) -> None:
+        self.outages = outages
         self._table = table
         self._clock = clock
         self._on_gone = on_gone
         self._on_restart = on_restart
         self._on_put = on_put
-        self._unlisted: dict[str, float] = {}
-        self._outage_until = float('-inf')
+        self._unlisted: set[str] = set()
         self._leaving: dict[tuple[str, int], float] = {}
         self._departures = departures.Departures(
             restored_at=restored_at, clock=clock
@@ -75,13 +76,7 @@
     @property
     def is_settled(self) -> bool:
         """Whether endpoints that the table lacks are known to have left."""
-        return self._clock() >= self._outage_until and not self._unlisted
-
-    def note_store_outage(self) -> None:
-        """Record that the store failed a call, so that records may lapse."""
-        self._outage_until = max(
-            self._outage_until, self._clock() + KEEP_UNLISTED_SECONDS
-        )
+        return not self._unlisted and not self.outages.may_hide_endpoints()
 
     def is_unlisted(self, identity: str) -> bool:
         """Whether an endpoint is kept although it is listed no longer."""
@@ -150,7 +145,8 @@
         if self._is_leaving(record):
             # An outdated list must not bring a leaving endpoint back.
             record = msgspec.structs.replace(record, leaving=True)
-        has_returned = self._unlisted.pop(identity, None) is not None
+        has_returned = identity in self._unlisted
+        self._unlisted.discard(identity)
         if self._table.find(identity) is None:
             logging.info(
                 'endpoint known',
@@ -197,27 +193,24 @@
         It is kept around an outage of the store unless it is leaving.
         """
         self._departures.forget_deferred(identity)
-        now = self._clock()
         known = self._table.find(identity)
-        is_leaving = known is not None and known.record.leaving
-        if now < self._outage_until and not is_leaving:
-            self._keep_unlisted(identity, self._outage_until)
+        if (
+            known is not None
+            and not known.record.leaving
+            and self.outages.may_hide_endpoints()
+        ):
+            self._keep_unlisted(identity)
             return
         self._remove(identity)
 
-    def _keep_unlisted(self, identity: str, until: float) -> None:
+    def _keep_unlisted(self, identity: str) -> None:
         if identity in self._unlisted:
             return
-        logging.info(
-            'endpoint kept',
-            extra=logs.fields(
-                endpoint=identity, seconds=until - self._clock()
-            ),
-        )
-        self._unlisted[identity] = until
+        logging.info('endpoint kept', extra=logs.fields(endpoint=identity))
+        self._unlisted.add(identity)
 
     def _remove(self, identity: str) -> None:
-        self._unlisted.pop(identity, None)
+        self._unlisted.discard(identity)
         removed = self._table.remove(identity)
         if removed is not None:
             self._departures.note_departure(removed.record)
@@ -232,7 +225,6 @@
         """
         for record in self._departures.pop_deferred():
             self._put(record)
-        now = self._clock()
-        for identity, until in list(self._unlisted.items()):
-            if now >= until:
+        if self._unlisted and not self.outages.may_hide_endpoints():
+            for identity in sorted(self._unlisted):
                 self._remove(identity)
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -43,6 +43,7 @@
 from . import settings as settings_module
 from . import status
 from . import stopping
+from . import store_outages
 from . import timer_delay
 from .balancing import endpoints
 from .queueing import dispatch
@@ -194,12 +195,16 @@
             metrics=metrics,
             on_wrong_endpoint=self.drop_connections,
         )
+        outages = store_outages.StoreOutages(
+            clock=clock, heartbeat=lambda: self.settings.heartbeat
+        )
         self.follower = discovery.EndpointFollower(
             source=adapter.endpoints,
             table=self.table,
             clock=clock,
             presence=presence.Presence(
                 table=self.table,
+                outages=outages,
                 clock=clock,
                 on_gone=self._handle_gone,
                 on_restart=self._handle_restart,
@@ -241,6 +246,7 @@
             from_peers=self._peer_client.fetch_configuration,
             clock=clock,
             position=self._find_read_position,
+            outages=outages,
             restored_at=adapter.store.restored_at,
         )
         self._timer_delay = timer_delay.TimerDelay(clock=clock)
@@ -351,7 +357,6 @@
             settings=settings,
             read_settings=adapter.read_settings,
             begin_stop=self.begin_stop,
-            clock=clock,
         )
         self._register_gauges()
 
--- a/marigoldramp/gateway/refresh.py
+++ b/marigoldramp/gateway/refresh.py
@@ -15,6 +15,7 @@
 from .. import store
 from . import configurations
 from . import dependency_health
+from . import store_outages
 
 #: Age of the confirmation at which the first gateway reads the store, how much
 #: longer each next one waits, and the age at which every gateway reads.  The
@@ -41,6 +42,7 @@
     :param position: returns how many peers read the store before this gateway,
         0 for the first one.
     :param restored_at: returns when the store was last restored from a backup.
+    :param outages: outages of the store, for which answers are noted.
     :ivar store: tracks whether the store answers.
     """
 
@@ -54,6 +56,7 @@
         '_announced_version',
         '_wake',
         '_not_before',
+        '_outages',
         'store',
     )
 
@@ -65,8 +68,10 @@
         from_peers: FetchFromPeers,
         clock: Callable[[], float],
         position: Callable[[], int],
+        outages: store_outages.StoreOutages,
         restored_at: Callable[[], float] = lambda: float('-inf'),
     ) -> None:
+        self._outages = outages
         self._restored_at = restored_at
         self._configuration = configuration
         self._source = source
@@ -125,7 +130,7 @@
         found = await self._source.fetch()
         match found:
             case bytes():
-                self.store.note_answer()
+                self._note_answer()
                 self._configuration.apply(
                     found, newest_at=self._find_confirmation_time(asked_at)
                 )
@@ -134,12 +139,16 @@
                     # for the newer document.
                     self._pause()
             case store.Absent():
-                self.store.note_answer()
+                self._note_answer()
                 self._not_before = self._clock() + CHECK_INTERVAL_SECONDS
             case store.Unavailable(detail=detail):
                 self.store.note_failure(detail)
                 self._pause()
 
+    def _note_answer(self) -> None:
+        self.store.note_answer()
+        self._outages.note_answer()
+
     def _pause(self) -> None:
         """Delay the next read, longer for gateways later in the order."""
         self._not_before = self._clock() + dependency_health.scale_retry_delay(
--- a/marigoldramp/gateway/reporting.py
+++ b/marigoldramp/gateway/reporting.py
@@ -143,6 +143,10 @@
         self._components.refresher.note_peer_version(report.version)
         self._components.follower.note_peer(report.summarize_endpoints())
         self._apply_confirmation(report)
+        if report.revision_age >= 0.0:
+            self._components.follower.presence.outages.note_answer(
+                age=report.revision_age
+            )
         self._apply_slowness(report)
         for limit in report.rate_limits:
             self._components.rate_shares.merge(limit, source=report.instance)
@@ -185,7 +189,7 @@
                 now, components.active_configuration.confirmed_at
             ),
             revision=known.newest,
-            revision_age=_age(now, components.follower.store.reached_at),
+            revision_age=_age(now, self._find_answer_time()),
             settled=known.settled,
             complete=known.complete,
             checksum=known.checksum,
@@ -280,6 +284,13 @@
                 now=self._clock(),
             )
 
+    def _find_answer_time(self) -> float:
+        """Return when the store last answered this gateway."""
+        return max(
+            self._components.follower.store.reached_at,
+            self._components.refresher.store.reached_at,
+        )
+
     def _apply_confirmation(self, report: peer_reports.Report) -> None:
         """Record when a peer last knew its version to be the newest.
 
--- a/marigoldramp/gateway/settings.py
+++ b/marigoldramp/gateway/settings.py
@@ -7,6 +7,7 @@
 
 from . import outbound
 from . import retry_budget
+from . import store_outages
 
 Address = outbound.Address
 #: Link bandwidth in bytes per second that counts as much as one core: a leader
@@ -74,6 +75,7 @@
         of a standard core.
     :ivar link_rate: bandwidth of the instance's link in bytes per second.
     :ivar memory: bytes of memory that the process may use; 0 if not stated.
+    :ivar heartbeat: interval at which endpoints write their records.
     """
 
     instance: str
@@ -91,6 +93,7 @@
     link_rate: float
     bounds: Bounds
     memory: int = 0
+    heartbeat: float = store_outages.DEFAULT_HEARTBEAT_SECONDS
 
     @property
     def capacity(self) -> float:
--- a/marigoldramp/platform/settings_file.py
+++ b/marigoldramp/platform/settings_file.py
@@ -8,6 +8,7 @@
 
 from ..gateway import retry_budget
 from ..gateway import settings
+from ..gateway import store_outages
 
 #: Environment variable that holds the path of the settings file.
 SETTINGS_PATH_VARIABLE = 'MARIGOLDRAMP_BOOT'
@@ -144,6 +145,7 @@
         'limits': 'Limits',
         'bounds': 'Bounds',
         'store': 'PlatformStore',
+        'heartbeat_ms': 'HeartbeatMs',
     },
 ):
     """The settings that the gateway uses; others in the file are ignored.
@@ -151,6 +153,7 @@
     :ivar ports: first and last port for traffic between gateways.
     :ivar seeds: control addresses of some instances.  Only their hosts are
         used, as the gateways' ports are the same on all instances.
+    :ivar heartbeat_ms: interval at which endpoints write their records.
     """
 
     instance: str
@@ -163,6 +166,9 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     store: _Store
+    heartbeat_ms: PositiveFloat = (
+        store_outages.DEFAULT_HEARTBEAT_SECONDS * MILLISECONDS_PER_SECOND
+    )
 
 
 def read(path: str) -> settings.Settings:
@@ -227,6 +233,7 @@
         link_rate=found.limits.link_megabits * BYTES_PER_MEGABIT,
         memory=int(found.limits.memory_megabytes * BYTES_PER_MEGABYTE),
         bounds=_build_bounds(found.bounds),
+        heartbeat=found.heartbeat_ms / MILLISECONDS_PER_SECOND,
     )
 
 
--- a/tests/gateway/drain_fleet.py
+++ b/tests/gateway/drain_fleet.py
@@ -16,13 +16,16 @@
 import virtual_time
 
 from marigoldramp.gateway.balancing import endpoints
+from marigoldramp.gateway import configurations
 from marigoldramp.gateway import discovery
 from marigoldramp.gateway import listings
 from marigoldramp.gateway import peer_exchange
 from marigoldramp.gateway import peers
 from marigoldramp.gateway import periodic_tasks
 from marigoldramp.gateway import presence
+from marigoldramp.gateway import refresh
 from marigoldramp.gateway import report_intervals
+from marigoldramp.gateway import store_outages
 from marigoldramp import store
 
 from . import site
@@ -77,10 +80,12 @@
     :ivar fault: how it fails all: ``busy``, ``silent`` or not at all.
     :ivar disturbed_at: when it last failed; infinite while it does.
     :ivar mute: whether watches hear of no changes.
+    :ivar cuts: how often the waiting watches were cut off.
     """
 
     def __init__(self, count):
         self.mute = False
+        self.cuts = 0
         self._compacted_at = 0
         self.records = {}
         self.revision = 0
@@ -119,12 +124,16 @@
         self._changed.set()
         self._changed = anyio.Event()
 
-    async def compact(self):
-        """Forget the history, after a time in which watches hear nothing."""
+    async def compact(self, *, cuts=False):
+        """Forget the history, after a time in which watches hear nothing.
+
+        :param cuts: whether the waiting watches are cut off then.
+        """
         self.mute = True
         await anyio.sleep(MUTE_SECONDS)
         self.mute = False
         self._compacted_at = self.revision
+        self.cuts += cuts
         self._wake_watches()
 
     def list_all(self):
@@ -175,7 +184,7 @@
         self._store = objects
 
     async def list_all(self):
-        failed = await self._call()
+        failed = await self.call()
         if failed:
             return failed
         found = self._store.list_all()
@@ -183,11 +192,14 @@
         return found
 
     async def watch(self, *, after, seconds):
-        failed = await self._call()
+        failed = await self.call()
         if failed:
             return failed
         until = virtual_time.now() + seconds
+        cuts = self._store.cuts
         while virtual_time.now() < until:
+            if self._store.cuts > cuts:
+                return store.Unavailable(detail='cut')
             found = self._store.find_changes(after)
             if found is not None and self._gateway.reaches_store:
                 await anyio.sleep(CALL_SECONDS)
@@ -205,7 +217,8 @@
                 await self._store.wait_change()
         return listings.Changes(records=(), removed=(), revision=after)
 
-    async def _call(self):
+    async def call(self):
+        """Wait for an answer; return the failure if there is none."""
         await anyio.sleep(CALL_SECONDS)
         await self._gateway.wait_while_frozen()
         if self._gateway.reaches_store:
@@ -217,6 +230,19 @@
         return store.Unavailable(detail=self._gateway.store_fault)
 
 
+class Configuration(configurations.ConfigurationSource):
+    """A configuration that never changes, in the same store."""
+
+    def __init__(self, source):
+        self._source = source
+
+    async def fetch(self):
+        return await self._source.call() or b'1'
+
+    def decode(self, document):
+        return site.make_configuration(version=1)
+
+
 class Gateway:
     """One gateway process.
 
@@ -303,12 +329,28 @@
         self._client = peer_exchange.PeerClient(
             peers=self.peers, random=fleet.random
         )
+        source = Source(self, fleet.store)
+        outages = store_outages.StoreOutages(clock=now)
+        self.configuration = configurations.ActiveConfiguration(
+            source=Configuration(source)
+        )
+        self.refresher = refresh.Refresher(
+            configuration=self.configuration,
+            source=Configuration(source),
+            from_peers=self._fetch_no_configuration,
+            clock=now,
+            position=lambda: len(
+                self.peers.list_earlier_readers(capacity=self.capacity)
+            ),
+            outages=outages,
+        )
         self.follower = discovery.EndpointFollower(
-            source=Source(self, fleet.store),
+            source=source,
             table=self.table,
             clock=now,
             presence=presence.Presence(
                 table=self.table,
+                outages=outages,
                 clock=now,
                 on_gone=lambda identity: None,
                 on_restart=lambda identity: None,
@@ -337,6 +379,7 @@
     def _list_tasks(self):
         return [
             self.follower.run,
+            self.refresher.run,
             self._report,
             self._fetch_while_store_is_away,
         ]
@@ -344,6 +387,9 @@
     def _relies_on_peers(self):
         return self.peers.has_enough_store_readers(capacity=self.capacity)
 
+    async def _fetch_no_configuration(self, version):
+        return None
+
     async def _fetch(self, known):
         await self.wait_while_frozen()
         found = await self._client.fetch_endpoints(known)
@@ -354,8 +400,6 @@
         """Do what the periodic task does while the store does not answer."""
         while True:
             await anyio.sleep(periodic_tasks.PEER_FETCH_INTERVAL_SECONDS)
-            if not self.reaches_store:
-                self.follower.presence.note_store_outage()
             if self.follower.store.reached:
                 continue
             found = await self._fetch(self.follower.summarize_held())
@@ -395,8 +439,11 @@
     def _make_report(self, interval):
         follower = self.follower
         known = follower.summarize()
-        reached_at = follower.store.reached_at
+        reached_at = max(
+            follower.store.reached_at, self.refresher.store.reached_at
+        )
         now = virtual_time.now()
+        confirmed_at = self.configuration.confirmed_at
         return site.make_report(
             self.name,
             host=self.name,
@@ -405,6 +452,8 @@
             data_centre=self.data_centre,
             capacity=self.capacity,
             period=interval,
+            version=self.configuration.version,
+            version_age=now - confirmed_at if confirmed_at >= 0.0 else -1.0,
             revision=known.newest,
             revision_age=now - reached_at if reached_at >= 0.0 else -1.0,
             settled=known.settled,
@@ -417,8 +466,16 @@
         """Receive the report of a peer, unless frozen or ended."""
         if self.is_frozen or self.is_down:
             return
-        if self.peers.apply_report(report) is not None:
-            self.follower.note_peer(report.summarize_endpoints())
+        if self.peers.apply_report(report) is None:
+            return
+        self.follower.note_peer(report.summarize_endpoints())
+        if report.version_age >= 0.0:
+            self.configuration.confirm(
+                version=report.version,
+                newest_at=report.sent - report.version_age,
+            )
+        if report.revision_age >= 0.0:
+            self.follower.presence.outages.note_answer(age=report.revision_age)
 
     def is_in_touch(self, seconds):
         """Whether it was without a fault for some seconds."""
--- a/tests/gateway/evacuation_fleet.py
+++ b/tests/gateway/evacuation_fleet.py
@@ -163,7 +163,7 @@
 
     async def list_all(self):
         self._store.calls += 1
-        failed = await self._calls._call()
+        failed = await self._calls.call()
         if failed:
             return failed
         found = self._store.list_evacuations()
@@ -175,7 +175,7 @@
         if era != tracker.current:
             return listings.HistoryGone()
         self._store.calls += 1
-        failed = await self._calls._call()
+        failed = await self._calls.call()
         until = virtual_time.now() + seconds
         ends = 'cut' if self._store.era != era else ''
         while not failed and virtual_time.now() < until:
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -141,6 +141,18 @@
         self.changed.set()
 
 
+#: Seconds between two answers of a store to the calls of a gateway.
+ANSWER_INTERVAL_SECONDS = 0.8
+
+
+async def note_answers(outages, source):
+    """Note that a store answers, while its source of endpoints does."""
+    while True:
+        if not source.away:
+            outages.note_answer()
+        await anyio.sleep(ANSWER_INTERVAL_SECONDS)
+
+
 class LateEndpoints(listings.EndpointSource):
     """Answers a call when a test says so, however late."""
 
--- a/tests/gateway/test_cold_endpoints.py
+++ b/tests/gateway/test_cold_endpoints.py
@@ -19,6 +19,7 @@
 from marigoldramp.gateway.shared_state import cold_limits
 from marigoldramp.gateway.shared_state import cold_starts
 from marigoldramp.gateway.shared_state import rate_shares
+from marigoldramp.gateway import store_outages
 
 from . import fake_endpoint as fake
 from . import rate_limit_fleet
@@ -49,8 +50,10 @@
             find_cold_start=lambda service: cold_start,
             clock=self.clock.read,
         )
+        self.outages = store_outages.StoreOutages(clock=self.clock.read)
         self.presence = presence.Presence(
             table=self.table,
+            outages=self.outages,
             clock=self.clock.read,
             on_gone=lambda identity: None,
             on_restart=lambda identity: None,
@@ -91,8 +94,8 @@
         self.cold_starts.note_refused(self.table.find('i-0'))
 
     def come_back(self, **more):
-        """Have the endpoint's record lapse around an outage of the store."""
-        self.presence.note_store_outage()
+        """Have the endpoint's record be missing after a restored store."""
+        self.outages.note_restore()
         self.presence.note_unlisted('i-0')
         self.put(**more)
 
--- a/tests/gateway/test_departed_endpoints.py
+++ b/tests/gateway/test_departed_endpoints.py
@@ -1,5 +1,7 @@
 """Tests that no gateway uses an endpoint that has left, over all gateways."""
 
+import functools
+
 import anyio
 import pytest
 import virtual_time
@@ -80,6 +82,14 @@
         fleet.leave('i-3', reports=False)
 
 
+async def leave_while_watches_are_cut(fleet):
+    """Have an endpoint leave before the history goes and watches are cut."""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(functools.partial(fleet.store.compact, cuts=True))
+        await anyio.sleep(drain_fleet.MUTE_SECONDS / 10.0)
+        fleet.leave('i-3', reports=False)
+
+
 async def leave_while_readers_restart(fleet):
     """Have an endpoint leave while no gateway reads the store."""
     reading = [
@@ -121,6 +131,22 @@
     assert not broken
 
 
+@pytest.mark.parametrize('gateways', [6, 12, 39])
+async def test_cut_watches_do_not_delay_a_departure(gateways, monkeypatch):
+    """Guards against taking a watch that is cut off for an outage.
+
+    The endpoint that is missing from the next list is kept as if its record
+    could have lapsed, though the store answers all the time.
+    """
+    broken = await run(
+        leave_while_watches_are_cut,
+        monkeypatch,
+        gateways=gateways,
+        bounds=choose_bounds(gateways),
+    )
+    assert not broken
+
+
 @pytest.mark.parametrize(('gateways', 'seed'), [(12, 33), (12, 37)])
 async def test_departures_are_known_whatever_the_readers_suffer(
     gateways, seed, monkeypatch
--- a/tests/gateway/test_endpoint_requests.py
+++ b/tests/gateway/test_endpoint_requests.py
@@ -17,6 +17,7 @@
 from marigoldramp.gateway import deployment
 from marigoldramp.gateway import endpoint_signals
 from marigoldramp.gateway import presence
+from marigoldramp.gateway import store_outages
 from marigoldramp import metrics
 
 from . import rate_limit_fleet
@@ -44,8 +45,10 @@
         self.table = endpoints.EndpointTable(
             data_centre='one', random=random.Random(1)
         )
+        self.outages = store_outages.StoreOutages(clock=lambda: self.now)
         self.presence = presence.Presence(
             table=self.table,
+            outages=self.outages,
             clock=lambda: self.now,
             on_gone=lambda _: None,
             on_restart=lambda _: None,
@@ -84,9 +87,9 @@
         self.presence.note_unlisted(identity)
 
     @stateful.rule()
-    def fail_store_call(self):
-        """Report that the store did not answer a request."""
-        self.presence.note_store_outage()
+    def answer_store_call(self):
+        """Report that the store answered a request, maybe after long."""
+        self.outages.note_answer()
 
     @stateful.rule(seconds=strategies.floats(0.01, 3.0))
     def wait(self, seconds):
--- a/tests/gateway/test_gateway_state.py
+++ b/tests/gateway/test_gateway_state.py
@@ -22,6 +22,7 @@
 from marigoldramp.gateway import report_intervals
 from marigoldramp.gateway import retry_budget
 from marigoldramp.gateway import routes
+from marigoldramp.gateway import store_outages
 
 from . import address_fleet
 from . import site
@@ -269,6 +270,7 @@
         from_peers=from_peers or nobody,
         clock=virtual_time.now,
         position=lambda: 0,
+        outages=store_outages.StoreOutages(clock=virtual_time.now),
     )
 
 
@@ -498,6 +500,9 @@
         clock=clock or virtual_time.now,
         presence=presence.Presence(
             table=table,
+            outages=store_outages.StoreOutages(
+                clock=clock or virtual_time.now
+            ),
             clock=clock or virtual_time.now,
             on_gone=gone.append,
             on_restart=gone.append,
@@ -596,6 +601,42 @@
         tasks.cancel_scope.cancel()
 
 
+class StoppableEndpoints(site.FakeEndpoints):
+    """Fails waiting watches too when the store goes away."""
+
+    def fail(self):
+        """Fail the waiting watch and all calls that follow."""
+        self.away = True
+        self.changed.set()
+
+
+async def test_removal_after_one_failed_call_counts_at_once():
+    """Guards against requests to an endpoint that the store has removed.
+
+    One call of this gateway failed before, too short a time for the records
+    of live endpoints to lapse.
+    """
+    source = StoppableEndpoints()
+    source.records = [site.make_record(EndpointStub('i-1'), revision=1)]
+    follower, table, _ = make_follower(source=source)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follower.run)
+        tasks.start_soon(site.note_answers, follower.presence.outages, source)
+        await anyio.sleep(0.1)
+        source.fail()
+        await anyio.sleep(discovery.RETRY_SECONDS / 2.0)
+        source.away = False
+        await anyio.sleep(discovery.RETRY_SECONDS)
+        source.show(
+            listings.Changes(
+                records=(), removed=('i-1',), revision=5, newest=5
+            )
+        )
+        await anyio.sleep(0.1)
+        assert table.find('i-1') is None
+        tasks.cancel_scope.cancel()
+
+
 def test_list_after_a_restore_without_era_is_applied():
     """Guards against endpoints that are never learned after a restore.
 
@@ -692,6 +733,7 @@
     follower, table, gone = make_follower(source=source)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(follower.run)
+        tasks.start_soon(site.note_answers, follower.presence.outages, source)
         await anyio.sleep(1.0)
         source.away = True
         source.changed.set()
--- a/tests/gateway/test_large_deployments.py
+++ b/tests/gateway/test_large_deployments.py
@@ -26,6 +26,7 @@
 from marigoldramp.gateway import presence
 from marigoldramp.gateway import ranks
 from marigoldramp.gateway import report_intervals
+from marigoldramp.gateway import store_outages
 
 from . import address_fleet
 from . import site
@@ -67,6 +68,7 @@
 def make_presence(table):
     return presence.Presence(
         table=table,
+        outages=store_outages.StoreOutages(clock=virtual_time.now),
         clock=virtual_time.now,
         on_gone=lambda identity: None,
         on_restart=lambda identity: None,
@@ -352,6 +354,10 @@
         self.port = 1
 
 
+#: Seconds of an outage in which records of live endpoints lapse.
+OUTAGE_SECONDS = 3.0
+
+
 class RelyingGateway:
     """A follower that gets endpoints from peers, or from the store."""
 
@@ -375,6 +381,14 @@
             fetch_from_peers=self.fetch,
         )
 
+    async def run(self):
+        """Run the follower, while other calls to the store are answered."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(
+                site.note_answers, self.follower.presence.outages, self.source
+            )
+            tasks.start_soon(self.follower.run)
+
     async def fetch(self, known):
         self.asked.append(known.settled)
         return self.listing
@@ -396,7 +410,7 @@
     relying = RelyingGateway()
     leaving = site.make_record(EndpointStub('i-2'), leaving=True)
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(relying.follower.run)
+        tasks.start_soon(relying.run)
         await anyio.sleep(1.0)
         watched = relying.follower._watching
         relying.announce(leaving, settled=settled, newest=9)
@@ -421,7 +435,7 @@
     relying = RelyingGateway()
     other = site.make_record(EndpointStub('i-2'))
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(relying.follower.run)
+        tasks.start_soon(relying.run)
         await anyio.sleep(1.0)
         relying.announce(other, settled=False, newest=9)
         await anyio.sleep(settles_after)
@@ -452,8 +466,8 @@
     other = site.make_record(EndpointStub('i-2'))
     announced = []
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(relying.follower.run)
-        await anyio.sleep(presence.KEEP_UNLISTED_SECONDS + 1.0)
+        tasks.start_soon(relying.run)
+        await anyio.sleep(store_outages.RETURN_SECONDS + 1.0)
         announced.append(relying.follower.make_listing().settled)
         relying.announce(other, settled=False, newest=9)
         await anyio.sleep(0.3)
@@ -499,8 +513,8 @@
 async def test_report_tells_up_to_where_a_list_is_settled(settles, expected):
     relying = RelyingGateway()
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(relying.follower.run)
-        await anyio.sleep(presence.KEEP_UNLISTED_SECONDS + 1.0)
+        tasks.start_soon(relying.run)
+        await anyio.sleep(store_outages.RETURN_SECONDS + 1.0)
         relying.announce(relying.record, settled=settles, newest=9)
         await anyio.sleep(0.3)
         seen = relying.follower.summarize().settled
@@ -519,16 +533,18 @@
     relying.relies = False
     follower = relying.follower
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(follower.run)
-        await anyio.sleep(presence.KEEP_UNLISTED_SECONDS + 1.0)
-        follower.presence.note_store_outage()
+        tasks.start_soon(relying.run)
+        await anyio.sleep(store_outages.RETURN_SECONDS + 1.0)
+        relying.source.away = True
+        await anyio.sleep(OUTAGE_SECONDS)
+        relying.source.away = False
         follower.apply_changes(
             listings.Changes(
                 records=(), removed=('i-1',), revision=9, newest=9
             )
         )
         seen = []
-        for _ in range(60):
+        for _ in range(80):
             await anyio.sleep(0.05)
             listing = follower.make_listing()
             seen.append((listing.settled, bool(listing.records)))
@@ -582,7 +598,7 @@
     """
     relying = RelyingGateway()
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(relying.follower.run)
+        tasks.start_soon(relying.run)
         await anyio.sleep(1.0)
         relying.relies = False
         await anyio.sleep(0.5)
--- a/tests/gateway/test_restores.py
+++ b/tests/gateway/test_restores.py
@@ -18,6 +18,7 @@
 from marigoldramp.gateway import peers
 from marigoldramp.gateway import presence
 from marigoldramp.gateway import refresh
+from marigoldramp.gateway import store_outages
 from marigoldramp import store
 from marigoldramp_standins import memory
 
@@ -72,6 +73,7 @@
             clock=virtual_time.now,
             presence=presence.Presence(
                 table=self.table,
+                outages=store_outages.StoreOutages(clock=virtual_time.now),
                 clock=virtual_time.now,
                 on_gone=self.gone.append,
                 on_restart=self.gone.append,
@@ -91,6 +93,9 @@
     @contextlib.asynccontextmanager
     async def run(self):
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(
+                site.note_answers, self.follower.presence.outages, self.source
+            )
             tasks.start_soon(self.follower.run)
             await anyio.sleep(0.5)
             yield self
@@ -193,7 +198,7 @@
     async with one.run():
         one.restore()
         assert one.is_open()
-        await anyio.sleep(presence.KEEP_UNLISTED_SECONDS - 0.5)
+        await anyio.sleep(store_outages.RETURN_SECONDS - 0.5)
         assert one.is_open()
         if comes_back:
             one.follower.apply_changes(changes(make_record(), revision=101))
@@ -258,6 +263,7 @@
             from_peers=self._ask_peers,
             clock=virtual_time.now,
             position=lambda: position,
+            outages=store_outages.StoreOutages(clock=virtual_time.now),
             restored_at=lambda: self.restored_at,
         )
 
