Believe a peer about an endpoint that is kept although it is not listed

Cause: after an outage an endpoint whose record is missing is kept for a time, as the record may have lapsed. Whatever a peer's list said of it meanwhile was skipped: that it is leaving, so that it got requests on, and that its record had been written again, so that a live endpoint was dropped at the end of the time by gateways that take their lists from peers.

Change: a kept endpoint remembers the revision at which it had no record. A later record of a peer counts, an older one only if it says that the endpoint is leaving. Gateways that learn from peers drop a kept endpoint once peers have settled a list that is as late.

--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -243,10 +243,8 @@
         if self.listed and not self._knows_less(listing):
             return
         for record in listing.records:
-            if self.presence.is_unlisted(record.identity):
-                continue
             if listing.settled or not self._has_left(record):
-                self.presence.put_listed(record)
+                self.presence.put_told(record)
         logging.info(
             'endpoints told',
             extra=logs.fields(
@@ -259,7 +257,9 @@
             ),
         )
         if listing.settled:
-            self.presence.drop_unlisted(listing.records)
+            self.presence.drop_unlisted(
+                listing.records, revision=listing.revision
+            )
             self.revision = max(self.revision, listing.revision)
             self.settled_revision = max(self.settled_revision, listing.newest)
         self.change_revision = max(self.change_revision, listing.newest)
@@ -289,7 +289,7 @@
         """Apply a complete list; treat missing endpoints as unlisted."""
         for record in listing.records:
             self.presence.put_listed(record)
-        self.presence.drop_unlisted(listing.records)
+        self.presence.drop_unlisted(listing.records, revision=listing.revision)
         self.revision = listing.revision
         self.change_revision = max(self.change_revision, listing.newest)
         self.settled_revision = self.change_revision
@@ -309,7 +309,7 @@
         for record in changes.records:
             self.presence.put_written(record)
         for identity in changes.removed:
-            self.presence.note_unlisted(identity)
+            self.presence.note_unlisted(identity, revision=changes.revision)
         self.revision = max(self.revision, changes.revision)
         if changes.records or changes.removed:
             logging.info(
@@ -460,7 +460,19 @@
         """Remove unlisted endpoints that have not come back in time."""
         while True:
             await anyio.sleep(CHECK_INTERVAL_SECONDS)
-            self.presence.remove_lapsed()
+            self.presence.remove_lapsed(known_until=self._find_known_until)
+
+    def _find_known_until(self) -> float:
+        """Return up to which revision returned endpoints are known here.
+
+        A gateway that learns them from peers does so later than those that
+        read the store, and waits for a list that they have settled.
+        """
+        if self.store.reached and not self.relies_on_peers():
+            return float('inf')
+        if self._peer.newest > self.change_revision:
+            return 0.0
+        return self._peer.complete
 
     def _note_answer(self) -> None:
         self.store.note_answer()
--- a/marigoldramp/gateway/presence.py
+++ b/marigoldramp/gateway/presence.py
@@ -67,7 +67,7 @@
         self._on_gone = on_gone
         self._on_restart = on_restart
         self._on_put = on_put
-        self._unlisted: set[str] = set()
+        self._unlisted: dict[str, int] = {}
         self._leaving: dict[tuple[str, int], float] = {}
         self._departures = departures.Departures(
             restored_at=restored_at, clock=clock
@@ -78,10 +78,6 @@
         """Whether endpoints that the table lacks are known to have left."""
         return not self._unlisted and not self.outages.may_hide_endpoints()
 
-    def is_unlisted(self, identity: str) -> bool:
-        """Whether an endpoint is kept although it is listed no longer."""
-        return identity in self._unlisted
-
     def put_listed(self, record: deployment.EndpointRecord) -> None:
         """Add or update an endpoint from a list, maybe of a restored copy."""
         if self._departures.defer_outdated(record):
@@ -94,6 +90,19 @@
             return
         self._put(record)
 
+    def put_told(self, record: deployment.EndpointRecord) -> None:
+        """Add or update an endpoint from the list of a peer.
+
+        The peer may list an endpoint that this gateway keeps unlisted, because
+        it does not know that the record is missing.  A later record, or that
+        the endpoint is leaving, is news all the same.
+        """
+        missing_at = self._unlisted.get(record.identity)
+        if missing_at is None or record.revision > missing_at:
+            self.put_listed(record)
+        elif record.leaving:
+            self.note_leaving(record)
+
     def put_written(self, record: deployment.EndpointRecord) -> None:
         """Add or update an endpoint whose record has just been written."""
         self._departures.forget_deferred(record.identity)
@@ -145,8 +154,7 @@
         if self._is_leaving(record):
             # An outdated list must not bring a leaving endpoint back.
             record = msgspec.structs.replace(record, leaving=True)
-        has_returned = identity in self._unlisted
-        self._unlisted.discard(identity)
+        has_returned = self._unlisted.pop(identity, None) is not None
         if self._table.find(identity) is None:
             logging.info(
                 'endpoint known',
@@ -179,18 +187,20 @@
         self._on_restart(old.identity)
 
     def drop_unlisted(
-        self, records: Iterable[deployment.EndpointRecord]
+        self, records: Iterable[deployment.EndpointRecord], *, revision: int
     ) -> None:
         """Treat endpoints that a complete list lacks as unlisted."""
         listed = {record.identity for record in records}
         for endpoint in self._table:
             if endpoint.identity not in listed:
-                self.note_unlisted(endpoint.identity)
+                self.note_unlisted(endpoint.identity, revision=revision)
 
-    def note_unlisted(self, identity: str) -> None:
+    def note_unlisted(self, identity: str, *, revision: int) -> None:
         """Remove an endpoint that is listed no longer, or keep it for a time.
 
         It is kept around an outage of the store unless it is leaving.
+
+        :param revision: the store's revision at which it had no record.
         """
         self._departures.forget_deferred(identity)
         known = self._table.find(identity)
@@ -199,32 +209,39 @@
             and not known.record.leaving
             and self.outages.may_hide_endpoints()
         ):
-            self._keep_unlisted(identity)
+            self._keep_unlisted(identity, revision)
             return
         self._remove(identity)
 
-    def _keep_unlisted(self, identity: str) -> None:
+    def _keep_unlisted(self, identity: str, revision: int) -> None:
         if identity in self._unlisted:
             return
         logging.info('endpoint kept', extra=logs.fields(endpoint=identity))
-        self._unlisted.add(identity)
+        self._unlisted[identity] = revision
 
     def _remove(self, identity: str) -> None:
-        self._unlisted.discard(identity)
+        self._unlisted.pop(identity, None)
         removed = self._table.remove(identity)
         if removed is not None:
             self._departures.note_departure(removed.record)
             logging.info('endpoint gone', extra=logs.fields(endpoint=identity))
             self._on_gone(identity)
 
-    def remove_lapsed(self) -> None:
+    def remove_lapsed(
+        self, *, known_until: Callable[[], float] = lambda: float('inf')
+    ) -> None:
         """Remove endpoints that have not come back in time.
 
         Also add deferred endpoints that are still listed, see
         :mod:`.departures`.
+
+        :param known_until: returns the store's revision up to which this
+            gateway has heard of endpoints that came back.
         """
         for record in self._departures.pop_deferred():
             self._put(record)
         if self._unlisted and not self.outages.may_hide_endpoints():
-            for identity in sorted(self._unlisted):
-                self._remove(identity)
+            revision = known_until()
+            for identity, missing_at in list(self._unlisted.items()):
+                if missing_at <= revision:
+                    self._remove(identity)
--- a/tests/gateway/test_departed_endpoints.py
+++ b/tests/gateway/test_departed_endpoints.py
@@ -147,6 +147,32 @@
     assert not broken
 
 
+@pytest.mark.parametrize('gateways', [6, 12, 39])
+@pytest.mark.parametrize('fault', ['busy', 'silent'])
+async def test_live_endpoints_are_kept_around_an_outage(
+    gateways, fault, monkeypatch
+):
+    """Guards against losing live endpoints whose records lapse."""
+    fewest = []
+
+    async def watch_tables(fleet):
+        while True:
+            await anyio.sleep(drain_fleet.TICK_SECONDS)
+            fewest.append(min(len(one.table) for one in fleet.gateways))
+
+    async def play(fleet):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watch_tables, fleet)
+            await fleet.fail_store(fault, 4.0, lapses=0.5)
+            await anyio.sleep(CHECK_SECONDS)
+            tasks.cancel_scope.cancel()
+
+    await run(
+        play, monkeypatch, gateways=gateways, bounds=choose_bounds(gateways)
+    )
+    assert min(fewest) == 24
+
+
 @pytest.mark.parametrize(('gateways', 'seed'), [(12, 33), (12, 37)])
 async def test_departures_are_known_whatever_the_readers_suffer(
     gateways, seed, monkeypatch
--- a/tests/gateway/test_gateway_state.py
+++ b/tests/gateway/test_gateway_state.py
@@ -610,6 +610,47 @@
         self.changed.set()
 
 
+#: Seconds of an outage in which records of live endpoints lapse.
+OUTAGE_SECONDS = 4.0
+
+
+async def lose_record_in_outage(source):
+    """Have the store fail, and list ``i-1`` no longer when it is back."""
+    await anyio.sleep(0.1)
+    source.fail()
+    await anyio.sleep(OUTAGE_SECONDS)
+    source.records = []
+    source.revision = 5
+    source.away = False
+    await anyio.sleep(discovery.RETRY_SECONDS)
+
+
+@pytest.mark.parametrize('settled', [True, False])
+async def test_peer_tells_that_a_kept_endpoint_is_leaving(settled):
+    """Guards against requests to a leaving endpoint that is kept unlisted.
+
+    Its record is missing after an outage, as if it had lapsed; a peer has
+    seen meanwhile that it is leaving.
+    """
+    source = StoppableEndpoints()
+    record = site.make_record(EndpointStub('i-1'), revision=1)
+    source.records = [record]
+    follower, table, _ = make_follower(source=source)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follower.run)
+        tasks.start_soon(site.note_answers, follower.presence.outages, source)
+        await lose_record_in_outage(source)
+        assert table.find('i-1').is_open(now=virtual_time.now())
+        leaving = msgspec.structs.replace(record, leaving=True)
+        follower.apply_peer_listing(
+            msgspec.structs.replace(
+                listing(leaving, revision=9), settled=settled
+            )
+        )
+        assert not table.find('i-1').is_open(now=virtual_time.now())
+        tasks.cancel_scope.cancel()
+
+
 async def test_removal_after_one_failed_call_counts_at_once():
     """Guards against requests to an endpoint that the store has removed.
 
