Suspect a stalled watch while any peer is ahead, whoever else is behind

Cause: a gateway restarts its watch when peers have known a newer list for 0.4 s. That time began anew with each report of a peer that was not ahead, and while some peers are not settled there is always one, ten times a second.

Change: what counts is the best of all that peers have told, which is kept already.

Red before: test_watch_that_stays_behind_is_restarted_whoever_else_is_behind, the watch was not cancelled.

--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -184,7 +184,7 @@
         restarted.  Without this it alone would go on using a leaving endpoint.
         """
         self._merge_peer(peer)
-        ahead = self._find_revision_ahead(peer)
+        ahead = self._find_revision_ahead(self._peer)
         if not ahead:
             self._behind_since = float('inf')
             return
--- a/tests/gateway/test_gateway_state.py
+++ b/tests/gateway/test_gateway_state.py
@@ -678,6 +678,23 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_watch_that_stays_behind_is_restarted_whoever_else_is_behind():
+    """Guards against requests to a leaving endpoint that only peers know of.
+
+    This gateway's watch has stalled.  One peer is ahead; another, which knows
+    as little as this gateway, reports as often.
+    """
+    clock = Clock()
+    follower, _, _ = make_follower(clock)
+    follower.apply_listing(listing())
+    watch = follower._watching = anyio.CancelScope()
+    for _ in range(10):
+        follower.note_peer(listings.Summary(newest=9))
+        follower.note_peer(listings.Summary(newest=1))
+        clock.now += discovery.MAX_BEHIND_SECONDS / 4.0
+    assert watch.cancel_called
+
+
 def test_list_after_a_restore_without_era_is_applied():
     """Guards against endpoints that are never learned after a restore.
 
