List endpoints at once after a watch that was cut off

Cause: a gateway whose watch was cut waited for half a second, and up to 2.5 s behind others in the order of retries, before it listed the endpoints.

Change: the list follows at once, unless the watch failed as soon as it was begun.

Red before: test_endpoints_are_listed_at_once_after_a_cut_watch[late], i-1 still in the table.

--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -388,11 +388,16 @@
         )
 
     async def _follow_store(self) -> None:
-        """Watch until the store fails or has dropped the needed changes."""
+        """Watch until the store fails or has dropped the needed changes.
+
+        A watch that was cut off after a while may have missed a departure, so
+        the endpoints are listed at once.
+        """
         while True:
             if self.relies_on_peers():
                 await self._follow_peers()
             asked_after = self.revision
+            asked_at = self._clock()
             found: (
                 listings.Changes
                 | listings.HistoryGone
@@ -424,7 +429,8 @@
                     return
                 case store.Unavailable(detail=detail):
                     self.store.note_failure(detail)
-                    await self._pause()
+                    if self._clock() - asked_at < RETRY_SECONDS:
+                        await self._pause()
                     return
 
     async def _follow_peers(self) -> None:
--- a/tests/gateway/test_gateway_state.py
+++ b/tests/gateway/test_gateway_state.py
@@ -695,6 +695,32 @@
     assert watch.cancel_called
 
 
+@pytest.mark.parametrize(
+    ('waited', 'is_listed'), [(5.0, True), (0.1, False)], ids=['late', 'early']
+)
+async def test_endpoints_are_listed_at_once_after_a_cut_watch(
+    waited, is_listed
+):
+    """Guards against using an endpoint on that left while a watch was cut."""
+    source = StoppableEndpoints()
+    source.records = [site.make_record(EndpointStub('i-1'), revision=1)]
+    follower, table, _ = make_follower(source=source)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follower.run)
+        tasks.start_soon(site.note_answers, follower.presence.outages, source)
+        await anyio.sleep(waited)
+        source.fail()
+        await anyio.sleep(0.0)
+        source.records = []
+        source.revision = 5
+        source.away = False
+        await anyio.sleep(discovery.RETRY_SECONDS / 5.0)
+        assert (table.find('i-1') is None) is is_listed
+        await anyio.sleep(discovery.RETRY_SECONDS)
+        assert table.find('i-1') is None
+        tasks.cancel_scope.cancel()
+
+
 def test_list_after_a_restore_without_era_is_applied():
     """Guards against endpoints that are never learned after a restore.
 
