Bring nothing back from a settled list that is older than this gateway's own

Cause: a peer's settled list was applied as complete whenever it named a newer change than this gateway's own list does, also if it was complete only up to a lower revision. A list names no removals, so one that is later can name an older newest change. Endpoints that had left in between were taken up again, and stayed: the gateway's own revision was higher, so no peer seemed to know more.

It needs no outage: a list of the store and one of a peer have to be under way at once.

Change: a peer's list counts as complete only if it is at least as late as what this gateway knows; otherwise its records are taken like those of a list that is not settled.

--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -238,12 +238,15 @@
         """Apply a peer's list while this gateway does not ask the store.
 
         Endpoints are added and marked as leaving; those that are missing in
-        the list are removed only if it is settled.
+        the list are removed only if it is settled.  A list that is complete
+        up to a lower revision than this gateway's shows no departures, and
+        still has endpoints that have left since.
         """
         if self.listed and not self._knows_less(listing):
             return
+        is_complete = listing.settled and listing.revision >= self.revision
         for record in listing.records:
-            if listing.settled or not self._has_left(record):
+            if is_complete or not self._has_left(record):
                 self.presence.put_told(record)
         logging.info(
             'endpoints told',
@@ -256,11 +259,12 @@
                 complete_before=self.revision,
             ),
         )
-        if listing.settled:
+        if is_complete:
             self.presence.drop_unlisted(
                 listing.records, revision=listing.revision
             )
-            self.revision = max(self.revision, listing.revision)
+            self.revision = listing.revision
+        if listing.settled:
             self.settled_revision = max(self.settled_revision, listing.newest)
         self.change_revision = max(self.change_revision, listing.newest)
         self.listed = True
--- a/tests/gateway/drain_fleet.py
+++ b/tests/gateway/drain_fleet.py
@@ -133,7 +133,13 @@
         await anyio.sleep(MUTE_SECONDS)
         self.mute = False
         self._compacted_at = self.revision
-        self.cuts += cuts
+        if cuts:
+            self.cut_watches()
+        self._wake_watches()
+
+    def cut_watches(self):
+        """Cut off all watches that wait."""
+        self.cuts += 1
         self._wake_watches()
 
     def list_all(self):
@@ -221,6 +227,9 @@
         """Wait for an answer; return the failure if there is none."""
         await anyio.sleep(CALL_SECONDS)
         await self._gateway.wait_while_frozen()
+        if self._gateway.rejections:
+            self._gateway.rejections -= 1
+            return store.Unavailable(detail='rejected')
         if self._gateway.reaches_store:
             return None
         if self._gateway.store_fault == 'silent':
@@ -249,6 +258,7 @@
     :ivar faults: its present faults, of which there may be several of a kind.
     :ivar disturbed_at: end of its last fault.
     :ivar is_down: it is not running.
+    :ivar rejections: how many of its next calls the store rejects.
     """
 
     def __init__(self, number, fleet):
@@ -258,6 +268,7 @@
         self.faults = collections.Counter()
         self.disturbed_at = float('-inf')
         self.is_down = False
+        self.rejections = 0
         self._fleet = fleet
         self._scope = anyio.CancelScope()
         self.start()
@@ -292,6 +303,12 @@
         if fault == 'kill' and not self.faults[fault]:
             self.start()
 
+    async def stall(self, seconds):
+        """Stand still for a moment, as a busy process does."""
+        self.faults['freeze'] += 1
+        await anyio.sleep(seconds)
+        self.faults['freeze'] -= 1
+
     async def wait_for_store(self):
         while not self.reaches_store:
             await anyio.sleep(TICK_SECONDS)
--- a/tests/gateway/drain_schedules.py
+++ b/tests/gateway/drain_schedules.py
@@ -125,3 +125,40 @@
     async def _restart_endpoint(self, identity, delay):
         await anyio.sleep(delay)
         self._fleet.restart_endpoint(identity)
+
+
+#: Failures that are no outage, and do not excuse a gateway.
+SHORT_FAILURES = ('cut watches', 'compact', 'reject', 'stall')
+MAX_STALL_SECONDS = 1.0
+MAX_REJECTIONS = 3
+
+
+class ShortFailureSchedule(WideSchedule):
+    """Also watches that are cut off, rejected calls and short stalls."""
+
+    async def run(self):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(super().run)
+            for _ in range(self._random.randint(2, 6)):
+                delay = self._random.uniform(0.0, DEPARTURES_WITHIN_SECONDS)
+                failure = self._random.choice(SHORT_FAILURES)
+                tasks.start_soon(self._fail_shortly, failure, delay)
+
+    async def _fail_shortly(self, failure, delay):
+        chosen = self._choose_gateways()
+        await anyio.sleep(delay)
+        match failure:
+            case 'cut watches':
+                self._fleet.store.cut_watches()
+            case 'compact':
+                await self._fleet.store.compact(cuts=True)
+            case 'reject':
+                for gateway in chosen:
+                    gateway.rejections = self._random.randint(
+                        1, MAX_REJECTIONS
+                    )
+            case 'stall':
+                async with anyio.create_task_group() as tasks:
+                    for gateway in chosen:
+                        seconds = self._random.uniform(0.2, MAX_STALL_SECONDS)
+                        tasks.start_soon(gateway.stall, seconds)
--- a/tests/gateway/test_departed_endpoints.py
+++ b/tests/gateway/test_departed_endpoints.py
@@ -40,6 +40,17 @@
     return fleet.broken
 
 
+async def run_schedule(schedule, monkeypatch, *, gateways, seed):
+    """Return what a random schedule of a class has broken."""
+    return await run(
+        lambda fleet: schedule(fleet, seed).run(),
+        monkeypatch,
+        gateways=gateways,
+        bounds=choose_bounds(gateways),
+        seed=seed,
+    )
+
+
 def choose_bounds(gateways):
     """Return the bounds of a deployment with some gateways."""
     if gateways <= MAX_SMALL_GATEWAYS:
@@ -64,14 +75,9 @@
 )
 async def test_endpoint_that_has_left_is_not_used(gateways, seed, monkeypatch):
     """Guards against requests to endpoints that left during faults."""
-    broken = await run(
-        lambda fleet: drain_schedules.Schedule(fleet, seed).run(),
-        monkeypatch,
-        gateways=gateways,
-        bounds=choose_bounds(gateways),
-        seed=seed,
+    assert not await run_schedule(
+        drain_schedules.Schedule, monkeypatch, gateways=gateways, seed=seed
     )
-    assert not broken
 
 
 async def leave_while_history_is_lost(fleet):
@@ -178,11 +184,21 @@
     gateways, seed, monkeypatch
 ):
     """Guards against endpoints that are used for ever after faults."""
-    broken = await run(
-        lambda fleet: drain_schedules.WideSchedule(fleet, seed).run(),
+    assert not await run_schedule(
+        drain_schedules.WideSchedule, monkeypatch, gateways=gateways, seed=seed
+    )
+
+
+@pytest.mark.parametrize(
+    ('gateways', 'seed'), [(6, 1), (6, 2), (6, 3), (6, 92), (12, 1)]
+)
+async def test_short_failures_do_not_delay_departures(
+    gateways, seed, monkeypatch
+):
+    """Guards against keeping endpoints that left after failed calls."""
+    assert not await run_schedule(
+        drain_schedules.ShortFailureSchedule,
         monkeypatch,
         gateways=gateways,
-        bounds=choose_bounds(gateways),
         seed=seed,
     )
-    assert not broken
--- a/tests/gateway/test_gateway_state.py
+++ b/tests/gateway/test_gateway_state.py
@@ -237,6 +237,27 @@
     assert 8 <= source.reads - quiet <= 15
 
 
+async def test_silence_of_the_store_is_told_by_reads_of_the_configuration():
+    """Guards against taking a store without changes for one that is away."""
+    source = site.FakeConfigurationSource()
+    source.current = site.make_configuration()
+    outages = store_outages.StoreOutages(clock=virtual_time.now)
+    refresher = make_refresher(
+        configurations.ActiveConfiguration(source=source),
+        source,
+        outages=outages,
+    )
+    seen = []
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(refresher.run)
+        for away in (False, True):
+            source.away = away
+            await anyio.sleep(5.0)
+            seen.append(outages.may_hide_endpoints())
+        tasks.cancel_scope.cancel()
+    assert seen == [False, True]
+
+
 async def test_newer_version_is_fetched_from_a_peer_while_the_store_is_down():
     source = site.FakeConfigurationSource()
     source.current = site.make_configuration()
@@ -260,7 +281,7 @@
     assert asked[0] == 4
 
 
-def make_refresher(active, source, from_peers=None):
+def make_refresher(active, source, from_peers=None, *, outages=None):
     async def nobody(version):
         return None
 
@@ -270,7 +291,7 @@
         from_peers=from_peers or nobody,
         clock=virtual_time.now,
         position=lambda: 0,
-        outages=store_outages.StoreOutages(clock=virtual_time.now),
+        outages=outages or store_outages.StoreOutages(clock=virtual_time.now),
     )
 
 
@@ -512,6 +533,12 @@
     return follower, table, gone
 
 
+def follow(tasks, follower, source):
+    """Run a follower, while the store answers other calls as well."""
+    tasks.start_soon(follower.run)
+    tasks.start_soon(site.note_answers, follower.presence.outages, source)
+
+
 def listing(*records, revision=1):
     return listings.Listing(
         records=records, revision=revision, newest=revision
@@ -565,6 +592,33 @@
     assert (table.find('i-1') is not None) is is_used
 
 
+@pytest.mark.parametrize(
+    ('complete', 'is_used'), [(5, False), (9, True)], ids=['older', 'as late']
+)
+def test_older_settled_list_brings_back_no_endpoint_that_has_left(
+    complete, is_used
+):
+    """Guards against using an endpoint for good that an older list has.
+
+    This gateway's own list lacks it, and is complete up to a later revision;
+    the peer's names a newer change of a listed endpoint.
+    """
+    follower, table, _ = make_follower(Clock())
+    left = site.make_record(EndpointStub('i-1'), revision=1)
+    other = site.make_record(EndpointStub('i-2'), revision=2)
+    follower.apply_listing(listing(left, other, revision=2))
+    follower.apply_listing(
+        msgspec.structs.replace(listing(other, revision=9), newest=2)
+    )
+    follower.apply_peer_listing(
+        listings.Listing(
+            records=(left, other), revision=complete, newest=5, settled=True
+        )
+    )
+    assert (table.find('i-1') is not None) is is_used
+    assert follower.revision == 9
+
+
 @pytest.mark.parametrize('answer', ['list', 'watch'])
 async def test_older_answer_of_the_store_brings_back_no_endpoint(answer):
     """Guards against requests to an endpoint that a late answer still has.
--- a/tests/gateway/test_reporting.py
+++ b/tests/gateway/test_reporting.py
@@ -165,3 +165,31 @@
     async with site.run_site(one, configuration=configuration) as first:
         await site.call(first)
         assert one.seen[0].headers.get('request-priority') == stated
+
+
+async def test_answers_of_the_store_to_peers_are_known():
+    """Guards against taking a silence of one gateway for an outage.
+
+    A gateway that does not call the store itself hears when it answered a
+    peer, whatever the call was for.
+    """
+    one = fake.FakeEndpoint(identity='i-1', scripts=[fake.answer()])
+    async with site.run_site(one) as first:
+        async with site.run_site(one, instance='entry-2') as second:
+            sender, receiver = first.gateway, second.gateway
+            now = sender._clock()
+            sender.follower.store.reached_at = now - 9.0
+            sender.refresher.store.reached_at = now - 0.5
+            sender._reporter.invalidate()
+            report = sender._reporter.build_report(None)
+            assert report.revision_age == pytest.approx(0.5, abs=0.3)
+            outages = receiver.follower.presence.outages
+            outages._answered_at = [now - 9.0]
+            assert outages.may_hide_endpoints()
+            receiver._reporter.apply_report(
+                msgspec.structs.replace(report, instance='entry-1'),
+                frozenset(),
+            )
+            assert outages._answered_at[-1] == pytest.approx(
+                now - 0.5, abs=0.3
+            )
