Read changes without much delay while endpoints may still come back

Cause: after each change a gateway waits for half a second before it watches again. An endpoint that writes its record again two seconds after an outage, which is in time, was removed at 2.2 s and came back with the next watch.

Change: the wait is a tenth of a second while endpoints are kept unlisted.

--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -30,6 +30,9 @@
 #: Seconds between a change and the next watch, so that endpoints that start or
 #: leave together take one call to the store and not one each.
 BATCH_SECONDS = 0.5
+#: The same while endpoints are kept that may still come back: one that does so
+#: late would else be removed for a moment.
+RETURN_BATCH_SECONDS = 0.1
 #: Seconds between two checks whether peers still follow the store for this
 #: gateway, and before a peer that did not answer is asked again.
 PEER_POLL_SECONDS = 0.2
@@ -424,7 +427,7 @@
                     self._note_answer()
                     self.apply_changes(found)
                     if found.records or found.removed:
-                        await anyio.sleep(BATCH_SECONDS)
+                        await anyio.sleep(self._find_batch_seconds())
                 case listings.HistoryGone():
                     logging.info(
                         'history gone',
@@ -437,6 +440,11 @@
                         await self._pause()
                     return
 
+    def _find_batch_seconds(self) -> float:
+        if self.presence.keeps_unlisted:
+            return RETURN_BATCH_SECONDS
+        return BATCH_SECONDS
+
     async def _follow_peers(self) -> None:
         """Fetch changes from peers while they follow the store."""
         assert self._fetch_from_peers is not None
--- a/marigoldramp/gateway/presence.py
+++ b/marigoldramp/gateway/presence.py
@@ -78,6 +78,11 @@
         """Whether endpoints that the table lacks are known to have left."""
         return not self._unlisted and not self.outages.may_hide_endpoints()
 
+    @property
+    def keeps_unlisted(self) -> bool:
+        """Whether endpoints are kept although they are listed no longer."""
+        return bool(self._unlisted)
+
     def put_listed(self, record: deployment.EndpointRecord) -> None:
         """Add or update an endpoint from a list, maybe of a restored copy."""
         if self._departures.defer_outdated(record):
