Ask peers as soon as they are ahead of a store that fails, and the next beside one that hangs

Cause: a gateway that the store failed asked its peers every half second, one after the other, and a peer that stood still was waited for a second. News of a departure that all others had came up to 1.5 s later than it could.

Change: such a gateway looks every 0.2 s whether a peer is ahead, by the same rule as gateways that rely on peers, and asks the next peer after 0.2 s without an answer. The loop of the periodic tasks and its copy in the drain fleet are gone.

--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -132,6 +132,7 @@
         """Follow until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._remove_lapsed)
+            tasks.start_soon(self._ask_peers_while_store_is_away)
             while True:
                 found = await self._list_endpoints()
                 self._note_answer()
@@ -447,17 +448,28 @@
 
     async def _follow_peers(self) -> None:
         """Fetch changes from peers while they follow the store."""
-        assert self._fetch_from_peers is not None
         while self.relies_on_peers():
-            if self._is_peer_due():
-                self._asked_at = self._clock()
-                found = await self._fetch_from_peers(self.summarize_held())
-                if found is not None:
-                    self.apply_peer_listing(found)
+            await self._ask_peers()
             self._wake = anyio.Event()
             with anyio.move_on_after(PEER_POLL_SECONDS):
                 await self._wake.wait()
 
+    async def _ask_peers_while_store_is_away(self) -> None:
+        """Fetch changes from peers while the store does not answer."""
+        while True:
+            await anyio.sleep(PEER_POLL_SECONDS)
+            if not self.store.reached:
+                await self._ask_peers()
+
+    async def _ask_peers(self) -> None:
+        """Fetch the endpoints of a peer that knows more of them."""
+        if self._fetch_from_peers is None or not self._is_peer_due():
+            return
+        self._asked_at = self._clock()
+        found = await self._fetch_from_peers(self.summarize_held())
+        if found is not None:
+            self.apply_peer_listing(found)
+
     def _is_peer_due(self) -> bool:
         """Whether to ask a peer for changes or for a settled list.
 
--- a/marigoldramp/gateway/peer_exchange.py
+++ b/marigoldramp/gateway/peer_exchange.py
@@ -9,6 +9,7 @@
 from typing import Callable
 
 from absl import logging
+import anyio
 import msgspec
 
 from .. import logs
@@ -29,6 +30,8 @@
 #: Followed by the fingerprint of a blocked request that may be sent again.
 RELEASE_PATH = '/release/'
 EXCHANGE_TIMEOUT_SECONDS = 1.0
+#: Seconds after which the next peer is asked beside one that does not answer.
+NEXT_PEER_SECONDS = 0.2
 
 
 class EndpointList(msgspec.Struct, frozen=True, kw_only=True):
@@ -164,11 +167,38 @@
             key=lambda peer: _has_settled_more(peer, known),
             reverse=True,
         )
+        return await _fetch_from_first(ordered)
+
+
+async def _fetch_from_first(
+    ordered: list[peers.Peer],
+) -> listings.Listing | None:
+    """Return the endpoints of the first peer that answers.
+
+    The next one is asked if the one before takes long, as it may stand still.
+    """
+    found: list[listings.Listing] = []
+    async with anyio.create_task_group() as tasks:
         for peer in ordered:
-            found = await fetch_endpoints(address=_address(peer))
-            if found is not None:
-                return found
-        return None
+            answered = anyio.Event()
+            tasks.start_soon(_ask, peer, found, answered, tasks.cancel_scope)
+            with anyio.move_on_after(NEXT_PEER_SECONDS):
+                await answered.wait()
+    return found[0] if found else None
+
+
+async def _ask(
+    peer: peers.Peer,
+    found: list[listings.Listing],
+    answered: anyio.Event,
+    calls: anyio.CancelScope,
+) -> None:
+    """Fetch the endpoints of one peer; end all calls if it has some."""
+    listing = await fetch_endpoints(address=_address(peer))
+    if listing is not None:
+        found.append(listing)
+        calls.cancel()
+    answered.set()
 
 
 def _has_settled_more(peer: peers.Peer, known: listings.Summary) -> bool:
--- a/marigoldramp/gateway/periodic_tasks.py
+++ b/marigoldramp/gateway/periodic_tasks.py
@@ -12,7 +12,6 @@
 from . import containment as containment_module
 from . import discovery
 from . import outbound
-from . import peer_exchange
 from . import peers
 from . import refresh
 from . import settings as settings_module
@@ -25,8 +24,6 @@
 SERVE_INTERVAL_SECONDS = 0.1
 CLEANUP_INTERVAL_SECONDS = 0.5
 SETTINGS_INTERVAL_SECONDS = 1.0
-#: Interval of fetches from peers while the store does not answer.
-PEER_FETCH_INTERVAL_SECONDS = 0.5
 
 
 class Components(msgspec.Struct, frozen=True, kw_only=True):
@@ -38,7 +35,6 @@
     dispatcher: dispatch.Dispatcher
     follower: discovery.EndpointFollower
     refresher: refresh.Refresher
-    peer_client: peer_exchange.PeerClient
     containment: containment_module.Containment
     rate_shares: rate_shares.RateShares
     cold_starts: cold_starts.ColdStarts
@@ -79,7 +75,6 @@
         tasks.start_soon(self._clean_up)
         tasks.start_soon(self._serve_queues)
         tasks.start_soon(self._watch_settings)
-        tasks.start_soon(self._fetch_endpoints_from_peers)
 
     async def _serve_queues(self) -> None:
         """Assign endpoints to queued requests.
@@ -105,19 +100,6 @@
             for endpoint in components.table:
                 components.peers.update_endpoint(endpoint)
 
-    async def _fetch_endpoints_from_peers(self) -> None:
-        """Fetch endpoints from a peer while the store does not answer."""
-        follower = self._components.follower
-        while True:
-            await anyio.sleep(PEER_FETCH_INTERVAL_SECONDS)
-            if follower.store.reached:
-                continue
-            found = await self._components.peer_client.fetch_endpoints(
-                follower.summarize_held()
-            )
-            if found is not None:
-                follower.apply_peer_listing(found)
-
     async def _watch_settings(self) -> None:
         """Apply changes of the settings that come without a signal."""
         while True:
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -348,7 +348,6 @@
                 dispatcher=self.dispatcher,
                 follower=self.follower,
                 refresher=self.refresher,
-                peer_client=self._peer_client,
                 containment=self.containment,
                 rate_shares=self.rate_shares,
                 evacuations=self.evacuation.state,
--- a/tests/gateway/drain_fleet.py
+++ b/tests/gateway/drain_fleet.py
@@ -21,7 +21,6 @@
 from marigoldramp.gateway import listings
 from marigoldramp.gateway import peer_exchange
 from marigoldramp.gateway import peers
-from marigoldramp.gateway import periodic_tasks
 from marigoldramp.gateway import presence
 from marigoldramp.gateway import refresh
 from marigoldramp.gateway import report_intervals
@@ -398,7 +397,6 @@
             self.follower.run,
             self.refresher.run,
             self._report,
-            self._fetch_while_store_is_away,
         ]
 
     def _relies_on_peers(self):
@@ -413,16 +411,6 @@
         await self.wait_while_frozen()
         return found
 
-    async def _fetch_while_store_is_away(self):
-        """Do what the periodic task does while the store does not answer."""
-        while True:
-            await anyio.sleep(periodic_tasks.PEER_FETCH_INTERVAL_SECONDS)
-            if self.follower.store.reached:
-                continue
-            found = await self._fetch(self.follower.summarize_held())
-            if found is not None:
-                self.follower.apply_peer_listing(found)
-
     def _handle_change(self):
         if not self._relies_on_peers():
             self._due_at.clear()
--- a/tests/gateway/test_departed_endpoints.py
+++ b/tests/gateway/test_departed_endpoints.py
@@ -190,7 +190,7 @@
 
 
 @pytest.mark.parametrize(
-    ('gateways', 'seed'), [(6, 1), (6, 2), (6, 3), (6, 92), (12, 1)]
+    ('gateways', 'seed'), [(6, 1), (6, 2), (6, 3), (6, 92), (12, 1), (12, 47)]
 )
 async def test_short_failures_do_not_delay_departures(
     gateways, seed, monkeypatch
--- a/tests/gateway/test_large_deployments.py
+++ b/tests/gateway/test_large_deployments.py
@@ -507,6 +507,30 @@
     assert {one.host for one in asked} == {'q2'}
 
 
+async def test_peer_that_stands_still_does_not_delay_a_departure(monkeypatch):
+    """Guards against using an endpoint on while one peer does not answer."""
+    reports = [make_report(f'p{one}', revision=9, settled=9) for one in (0, 1)]
+    client = peer_exchange.PeerClient(
+        peers=make_table(*reports), random=random.Random(3)
+    )
+    asked = []
+
+    async def fetch(*, address):
+        asked.append(address)
+        if len(asked) == 1:
+            await anyio.sleep(peer_exchange.EXCHANGE_TIMEOUT_SECONDS)
+            return None
+        return listings.Listing(records=(), revision=9, newest=9)
+
+    monkeypatch.setattr(peer_exchange, 'fetch_endpoints', fetch)
+    found = None
+    with anyio.move_on_after(2.0 * peer_exchange.NEXT_PEER_SECONDS):
+        found = await client.fetch_endpoints(
+            listings.Summary(newest=4, settled=4)
+        )
+    assert found is not None
+
+
 @pytest.mark.parametrize(
     ('settles', 'expected'), [(True, 9), (False, 0)], ids=['settled', 'not']
 )
