Keep endpoints whose records were written after a list that lacks them

Cause: a list that is complete up to one revision removed every endpoint that it lacks, also one that a peer had told of and whose record is later. A new endpoint got lost until the next list.

Change: a list says nothing about records beyond its revision.

Red before: test_list_removes_no_endpoint_that_was_written_after_it[store], [peer], i-2 gone. With it a test that an older record of a peer does not bring a kept endpoint back; no test had failed without that guard.

--- a/marigoldramp/gateway/presence.py
+++ b/marigoldramp/gateway/presence.py
@@ -194,10 +194,17 @@
     def drop_unlisted(
         self, records: Iterable[deployment.EndpointRecord], *, revision: int
     ) -> None:
-        """Treat endpoints that a complete list lacks as unlisted."""
+        """Treat endpoints that a complete list lacks as unlisted.
+
+        :param revision: the store's revision up to which the list is complete.
+            It says nothing about records that were written later.
+        """
         listed = {record.identity for record in records}
         for endpoint in self._table:
-            if endpoint.identity not in listed:
+            if (
+                endpoint.identity not in listed
+                and endpoint.record.revision <= revision
+            ):
                 self.note_unlisted(endpoint.identity, revision=revision)
 
     def note_unlisted(self, identity: str, *, revision: int) -> None:
--- a/tests/gateway/test_gateway_state.py
+++ b/tests/gateway/test_gateway_state.py
@@ -705,6 +705,37 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_older_record_of_a_peer_does_not_bring_a_kept_endpoint_back():
+    """Guards against using an endpoint on that a peer has not yet missed."""
+    source = StoppableEndpoints()
+    record = site.make_record(EndpointStub('i-1'), revision=1)
+    source.records = [record]
+    follower, table, _ = make_follower(source=source)
+    async with anyio.create_task_group() as tasks:
+        follow(tasks, follower, source)
+        await lose_record_in_outage(source)
+        follower.apply_peer_listing(listing(record, revision=9))
+        await anyio.sleep(store_outages.RETURN_SECONDS + 1.0)
+        tasks.cancel_scope.cancel()
+    assert table.find('i-1') is None
+
+
+@pytest.mark.parametrize('source', ['store', 'peer'])
+def test_list_removes_no_endpoint_that_was_written_after_it(source):
+    """Guards against losing a new endpoint to a list that is older."""
+    follower, table, _ = make_follower(Clock())
+    first = site.make_record(EndpointStub('i-1'), revision=1)
+    new = site.make_record(EndpointStub('i-2'), revision=7)
+    follower.apply_listing(listing(first, revision=2))
+    follower.apply_peer_listing(listing(first, new, revision=7))
+    older = msgspec.structs.replace(listing(first, revision=5), settled=True)
+    if source == 'store':
+        follower.apply_listing(older)
+    else:
+        follower.apply_peer_listing(older)
+    assert table.find('i-2') is not None
+
+
 async def test_removal_after_one_failed_call_counts_at_once():
     """Guards against requests to an endpoint that the store has removed.
 
