--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -12,6 +12,7 @@
 from . import dependency_health
 from . import deployment
 from . import listings
+from . import peer_news
 from . import presence as presence_module
 from .balancing import endpoints
 
@@ -22,9 +23,6 @@
 RETRY_SECONDS = 0.5
 #: Seconds between two checks whether such a wait can end.
 PAUSE_STEP_SECONDS = 0.1
-#: Seconds for which a peer may know a newer change before this gateway's own
-#: watch counts as stalled.
-MAX_BEHIND_SECONDS = 0.4
 #: Seconds between two searches for lapsed endpoints.
 CHECK_INTERVAL_SECONDS = 0.1
 #: Seconds between a change and the next watch, so that endpoints that start or
@@ -75,11 +73,9 @@
         '_fetch_from_peers',
         '_position',
         '_find_cold_seconds',
-        '_peer',
+        '_news',
         '_wake',
-        '_behind_since',
         '_watching',
-        '_restarted_for',
         'presence',
         'listed',
         'revision',
@@ -114,11 +110,9 @@
         self._fetch_from_peers = fetch_from_peers
         self._position = position
         self._find_cold_seconds = find_cold_seconds
-        self._peer = listings.Summary(newest=0)
+        self._news = peer_news.PeerNews(clock=clock)
         self._wake = anyio.Event()
-        self._behind_since = float('inf')
         self._watching: anyio.CancelScope | None = None
-        self._restarted_for = 0
         self.listed = False
         self.revision = 0
         self.change_revision = 0
@@ -187,50 +181,17 @@
         If this gateway stays behind, its own watch has stalled and is
         restarted.  Without this it alone would go on using a leaving endpoint.
         """
-        self._merge_peer(peer)
-        ahead = self._find_revision_ahead(self._peer)
-        if not ahead:
-            self._behind_since = float('inf')
-            return
-        now = self._clock()
-        self._behind_since = min(self._behind_since, now)
-        if now - self._behind_since > MAX_BEHIND_SECONDS:
-            self._behind_since = float('inf')
-            self._restarted_for = ahead
-            if self._watching is not None:
-                logging.info(
-                    'watch behind peers',
-                    extra=logs.fields(revision=self.revision, heard=ahead),
-                )
-                self._watching.cancel()
-
-    def _merge_peer(self, peer: listings.Summary) -> None:
-        """Keep the newest change and the most complete list of all peers."""
-        latest = self._peer
-        if peer.complete < latest.complete:
-            if peer.newest <= latest.newest:
-                return
-            peer = msgspec.structs.replace(latest, newest=peer.newest)
-        merged = msgspec.structs.replace(
-            peer, newest=max(peer.newest, latest.newest)
-        )
-        if merged != latest:
-            self._peer = merged
+        if self._news.merge(peer):
             self._wake.set()
-
-    def _find_revision_ahead(self, peer: listings.Summary) -> int:
-        """Return the revision by which a peer is ahead, 0 if it is not."""
-        if peer.newest > max(
-            self.revision, self.change_revision, self._restarted_for
-        ):
-            return peer.newest
-        if (
-            self._is_settled()
-            and peer.complete > self._restarted_for
-            and peer.is_more_complete(self.summarize_held())
-        ):
-            return peer.complete
-        return 0
+        ahead = self._news.find_stall(
+            self.summarize_held(), is_settled=self._is_settled
+        )
+        if ahead and self._watching is not None:
+            logging.info(
+                'watch behind peers',
+                extra=logs.fields(revision=self.revision, heard=ahead),
+            )
+            self._watching.cancel()
 
     def note_restore(self) -> None:
         """List the endpoints again after the store was restored."""
@@ -302,7 +263,7 @@
         self.change_revision = max(self.change_revision, listing.newest)
         self.settled_revision = self.change_revision
         self.listed = True
-        self._behind_since = float('inf')
+        self._news.note_progress()
         logging.info(
             'endpoints listed',
             extra=logs.fields(
@@ -333,7 +294,7 @@
             self.settled_revision = self.change_revision
             self._log_held()
             self._on_change()
-        self._behind_since = float('inf')
+        self._news.note_progress()
 
     def _log_held(self) -> None:
         """Log what tells whether two gateways hold the same endpoints."""
@@ -477,10 +438,10 @@
         seconds.  That it has settled is not announced as a change, so peers
         are polled for it.
         """
-        if self._peer.newest > self.change_revision:
+        if self._news.latest.newest > self.change_revision:
             return True
         is_settled = self.settled_revision >= self.change_revision
-        if is_settled and not self._peer.is_more_complete(
+        if is_settled and not self._news.latest.is_more_complete(
             self.summarize_held()
         ):
             return False
@@ -500,9 +461,9 @@
         """
         if self.store.reached and not self.relies_on_peers():
             return float('inf')
-        if self._peer.newest > self.change_revision:
+        if self._news.latest.newest > self.change_revision:
             return 0.0
-        return self._peer.complete
+        return self._news.latest.complete
 
     def _note_answer(self) -> None:
         self.store.note_answer()
--- a/tests/gateway/test_gateway_state.py
+++ b/tests/gateway/test_gateway_state.py
@@ -14,6 +14,7 @@
 from marigoldramp.gateway import discovery
 from marigoldramp.gateway import event_frames
 from marigoldramp.gateway import listings
+from marigoldramp.gateway import peer_news
 from marigoldramp.gateway import peer_reports
 from marigoldramp.gateway import peers
 from marigoldramp.gateway import presence
@@ -776,7 +777,7 @@
     for _ in range(10):
         follower.note_peer(listings.Summary(newest=9))
         follower.note_peer(listings.Summary(newest=1))
-        clock.now += discovery.MAX_BEHIND_SECONDS / 4.0
+        clock.now += peer_news.MAX_BEHIND_SECONDS / 4.0
     assert watch.cancel_called
 
 
