Ignore answers of the store that are older than those remembered

Cause: the time between an answer that a peer had long ago and the first one that is remembered counted as an outage, though the answers in between had only been forgotten.

Change: such an answer is not taken over.

Red before: test_only_long_outages_may_hide_endpoints[a peer was answered before the start]. Found by reading the change.

--- a/marigoldramp/gateway/store_outages.py
+++ b/marigoldramp/gateway/store_outages.py
@@ -49,7 +49,10 @@
         """
         at = self._clock() - age
         place = bisect.bisect(self._answered_at, at)
-        close = self._answered_at[max(0, place - 1) : place + 1]
+        if place == 0:
+            # Answers between this one and the first known are forgotten.
+            return
+        close = self._answered_at[place - 1 : place + 1]
         if any(abs(at - other) < RESOLUTION_SECONDS for other in close):
             return
         self._answered_at.insert(place, at)
--- a/tests/gateway/test_store_outages.py
+++ b/tests/gateway/test_store_outages.py
@@ -46,6 +46,7 @@
         (((1.9, 1.9), (3.0, 3.0)), 4.2, False),
         (((2.0, 2.0), (2.1, 1.0)), 2.2, False),
         (((4.0, 4.0), (4.1, 1.0)), 4.2, True),
+        (((0.5, -20.0),), 1.0, False),
     ],
     ids=[
         'short silence',
@@ -58,6 +59,7 @@
         'endpoints have returned',
         'a peer was answered meanwhile',
         'a peer was answered too long before',
+        'a peer was answered before the start',
     ],
 )
 def test_only_long_outages_may_hide_endpoints(answers, now, expected):
