Take a heartbeat of 0, or none, for one that is not stated

A settings file without HeartbeatMs, or with 0, gives the default of 1.2 s. Tests that it is read. With 1,200 ms, as on all deployments that we have, the behaviour is the same.

--- a/marigoldramp/platform/settings_file.py
+++ b/marigoldramp/platform/settings_file.py
@@ -153,7 +153,8 @@
     :ivar ports: first and last port for traffic between gateways.
     :ivar seeds: control addresses of some instances.  Only their hosts are
         used, as the gateways' ports are the same on all instances.
-    :ivar heartbeat_ms: interval at which endpoints write their records.
+    :ivar heartbeat_ms: interval at which endpoints write their records; 0 if
+        not stated.
     """
 
     instance: str
@@ -166,9 +167,7 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     store: _Store
-    heartbeat_ms: PositiveFloat = (
-        store_outages.DEFAULT_HEARTBEAT_SECONDS * MILLISECONDS_PER_SECOND
-    )
+    heartbeat_ms: float = 0.0
 
 
 def read(path: str) -> settings.Settings:
@@ -233,7 +232,10 @@
         link_rate=found.limits.link_megabits * BYTES_PER_MEGABIT,
         memory=int(found.limits.memory_megabytes * BYTES_PER_MEGABYTE),
         bounds=_build_bounds(found.bounds),
-        heartbeat=found.heartbeat_ms / MILLISECONDS_PER_SECOND,
+        heartbeat=(
+            found.heartbeat_ms / MILLISECONDS_PER_SECOND
+            or store_outages.DEFAULT_HEARTBEAT_SECONDS
+        ),
     )
 
 
--- a/tests/adapter/test_platform.py
+++ b/tests/adapter/test_platform.py
@@ -113,6 +113,16 @@
     assert bounds.cold == cold
 
 
+@pytest.mark.parametrize(
+    ('line', 'expected'),
+    [('', 1.2), ('HeartbeatMs = 0\n', 1.2), ('HeartbeatMs = 900\n', 0.9)],
+)
+def test_heartbeat_that_a_deployment_may_lack(tmp_path, line, expected):
+    path = tmp_path / 'local.toml'
+    path.write_text(line + SETTINGS)
+    assert settings_file.read(str(path)).heartbeat == expected
+
+
 def make_document(**more):
     route = {
         'Name': 'r',
