Bound the time for which a kept endpoint waits for peers

Cause: a gateway that learns endpoints from peers dropped a kept one only once peers had told of a list that is as late as its own. The revision of the store grows with other objects as well, so its own list can be later than those of peers that know as much, and their next change may take 25 s to come.

Change: the wait ends after 0.7 s.

Found by reading the change.

--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -1,5 +1,6 @@
 """Keeps the list of endpoints current, from the store or from peers."""
 
+import functools
 from typing import Awaitable
 from typing import Callable
 
@@ -31,6 +32,9 @@
 #: The same while endpoints are kept that may still come back: one that does so
 #: late would else be removed for a moment.
 RETURN_BATCH_SECONDS = 0.1
+#: Seconds for which a gateway waits for its peers' lists once endpoints have
+#: had the time to come back after an outage.
+MAX_PEER_WAIT_SECONDS = 0.7
 #: Seconds between two checks whether peers still follow the store for this
 #: gateway, and before a peer that did not answer is asked again.
 PEER_POLL_SECONDS = 0.2
@@ -449,16 +453,26 @@
 
     async def _remove_lapsed(self) -> None:
         """Remove unlisted endpoints that have not come back in time."""
+        waited = 0.0
         while True:
             await anyio.sleep(CHECK_INTERVAL_SECONDS)
-            self.presence.remove_lapsed(known_until=self._find_known_until)
+            waited += CHECK_INTERVAL_SECONDS
+            if self.presence.outages.may_hide_endpoints():
+                waited = 0.0
+            self.presence.remove_lapsed(
+                known_until=functools.partial(self._find_known_until, waited)
+            )
 
-    def _find_known_until(self) -> float:
+    def _find_known_until(self, waited: float) -> float:
         """Return up to which revision returned endpoints are known here.
 
         A gateway that learns them from peers does so later than those that
-        read the store, and waits for a list that they have settled.
+        read the store, and waits a little for a list that they have settled.
+
+        :param waited: seconds since endpoints have had the time to come back.
         """
+        if waited >= MAX_PEER_WAIT_SECONDS:
+            return float('inf')
         if self.store.reached and not self.relies_on_peers():
             return float('inf')
         if self._news.latest.newest > self.change_revision:
--- a/tests/gateway/test_large_deployments.py
+++ b/tests/gateway/test_large_deployments.py
@@ -507,6 +507,37 @@
     assert {one.host for one in asked} == {'q2'}
 
 
+async def test_kept_endpoint_is_removed_though_peers_tell_nothing_new():
+    """Guards against using an endpoint that left until its peers' next change.
+
+    This gateway's own list lacks it and is later than those of its peers,
+    which know as much but were not told of a later revision.
+    """
+    relying = RelyingGateway()
+    relying.relies = False
+    source = relying.source
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(relying.run)
+        await anyio.sleep(1.0)
+        source.away = True
+        source.changed.set()
+        await anyio.sleep(OUTAGE_SECONDS)
+        source.away = False
+        source.records = []
+        source.revision = 50
+        await anyio.sleep(discovery.RETRY_SECONDS + 0.1)
+        assert relying.table.find('i-1') is not None
+        relying.relies = True
+        relying.follower.note_peer(
+            listings.Summary(newest=1, settled=1, complete=48)
+        )
+        await anyio.sleep(
+            store_outages.RETURN_SECONDS + discovery.MAX_PEER_WAIT_SECONDS
+        )
+        assert relying.table.find('i-1') is None
+        tasks.cancel_scope.cancel()
+
+
 async def test_peer_that_stands_still_does_not_delay_a_departure(monkeypatch):
     """Guards against using an endpoint on while one peer does not answer."""
     reports = [make_report(f'p{one}', revision=9, settled=9) for one in (0, 1)]
