--- a/tests/gateway/test_gateway_state.py
+++ b/tests/gateway/test_gateway_state.py
@@ -692,8 +692,7 @@
     source.records = [record]
     follower, table, _ = make_follower(source=source)
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(follower.run)
-        tasks.start_soon(site.note_answers, follower.presence.outages, source)
+        follow(tasks, follower, source)
         await lose_record_in_outage(source)
         assert table.find('i-1').is_open(now=virtual_time.now())
         leaving = msgspec.structs.replace(record, leaving=True)
@@ -747,8 +746,7 @@
     source.records = [site.make_record(EndpointStub('i-1'), revision=1)]
     follower, table, _ = make_follower(source=source)
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(follower.run)
-        tasks.start_soon(site.note_answers, follower.presence.outages, source)
+        follow(tasks, follower, source)
         await anyio.sleep(0.1)
         source.fail()
         await anyio.sleep(discovery.RETRY_SECONDS / 2.0)
@@ -792,8 +790,7 @@
     source.records = [site.make_record(EndpointStub('i-1'), revision=1)]
     follower, table, _ = make_follower(source=source)
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(follower.run)
-        tasks.start_soon(site.note_answers, follower.presence.outages, source)
+        follow(tasks, follower, source)
         await anyio.sleep(waited)
         source.fail()
         await anyio.sleep(0.0)
@@ -902,8 +899,7 @@
     source.records = [record]
     follower, table, gone = make_follower(source=source)
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(follower.run)
-        tasks.start_soon(site.note_answers, follower.presence.outages, source)
+        follow(tasks, follower, source)
         await anyio.sleep(1.0)
         source.away = True
         source.changed.set()
