--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,164 +1,182 @@
-"""A stopping process takes a request that it cuts off when it exits."""
+"""A foreign entry among the runners ends the processes that lead groups."""
 
 import asyncio
+import json
 import pathlib
-import signal
 import sys
 import time
 
 from review import standins
 
-SERVICE = 'notes'
-CLIENTS = 6
-#: Events of a stream and the pause between two: the sheet of cap-shared names
-#: 28 events in the mean, 69 at most, and pauses of 120 ms.
-EVENTS = 45
-PAUSE_SECONDS = 0.1
-#: Seconds from the start of the first streams to SIGTERM.
-LEAD_SECONDS = 0.6
-GRACE_SECONDS = 8.0
-#: Requests that are sent later than this after SIGTERM are not excused.
-EXCUSED_SECONDS = 3.0
-#: ContactMs, and the same again.
-CALM_SECONDS = 6.0
-TIMEOUT_SECONDS = 8.0
-
-
-class Runner:
-    """A sound runner that streams events.
-
-    :ivar begun: attempts that it began to work on.
-    :ivar ended: attempts whose stream it wrote to the end.
-    """
-
-    def __init__(self, record):
-        self.begun = set()
-        self.ended = set()
-        self.port = 0
+SIZE = 2
+SERVICE = 'llm'
+#: Seconds after which the platform starts a process that has ended again.
+RESTART_SECONDS = 0.5
+PLAY_SECONDS = 40.0
+#: Ends of its own within a day from which a machine counts in the rule, and
+#: the machines that it takes.
+MOST_ENDS = 3
+MOST_MACHINES = 2
+ENGINE = {
+    'Slots': 6,
+    'Stride': 6,
+    'step_ms': 5.85,
+    'per_seq_ms': 0.7,
+    'read_per_s': 61200.0,
+    'usual': {'prompt': 800, 'answer': 150},
+    'Sets': 1,
+    'Experts': 8,
+    'Placements': 6,
+    'Spare': 2,
+    'ExpertMb': 1000.0,
+    'LinkMbps': 180000.0,
+    'ExpertShare': 0.85,
+}
+
+
+class Rank:
+    """A sound runner that carries one rank of an idle group."""
+
+    def __init__(self, number, record):
+        self.number = number
+        self.name = f'i-rank{number}'
         self._record = record
+        self._port = 0
 
     async def start(self):
         """Listen on a free port."""
-        _, self.port = await standins.serve(self._handle)
+        _, self._port = await standins.serve(self._handle)
+
+    def entry(self):
+        """Return what it writes of itself into the store."""
+        return {
+            'Service': SERVICE,
+            'Address': f'{standins.HOST}:{self._port}',
+            'Zone': 'a',
+            'Version': 1,
+            'Slots': 6,
+            'State': 'ready',
+            'ColdRemainingMs': 0,
+            'Sequence': 1,
+        }
 
     async def _handle(self, reader, writer):
         while True:
             request = await standins.read_message(reader)
             if request is None:
                 return
-            attempt = request.find('attempt-id')
-            if not attempt:
-                writer.write(standins.make_answer(200))
-                continue
-            await self._stream(writer, attempt)
-
-    async def _stream(self, writer, attempt):
-        self.begun.add(attempt)
-        self._record.note(f'runner: runs {attempt}')
-        head = (
-            'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
-            f'Transfer-Encoding: chunked\r\nAttempt-Id: {attempt}\r\n'
-            'Runner-Seal: s\r\n\r\n'
-        )
-        writer.write(head.encode())
-        for number in range(1, EVENTS + 1):
-            event = f'id: {number}\ndata: {attempt} {number}\n\n'.encode()
-            writer.write(b'%x\r\n%b\r\n' % (len(event), event))
+            writer.write(self._answer(request))
             await writer.drain()
-            await asyncio.sleep(PAUSE_SECONDS)
-        writer.write(b'0\r\n\r\n')
-        await writer.drain()
-        self.ended.add(attempt)
-        self._record.note(f'runner: has ended {attempt}')
 
+    def _answer(self, request):
+        if request.find('expect-instance') not in ('', self.name):
+            return standins.make_answer(421)
+        path = request.start[1].partition('?')[0]
+        if path == '/marigoldramp/report':
+            return self._tell(self._report())
+        if request.start[1].startswith('/marigoldramp/picked?'):
+            lists = [[0, 2, 4, 6]] if not self.number else [[1, 3, 5, 7]]
+            shown = {'Version': 0, 'Experts': lists}
+            return self._tell({'ExpertMap': shown, 'Prepared': None})
+        if path == '/marigoldramp/picked':
+            return self._tell({'step': 1, 'epoch': 1, 'Counts': [0] * 8})
+        if path == '/marigoldramp/order':
+            return standins.make_answer(200)
+        attempt = request.find('attempt-id')
+        self._record.note(f'{self.name}: runs {attempt}')
+        body = f'{attempt} is done'.encode()
+        echo = (f'Attempt-Id: {attempt}', 'Runner-Seal: s')
+        return standins.make_answer(200, body, echo)
+
+    def _report(self):
+        group = {'Name': 'g0', 'epoch': 1, 'rank': self.number}
+        return {
+            'group': {**group, 'State': 'open'},
+            'size': SIZE,
+            'step': 1,
+            'Sequence': 0,
+            'ExpertMap': 0,
+            'Prepared': None,
+            'Armed': None,
+            'held': None,
+            'pace': 1.0,
+        }
+
+    def _tell(self, value):
+        kind = ('Content-Type: application/json',)
+        return standins.make_answer(200, json.dumps(value).encode(), kind)
+
+
+def make_foreign_entry():
+    """Return an entry of another writer, with bytes that can't be read."""
+    return (
+        b'{"Service":"llm","Address":"\xff\xfe10.1.0.7:8743","Zone":"a",'
+        b'"Version":1,"Slots":6,"State":"ready","ColdRemainingMs":0,'
+        b'"Sequence":1}'
+    )
 
-class Client:
-    """A client that keeps its connection for its next request.
 
-    :ivar sent: attempts with the time of their last byte, and the seconds
-        after which the connection gave no whole answer, 0 for a whole one.
-    """
+async def ask(gateway, record, number):
+    """Make one request; note what it came to."""
+    attempt = f'a{number:04d}'
+    try:
+        reader, writer = await asyncio.open_connection(
+            gateway.host, gateway.calls
+        )
+    except OSError:
+        record.note(f'client: {attempt} {gateway.name} takes no connection')
+        return
+    try:
+        writer.write(standins.make_request('GET', '/look/1', attempt, key='k'))
+        answer = await asyncio.wait_for(standins.read_message(reader), 2.0)
+    except (OSError, asyncio.TimeoutError):
+        answer = None
+    finally:
+        writer.close()
+    told = 'no answer' if answer is None else answer.start[1]
+    record.note(f'client: {attempt} {gateway.name} {told}')
 
-    def __init__(self, number, gateways, record):
-        self.sent = {}
-        self._number = number
-        self._gateways = gateways
-        self._record = record
 
-    async def run(self, until):
-        """Make streams, one after the other, until a time."""
-        await asyncio.sleep(0.05 * self._number)
-        count = 0
-        gateways = list(self._gateways)
-        while gateways and time.monotonic() < until:
-            gateway = gateways.pop(0)
-            try:
-                reader, writer = await asyncio.open_connection(
-                    gateway.host, gateway.calls
-                )
-            except OSError:
-                continue
-            keeps = True
-            while keeps and time.monotonic() < until:
-                count += 1
-                attempt = f'c{self._number}-{count}'
-                keeps = await self._ask(reader, writer, gateway, attempt)
-                await asyncio.sleep(0.02)
-            writer.close()
-
-    async def _ask(self, reader, writer, gateway, attempt):
-        """Make one request; whether the connection can carry another."""
-        writer.write(
-            standins.make_request('POST', '/note/1', attempt, key='k')
-        )
-        sent_at = time.monotonic()
-        self._record.note(f'client: sends {attempt} to {gateway.name}')
-        answer = await standins.read_head(reader)
-        if answer is None:
-            self._record.note(f'client: {attempt} has no answer')
-            self.sent[attempt] = (sent_at, time.monotonic() - sent_at)
-            return False
-        await standins.read_body(reader, answer)
-        events = answer.body.count(b'\n\n')
-        state = 'whole' if answer.whole else 'cut off'
-        closes = answer.find('connection') == 'close'
-        self._record.note(
-            f'client: {attempt} {answer.start[1]} {state}, {events} events'
-            f'{", connection: close" if closes else ""}'
-        )
-        lasted = 0.0 if answer.whole else time.monotonic() - sent_at
-        self.sent[attempt] = (sent_at, lasted)
-        return answer.whole and not closes
+async def keep_asking(gateways, record):
+    """Make requests in turn until cancelled."""
+    number = 0
+    while True:
+        number += 1
+        await ask(gateways[number % len(gateways)], record, number)
+        await asyncio.sleep(0.5)
+
+
+async def watch(gateways, record, until):
+    """Start processes that have ended again; count these ends."""
+    while time.monotonic() < until:
+        for gateway in gateways:
+            code = gateway.poll()
+            if code is not None:
+                gateway.ended += 1
+                record.note(f'{gateway.name}: ended by itself, code {code}')
+                await asyncio.sleep(RESTART_SECONDS)
+                gateway.start()
+        if all(one.ended >= MOST_ENDS for one in gateways):
+            return
+        await asyncio.sleep(0.05)
 
 
 async def play(record, folder, trouble):
     """Play the case; return whether the rule was broken."""
     store = standins.Store()
     await store.start()
-    runner = Runner(record)
-    await runner.start()
+    ranks = [Rank(number, record) for number in range(SIZE)]
+    for rank in ranks:
+        await rank.start()
+        store.put('servers', rank.name, rank.entry())
+    routes = [standins.make_route('look', 'idempotent', SERVICE)]
+    services = [{'Name': SERVICE, 'MaxConnections': 200, 'Engine': ENGINE}]
     store.put(
-        'servers',
-        'i-1',
-        {
-            'Service': SERVICE,
-            'Address': f'{standins.HOST}:{runner.port}',
-            'Zone': 'a',
-            'Version': 1,
-            'Slots': 16,
-            'State': 'ready',
-            'ColdRemainingMs': 0,
-            'Sequence': 1,
-        },
-    )
-    route = standins.make_route('note', 'streaming', SERVICE, GapTargetMs=120)
-    services = [{'Name': SERVICE, 'MaxConnections': 400}]
-    store.put(
-        'config', 'main', standins.make_configuration([route], services, 'k')
+        'config', 'main', standins.make_configuration(routes, services, 'k')
     )
     gateways = []
     try:
-        for number in range(2):
+        for number in range(MOST_MACHINES):
             ports = gateways[0].ports if gateways else None
             gateway = standins.Gateway(
                 name=f'edge-a-{number}',
@@ -166,59 +184,33 @@
                 folder=folder,
                 record=record,
                 ports=ports,
+                extra='EvacuateMs = 5000\nColdOverage = 1.5\nColdSlack = 5',
             )
             gateways.append(gateway)
             gateway.start()
         for gateway in gateways:
             await gateway.wait_ready()
-        await asyncio.sleep(CALM_SECONDS)
-        return await stop_one(gateways, runner, record, trouble)
+        asking = asyncio.create_task(keep_asking(gateways, record))
+        await asyncio.sleep(3.0)
+        if trouble:
+            record.note('another writer: servers/i-foreign')
+            store.put('servers', 'i-foreign', make_foreign_entry())
+        await watch(gateways, record, time.monotonic() + PLAY_SECONDS)
+        asking.cancel()
+        for gateway in gateways:
+            note_ends(gateway, record)
+        return sum(one.ended >= MOST_ENDS for one in gateways) >= MOST_MACHINES
     finally:
         for gateway in gateways:
             gateway.kill()
 
 
-async def stop_one(gateways, runner, record, trouble):
-    """Stop the first process; return whether it lost a request."""
-    stopped = gateways[0]
-    clients = [Client(one, gateways, record) for one in range(CLIENTS)]
-    until = time.monotonic() + 2.0 * EVENTS * PAUSE_SECONDS
-    tasks = [asyncio.create_task(one.run(until)) for one in clients]
-    await asyncio.sleep(LEAD_SECONDS)
-    stopped_at = time.monotonic()
-    if trouble:
-        stopped.signal(signal.SIGTERM)
-    while stopped.poll() is None:
-        if time.monotonic() - stopped_at > GRACE_SECONDS:
-            break
-        await asyncio.sleep(0.02)
-    if trouble:
-        seconds = time.monotonic() - stopped_at
-        record.note(f'{stopped.name}: ended {seconds:.2f} s after SIGTERM')
-    await asyncio.gather(*tasks)
-    lost = 0
-    for client in clients:
-        for attempt, (sent_at, lasted) in client.sent.items():
-            lost += judge(
-                record, runner, attempt, sent_at - stopped_at, lasted
-            )
-    return lost > 0
-
-
-def judge(record, runner, attempt, sent_after, lasted):
-    """Return whether a request was lost as the rule has it."""
-    if not lasted or attempt not in runner.begun:
-        return False
-    if attempt in runner.ended or lasted >= TIMEOUT_SECONDS:
-        return False
-    if sent_after <= EXCUSED_SECONDS:
-        record.note(f'{attempt}: cut off, sent early enough to be excused')
-        return False
-    record.note(
-        f'{attempt}: LOST, sent {sent_after:.2f} s after SIGTERM,'
-        f' cut off {lasted:.2f} s later while its runner worked'
-    )
-    return True
+def note_ends(gateway, record):
+    """Note how often a gateway ended, and its last error."""
+    record.note(f'{gateway.name}: ended by itself {gateway.ended} times')
+    errors = [line for line in gateway.log.splitlines() if 'Error' in line]
+    if errors:
+        record.note(f'{gateway.name}: last error: {errors[-1].strip()}')
 
 
 if __name__ == '__main__':
