--- a/review/2/case.py
+++ b/review/2/case.py
@@ -110,7 +110,7 @@
 def make_foreign_entry():
     """Return an entry of another writer, with bytes that can't be read."""
     return (
-        b'{"Service":"llm","Address":"\xff\xfe10.1.0.7:8743","Zone":"a",'
+        b'{"Service":"llm","Address":"\xff\xfe127.0.0.1:8743","Zone":"a",'
         b'"Version":1,"Slots":6,"State":"ready","ColdRemainingMs":0,'
         b'"Sequence":1}'
     )
