Have the review's scripts exit with 2 and end what they started

An unexpected error exited with 1 and a terminated script left processes behind. The cases read TROUBLE themselves, check that the disruption took place, and case 4 judges only requests at the stopped process.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import sys
 import time
@@ -199,6 +200,8 @@
         asking.cancel()
         for gateway in gateways:
             note_ends(gateway, record)
+            if 'address already in use' in gateway.log.lower():
+                raise standins.CannotRun('a port was taken')
         return sum(one.ended >= MOST_ENDS for one in gateways) >= MOST_MACHINES
     finally:
         for gateway in gateways:
@@ -214,4 +217,10 @@
 
 
 if __name__ == '__main__':
-    sys.exit(standins.run_case(play, pathlib.Path(__file__).parent))
+    sys.exit(
+        standins.run_case(
+            play,
+            pathlib.Path(__file__).parent,
+            trouble=os.environ.get('TROUBLE', '1') != '0',
+        )
+    )
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,7 @@
 """A stopping process takes a request that it cuts off when it exits."""
 
 import asyncio
+import os
 import pathlib
 import signal
 import sys
@@ -75,8 +76,8 @@
 class Client:
     """A client that keeps its connection for its next request.
 
-    :ivar sent: attempts with the time of their last byte, and the seconds
-        after which the connection gave no whole answer, 0 for a whole one.
+    :ivar sent: by attempt the process, the time of its last byte, and the
+        seconds after which it had no whole answer, 0 for a whole one.
     """
 
     def __init__(self, number, gateways, record):
@@ -116,7 +117,8 @@
         answer = await standins.read_head(reader)
         if answer is None:
             self._record.note(f'client: {attempt} has no answer')
-            self.sent[attempt] = (sent_at, time.monotonic() - sent_at)
+            lasted = time.monotonic() - sent_at
+            self.sent[attempt] = (gateway, sent_at, lasted)
             return False
         await standins.read_body(reader, answer)
         events = answer.body.count(b'\n\n')
@@ -127,7 +129,7 @@
             f'{", connection: close" if closes else ""}'
         )
         lasted = 0.0 if answer.whole else time.monotonic() - sent_at
-        self.sent[attempt] = (sent_at, lasted)
+        self.sent[attempt] = (gateway, sent_at, lasted)
         return answer.whole and not closes
 
 
@@ -185,6 +187,8 @@
     until = time.monotonic() + 2.0 * EVENTS * PAUSE_SECONDS
     tasks = [asyncio.create_task(one.run(until)) for one in clients]
     await asyncio.sleep(LEAD_SECONDS)
+    if not runner.begun - runner.ended:
+        raise standins.CannotRun('no stream was under way')
     stopped_at = time.monotonic()
     if trouble:
         stopped.signal(signal.SIGTERM)
@@ -194,14 +198,16 @@
         await asyncio.sleep(0.02)
     if trouble:
         seconds = time.monotonic() - stopped_at
-        record.note(f'{stopped.name}: ended {seconds:.2f} s after SIGTERM')
+        record.note(f'{stopped.name}: {seconds:.2f} s after SIGTERM')
+        # The platform's SIGKILL, if the process still runs.
+        stopped.kill()
     await asyncio.gather(*tasks)
     lost = 0
     for client in clients:
-        for attempt, (sent_at, lasted) in client.sent.items():
-            lost += judge(
-                record, runner, attempt, sent_at - stopped_at, lasted
-            )
+        for attempt, (gateway, sent_at, lasted) in client.sent.items():
+            if gateway is stopped:
+                sent_after = sent_at - stopped_at
+                lost += judge(record, runner, attempt, sent_after, lasted)
     return lost > 0
 
 
@@ -222,4 +228,10 @@
 
 
 if __name__ == '__main__':
-    sys.exit(standins.run_case(play, pathlib.Path(__file__).parent))
+    sys.exit(
+        standins.run_case(
+            play,
+            pathlib.Path(__file__).parent,
+            trouble=os.environ.get('TROUBLE', '1') != '0',
+        )
+    )
