Log how long a watch of the store had waited; tell gateways without the store apart

'store lost' and 'watch behind peers' name the seconds that the watch had waited; departure_times has a third line, without gateways that lost the store or stayed behind peers meanwhile.

--- a/marigoldramp/gateway/dependency_health.py
+++ b/marigoldramp/gateway/dependency_health.py
@@ -60,12 +60,15 @@
             self.reached = True
             self._log('regained', away=self.reached_at - self.failed_at)
 
-    def note_failure(self, detail: str) -> None:
-        """Note that no response came."""
+    def note_failure(self, detail: str, *, waited: float = 0.0) -> None:
+        """Note that no response came.
+
+        :param waited: seconds for which the call had waited for it.
+        """
         self.failed_at = self._clock()
         if self.reached:
             self.reached = False
-            self._log('lost', detail=detail)
+            self._log('lost', detail=detail, waited=round(waited, 3))
 
     def _log(self, event: str, **details: str | float) -> None:
         logging.info(
--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -80,6 +80,7 @@
         '_news',
         '_wake',
         '_watching',
+        '_watched_since',
         'presence',
         'listed',
         'revision',
@@ -117,6 +118,7 @@
         self._news = peer_news.PeerNews(clock=clock)
         self._wake = anyio.Event()
         self._watching: anyio.CancelScope | None = None
+        self._watched_since = float('-inf')
         self.listed = False
         self.revision = 0
         self.change_revision = 0
@@ -193,7 +195,11 @@
         if ahead and self._watching is not None:
             logging.info(
                 'watch behind peers',
-                extra=logs.fields(revision=self.revision, heard=ahead),
+                extra=logs.fields(
+                    revision=self.revision,
+                    heard=ahead,
+                    waited=round(self._clock() - self._watched_since, 3),
+                ),
             )
             self._watching.cancel()
 
@@ -370,7 +376,7 @@
             if self.relies_on_peers():
                 await self._follow_peers()
             asked_after = self.revision
-            asked_at = self._clock()
+            self._watched_since = self._clock()
             found: (
                 listings.Changes
                 | listings.HistoryGone
@@ -401,8 +407,9 @@
                     )
                     return
                 case store.Unavailable(detail=detail):
-                    self.store.note_failure(detail)
-                    if self._clock() - asked_at < RETRY_SECONDS:
+                    waited = self._clock() - self._watched_since
+                    self.store.note_failure(detail, waited=waited)
+                    if waited < RETRY_SECONDS:
                         await self._pause()
                     return
 
--- a/marigoldramp/platform/departure_times.py
+++ b/marigoldramp/platform/departure_times.py
@@ -19,6 +19,9 @@
 #: Log messages of a gateway that gives an endpoint no new requests.
 DEPARTURE_MESSAGES = ('endpoint leaving', 'endpoint gone')
 START_MESSAGE = 'started'
+#: Log messages of a gateway whose own reading of the store has stopped.
+SILENCE_MESSAGES = ('store lost', 'watch behind peers')
+NOTED_MESSAGES = (*DEPARTURE_MESSAGES, START_MESSAGE, *SILENCE_MESSAGES)
 #: A gateway that started within this many seconds before the departure, or
 #: after it, may learn of it late.
 RECENT_START_SECONDS = 4.0
@@ -52,6 +55,8 @@
 
     :ivar since: when the endpoint left, in seconds since the day's start.
     :ivar has_started: the gateway was started shortly before or meanwhile.
+    :ivar lacked_store: the gateway lost the store meanwhile, or its watch of
+        the store stayed behind peers.
     """
 
     seconds: float
@@ -59,6 +64,19 @@
     gateway: str
     since: float
     has_started: bool
+    lacked_store: bool
+
+    @property
+    def is_undisturbed(self) -> bool:
+        """Whether the log shows no reason for the gateway to be late."""
+        return not self.has_started and not self.lacked_store
+
+    @property
+    def mark(self) -> str:
+        """Return why the gateway may be late, for the table."""
+        if self.has_started:
+            return ' (started)'
+        return ' (store silent)' if self.lacked_store else ''
 
 
 def read_lines(text: str) -> Iterator[LogLine]:
@@ -71,7 +89,7 @@
             record = json.loads(line[begin:])
         except ValueError:
             continue
-        if record['message'] in (*DEPARTURE_MESSAGES, START_MESSAGE):
+        if record['message'] in NOTED_MESSAGES:
             yield LogLine(
                 at=float(line.split()[0]),
                 gateway=record['instance'],
@@ -89,9 +107,12 @@
     ]
     known_at: dict[str, dict[str, float]] = collections.defaultdict(dict)
     started_at: dict[str, list[float]] = collections.defaultdict(list)
+    silent_at: dict[str, list[float]] = collections.defaultdict(list)
     for line in read_lines(text):
         if line.message == START_MESSAGE:
             started_at[line.gateway].append(line.at)
+        elif line.message in SILENCE_MESSAGES:
+            silent_at[line.gateway].append(line.at)
         else:
             known_at[line.endpoint].setdefault(line.gateway, line.at)
     delays = []
@@ -102,6 +123,9 @@
                 since - RECENT_START_SECONDS < start < at
                 for start in started_at[gateway]
             )
+            lacked_store = any(
+                since < silent < at for silent in silent_at[gateway]
+            )
             delays.append(
                 Delay(
                     seconds=at - since,
@@ -109,6 +133,7 @@
                     gateway=gateway,
                     since=since,
                     has_started=has_started,
+                    lacked_store=lacked_store,
                 )
             )
     return sorted(delays, reverse=True)
@@ -131,11 +156,14 @@
     yield f'{len(endpoints)} departures, {len(delays)} pairs'
     if not delays:
         return
-    settled = [one.seconds for one in delays if not one.has_started]
-    for name, seconds in (
-        ('all', [one.seconds for one in delays]),
-        ('without restarted gateways', settled),
+    running = [one for one in delays if not one.has_started]
+    undisturbed = [one for one in delays if one.is_undisturbed]
+    for name, group in (
+        ('all', delays),
+        ('without restarted gateways', running),
+        ('and without those that lacked the store', undisturbed),
     ):
+        seconds = [one.seconds for one in group]
         if seconds:
             yield (
                 f'  {name}: median {seconds[len(seconds) // 2]:.2f}, '
@@ -145,10 +173,9 @@
                 f'and {sum(one > bound for one in seconds)} over the bound'
             )
     for one in delays[:ROWS_SHOWN]:
-        mark = ' (started)' if one.has_started else ''
         yield (
             f'  {one.seconds:6.2f} {one.endpoint} {one.gateway} '
-            f'left at {one.since:.2f}{mark}'
+            f'left at {one.since:.2f}{one.mark}'
         )
 
 
--- a/tests/adapter/test_departure_times.py
+++ b/tests/adapter/test_departure_times.py
@@ -68,3 +68,28 @@
     assert list(departure_times.describe([], bound=3.0)) == [
         '0 departures, 0 pairs'
     ]
+
+
+@pytest.mark.parametrize(
+    ('message', 'at', 'lacked_store'),
+    [
+        ('store lost', 6.0, True),
+        ('watch behind peers', 6.0, True),
+        ('store lost', 4.0, False),
+        ('store lost', 7.0, False),
+        ('request ended', 6.0, False),
+    ],
+)
+def test_gateways_that_lacked_the_store_are_told_apart(
+    message, at, lacked_store
+):
+    lines = (
+        make_line(5.0, 'a', 'endpoint leaving', 'i-1'),
+        make_line(6.5, 'b', 'endpoint leaving', 'i-1'),
+        make_line(at, 'b', message),
+    )
+    found = departure_times.find_delays('\n'.join(lines))
+    assert [(one.gateway, one.lacked_store) for one in found] == [
+        ('b', lacked_store),
+        ('a', False),
+    ]
