Add failing tests: departures are not known behind watches that say nothing

The drain fleet let a watch of a silent store fail after a second, and kept only those waiting that were open before. Now a call that begins while the store is silent waits for its connection as long as the call may take, and opening packets go out after 1, 3, 7 and 15 s, as the system sends them.

--- a/tests/gateway/drain_fleet.py
+++ b/tests/gateway/drain_fleet.py
@@ -31,9 +31,12 @@
 
 TICK_SECONDS = 0.1
 CALL_SECONDS = 0.004
-#: Seconds after which a call to a silent store fails, and a watch of it.
+#: Seconds after which a call to a silent store fails.
 CALL_TIMEOUT_SECONDS = 1.0
+#: Seconds after which the probes of an open connection to it fail.
 PROBE_SECONDS = 3.0
+#: Pauses between the opening packets of a connection that nothing answers.
+CONNECT_PAUSE_SECONDS = (1.0, 2.0, 4.0, 8.0, 16.0)
 #: Longest delay of the store's answers to a gateway with the fault ``late``.
 MAX_DELAY_SECONDS = 0.9
 #: Seconds for which watches hear nothing before the history is forgotten.
@@ -197,7 +200,7 @@
         return found
 
     async def watch(self, *, after, seconds):
-        failed = await self.call()
+        failed = await self.call(seconds=CALL_TIMEOUT_SECONDS + seconds)
         if failed:
             return failed
         until = virtual_time.now() + seconds
@@ -222,8 +225,11 @@
                 await self._store.wait_change()
         return listings.Changes(records=(), removed=(), revision=after)
 
-    async def call(self):
-        """Wait for an answer; return the failure if there is none."""
+    async def call(self, *, seconds=CALL_TIMEOUT_SECONDS):
+        """Wait for an answer; return the failure if there is none.
+
+        :param seconds: within which the connection must be open.
+        """
         await anyio.sleep(CALL_SECONDS)
         await self._gateway.wait_while_frozen()
         if self._gateway.rejections:
@@ -232,11 +238,19 @@
         if self._gateway.reaches_store:
             return None
         if self._gateway.store_fault == 'silent':
-            with anyio.move_on_after(CALL_TIMEOUT_SECONDS):
-                await self._gateway.wait_for_store()
+            with anyio.move_on_after(seconds):
+                await self._connect()
                 return None
         return store.Unavailable(detail=self._gateway.store_fault)
 
+    async def _connect(self):
+        """Wait until an opening packet reaches the store."""
+        for pause in CONNECT_PAUSE_SECONDS:
+            await anyio.sleep(pause)
+            if self._gateway.reaches_store:
+                return
+        await anyio.sleep_forever()
+
 
 class Configuration(configurations.ConfigurationSource):
     """A configuration that never changes, in the same store."""
@@ -518,6 +532,14 @@
     def find(self, name):
         return next(one for one in self.gateways if one.name == name)
 
+    def list_readers(self):
+        """Return the gateways that read the store, for others too."""
+        return [
+            one
+            for one in self.gateways
+            if not one.is_down and not one.follower.relies_on_peers()
+        ]
+
     async def fetch(self, *, address):
         """Return the list of a gateway, as a request over HTTP does."""
         other = self.find(address.host)
--- a/tests/gateway/test_departed_endpoints.py
+++ b/tests/gateway/test_departed_endpoints.py
@@ -98,11 +98,8 @@
 
 async def leave_while_readers_restart(fleet):
     """Have an endpoint leave while no gateway reads the store."""
-    reading = [
-        one for one in fleet.gateways if not one.follower.relies_on_peers()
-    ]
     async with anyio.create_task_group() as tasks:
-        for gateway in reading:
+        for gateway in fleet.list_readers():
             tasks.start_soon(
                 gateway.suffer, 'kill', drain_schedules.RESTART_SECONDS
             )
@@ -202,3 +199,62 @@
         gateways=gateways,
         seed=seed,
     )
+
+
+async def cut_readers_off(fleet, seconds):
+    """Have the store be silent for all gateways that read it."""
+    async with anyio.create_task_group() as tasks:
+        for gateway in fleet.list_readers():
+            tasks.start_soon(gateway.suffer, 'silent', seconds)
+
+
+async def leave_after_readers_are_cut_off(fleet):
+    """Have an endpoint leave while watches wait on dead connections."""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(cut_readers_off, fleet, 8.0)
+        await anyio.sleep(0.1)
+        fleet.leave('i-3', reports=True)
+
+
+async def leave_while_readers_connect(fleet):
+    """Have an endpoint leave while watches wait for their connections."""
+    fleet.store.write(fleet.store.records['i-9'])
+    await anyio.sleep(0.1)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(cut_readers_off, fleet, 8.0)
+        await anyio.sleep(0.8)
+        fleet.leave('i-3', reports=True)
+
+
+async def leave_as_one_reader_is_cut_off(fleet):
+    """Have an endpoint leave as one gateway is cut off.
+
+    Nothing changes afterwards, so no other news makes up for the departure.
+    """
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(fleet.list_readers()[0].suffer, 'silent', 7.6)
+        await anyio.sleep(0.1)
+        fleet.leave('i-3', reports=True)
+
+
+@pytest.mark.parametrize('gateways', [6, 12, 39])
+@pytest.mark.parametrize(
+    'play',
+    [
+        leave_after_readers_are_cut_off,
+        leave_while_readers_connect,
+        leave_as_one_reader_is_cut_off,
+    ],
+)
+async def test_silent_watches_do_not_delay_a_departure(
+    gateways, play, monkeypatch
+):
+    """Guards against taking a watch that says nothing for an unchanged list.
+
+    The gateway uses the endpoint until its watch fails, and so do all that
+    rely on it to read the store.
+    """
+    broken = await run(
+        play, monkeypatch, gateways=gateways, bounds=choose_bounds(gateways)
+    )
+    assert not broken
