Ask peers as long as they know more than a watch of the store that is silent

Seen: gateways that were cut off from the store used an endpoint for up to 11.00 s after it had left (bound: 3 s), while their peers told them five times that there was news. No call had failed, so they asked no peer; they began the watch anew once for each revision, and the new one waited for a connection.

A gateway whose watch stays behind its peers now asks them as well, again and again until it is no longer behind.

--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -132,7 +132,7 @@
         """Follow until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._remove_lapsed)
-            tasks.start_soon(self._ask_peers_while_store_is_away)
+            tasks.start_soon(self._ask_peers_while_store_is_silent)
             while True:
                 found = await self._list_endpoints()
                 self._note_answer()
@@ -185,7 +185,8 @@
         """Record what a peer knows of the endpoints.
 
         If this gateway stays behind, its own watch has stalled and is
-        restarted.  Without this it alone would go on using a leaving endpoint.
+        restarted, and peers are asked.  Without this it alone would go on
+        using a leaving endpoint.
         """
         if self._news.merge(peer):
             self._wake.set()
@@ -426,11 +427,17 @@
             with anyio.move_on_after(PEER_POLL_SECONDS):
                 await self._wake.wait()
 
-    async def _ask_peers_while_store_is_away(self) -> None:
-        """Fetch changes from peers while the store does not answer."""
+    async def _ask_peers_while_store_is_silent(self) -> None:
+        """Fetch changes from peers while the store does not answer.
+
+        A watch whose connection is dead says nothing for as long as it may
+        last, and a new one may fare no better.  Only peers that know more
+        show that.
+        """
         while True:
             await anyio.sleep(PEER_POLL_SECONDS)
-            if not self.store.reached:
+            has_stalled = self._watching is not None and self._news.is_behind
+            if has_stalled or not self.store.reached:
                 await self._ask_peers()
 
     async def _ask_peers(self) -> None:
--- a/marigoldramp/gateway/peer_news.py
+++ b/marigoldramp/gateway/peer_news.py
@@ -15,15 +15,23 @@
     """The newest change and the most complete list that any peer has told.
 
     :ivar latest: both in one summary; the sender of each may be another.
+    :ivar is_behind: peers have known more than this gateway for some time.
     """
 
-    __slots__ = ('_clock', '_behind_since', '_stalled_at', 'latest')
+    __slots__ = (
+        '_clock',
+        '_behind_since',
+        '_stalled_at',
+        'latest',
+        'is_behind',
+    )
 
     def __init__(self, *, clock: Callable[[], float]) -> None:
         self._clock = clock
         self._behind_since = float('inf')
         self._stalled_at = 0
         self.latest = listings.Summary(newest=0)
+        self.is_behind = False
 
     def merge(self, told: listings.Summary) -> bool:
         """Take over what a peer has told; return whether it is news."""
@@ -43,6 +51,7 @@
     def note_progress(self) -> None:
         """Record that this gateway's own reading of the store goes on."""
         self._behind_since = float('inf')
+        self.is_behind = False
 
     def find_stall(
         self, held: listings.Summary, *, is_settled: Callable[[], bool]
@@ -56,13 +65,16 @@
         """
         ahead = self._find_revision_ahead(held, is_settled)
         if not ahead:
-            self._behind_since = float('inf')
+            self.note_progress()
             return 0
         now = self._clock()
         self._behind_since = min(self._behind_since, now)
         if now - self._behind_since <= MAX_BEHIND_SECONDS:
             return 0
-        self._behind_since = float('inf')
+        self._behind_since = now
+        self.is_behind = True
+        if ahead <= self._stalled_at:
+            return 0
         self._stalled_at = ahead
         return ahead
 
@@ -71,12 +83,8 @@
     ) -> int:
         """Return the revision by which peers are ahead, 0 if they are not."""
         latest = self.latest
-        if latest.newest > max(held.complete, held.newest, self._stalled_at):
+        if latest.newest > max(held.complete, held.newest):
             return latest.newest
-        if (
-            latest.complete > self._stalled_at
-            and latest.is_more_complete(held)
-            and is_settled()
-        ):
+        if latest.is_more_complete(held) and is_settled():
             return latest.complete
         return 0
