Move the schedule of the configuration's reads into a module of its own

The list of endpoints is to be confirmed by the same order of gateways. No behaviour changes, but that a confirmation of exactly 0.8 s counts as fresh. tests/gateway/test_gateway_state.py and test_restores.py pass.

--- a/marigoldramp/gateway/refresh.py
+++ b/marigoldramp/gateway/refresh.py
@@ -1,11 +1,4 @@
-"""Keeps the configuration up to date.
-
-All gateways together read the store about once per ``MIN_READ_AGE_SECONDS``.
-Those that hear each other have an order: the first reads the store when its
-confirmation is that old, and the others learn the result from its reports.
-Each next one waits longer, so that it reads only if the one before does not.
-A gateway that hears no peer is the first.
-"""
+"""Keeps the configuration up to date."""
 
 from typing import Awaitable
 from typing import Callable
@@ -15,16 +8,9 @@
 from .. import store
 from . import configurations
 from . import dependency_health
+from . import read_schedule
 from . import store_outages
 
-#: Age of the confirmation at which the first gateway reads the store, how much
-#: longer each next one waits, and the age at which every gateway reads.  The
-#: others learn of a read after up to two report intervals.
-MIN_READ_AGE_SECONDS = 0.8
-ADDED_AGE_PER_POSITION_SECONDS = 0.3
-MAX_READ_AGE_SECONDS = 1.4
-#: Interval between two reads of the first gateway while the store fails.
-RETRY_INTERVAL_SECONDS = 0.4
 #: Time after a restore of the store from a backup within which the operator's
 #: changes since that backup are written again.
 RESTORED_SECONDS = 2.2
@@ -52,10 +38,9 @@
         '_source',
         '_from_peers',
         '_clock',
-        '_position',
+        '_schedule',
         '_announced_version',
         '_wake',
-        '_not_before',
         '_outages',
         'store',
     )
@@ -77,10 +62,11 @@
         self._source = source
         self._from_peers = from_peers
         self._clock = clock
-        self._position = position
+        self._schedule = read_schedule.ReadSchedule(
+            clock=clock, position=position
+        )
         self._announced_version = 0
         self._wake = anyio.Event()
-        self._not_before = float('-inf')
         self.store = dependency_health.DependencyHealth(
             name='store', use='configuration', clock=clock
         )
@@ -101,20 +87,13 @@
                 await self._wake.wait()
 
     def _is_due(self) -> bool:
-        now = self._clock()
-        if now < self._not_before:
+        if not self._schedule.may_read():
             return False
         if self._announced_version > self._configuration.version:
             return True
-        age = now - self._configuration.confirmed_at
-        if age <= MIN_READ_AGE_SECONDS:
-            # Finding the position takes a look at all peers.
-            return False
-        due_age = (
-            MIN_READ_AGE_SECONDS
-            + ADDED_AGE_PER_POSITION_SECONDS * self._position()
+        return self._schedule.is_due(
+            confirmed_at=self._configuration.confirmed_at
         )
-        return age > min(MAX_READ_AGE_SECONDS, due_age)
 
     async def _refresh(self) -> None:
         if self._announced_version > self._configuration.version:
@@ -123,7 +102,9 @@
             await self._fetch_from_peers()
         if (
             self._announced_version <= self._configuration.version
-            and self._is_fresh()
+            and self._schedule.is_fresh(
+                confirmed_at=self._configuration.confirmed_at
+            )
         ):
             return
         asked_at = self._clock()
@@ -137,24 +118,18 @@
                 if self._configuration.confirmed_at < asked_at:
                     # The store was restored from a backup; all gateways wait
                     # for the newer document.
-                    self._pause()
+                    self._schedule.pause()
             case store.Absent():
                 self._note_answer()
-                self._not_before = self._clock() + CHECK_INTERVAL_SECONDS
+                self._schedule.wait(CHECK_INTERVAL_SECONDS)
             case store.Unavailable(detail=detail):
                 self.store.note_failure(detail)
-                self._pause()
+                self._schedule.pause()
 
     def _note_answer(self) -> None:
         self.store.note_answer()
         self._outages.note_answer()
 
-    def _pause(self) -> None:
-        """Delay the next read, longer for gateways later in the order."""
-        self._not_before = self._clock() + dependency_health.scale_retry_delay(
-            RETRY_INTERVAL_SECONDS, position=self._position()
-        )
-
     def _find_confirmation_time(self, asked_at: float) -> float:
         """Return when a document that was read counts as the newest.
 
@@ -166,10 +141,6 @@
             return float('-inf')
         return asked_at
 
-    def _is_fresh(self) -> bool:
-        age = self._clock() - self._configuration.confirmed_at
-        return age < MIN_READ_AGE_SECONDS
-
     async def _fetch_from_peers(self) -> None:
         """Fetch a newer version from a peer that has announced it.
 
