Confirm the list of endpoints by timed reads of the store, shared by all gateways

Seen: if all gateways that read the store begin their watches while they are cut off from it, nobody notices. In virtual time, 30 of 39 gateways without any fault of their own used an endpoint for up to 14.6 s after it had left (bound: 3 s), as those they relied on had no failed call.

Cause: that no call has failed was taken for current knowledge. A watch that says nothing confirms nothing.

The list now has the time at which it was last known to have all changes, as the configuration has. Reports tell its age; a peer's confirmation counts if this gateway holds what the peer holds. A failed read says that the store is silent, so that peers are asked and no longer rely on this gateway. An answer without changes does not raise the revision: watches, and maybe reads, miss changes for a moment before the store drops its history.

FakeEndpoints replaced the event that another call waited for.

--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -15,6 +15,7 @@
 from . import listings
 from . import peer_news
 from . import presence as presence_module
+from . import read_schedule
 from .balancing import endpoints
 
 #: Limit of the duration of one watch, a long poll of the store.
@@ -59,10 +60,13 @@
         of them, or ``None``.
     :param position: returns how many peers try the store before this gateway
         while it is unavailable and would report its return.
+    :param read_position: returns how many peers confirm the list by the store
+        before this gateway.
     :param find_cold_seconds: returns for how much longer an endpoint is cold,
         ``None`` if it is not known.
     :ivar listed: whether a list of endpoints has been applied.
     :ivar revision: the store's revision up to which changes are known.
+    :ivar confirmed_at: when the list was last known to have all changes.
     :ivar store: whether the store answers calls about endpoints.
     :ivar change_revision: revision of the newest known change of an endpoint.
     :ivar settled_revision: newest ``change_revision`` at which the list was
@@ -87,6 +91,8 @@
         'change_revision',
         'settled_revision',
         '_asked_at',
+        '_schedule',
+        'confirmed_at',
         'relies_on_peers',
         'store',
     )
@@ -102,6 +108,7 @@
         relies_on_peers: Callable[[], bool] = lambda: False,
         fetch_from_peers: FetchFromPeers | None = None,
         position: Callable[[], int] = lambda: 0,
+        read_position: Callable[[], int] = lambda: 0,
         find_cold_seconds: Callable[[endpoints.Endpoint], float | None] = (
             lambda endpoint: endpoint.record.cold_seconds
         ),
@@ -124,6 +131,10 @@
         self.change_revision = 0
         self.settled_revision = 0
         self._asked_at = float('-inf')
+        self._schedule = read_schedule.ReadSchedule(
+            clock=clock, position=read_position
+        )
+        self.confirmed_at = float('-inf')
         self.store = dependency_health.DependencyHealth(
             name='store', use='endpoints', clock=clock
         )
@@ -133,6 +144,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._remove_lapsed)
             tasks.start_soon(self._ask_peers_while_store_is_silent)
+            tasks.start_soon(self._confirm_list)
             while True:
                 found = await self._list_endpoints()
                 self._note_answer()
@@ -156,22 +168,31 @@
     async def _try_to_list(
         self, found: list[listings.Listing], calls: anyio.CancelScope
     ) -> None:
-        """List the endpoints once; end all calls if the store answers.
+        """List the endpoints once; end all calls if the store answers."""
+        listing = await self._list_once()
+        if listing is not None:
+            found.append(listing)
+            calls.cancel()
+
+    async def _list_once(self) -> listings.Listing | None:
+        """List the endpoints; return ``None`` if the store does not answer.
 
         A list that was made before a peer's list, which arrived meanwhile, is
         discarded: it can have endpoints that have left since.
         """
         known = self.revision
+        asked_at = self._clock()
         match await self._source.list_all():
             case listings.Listing(revision=revision) if self._has_passed(
                 revision, since=known
             ):
-                return
+                return None
             case listings.Listing() as listing:
-                found.append(listing)
-                calls.cancel()
+                self.confirmed_at = max(self.confirmed_at, asked_at)
+                return listing
             case store.Unavailable(detail=detail):
                 self.store.note_failure(detail)
+        return None
 
     def _has_passed(self, revision: int, *, since: int) -> bool:
         """Whether more than a revision became known during a call.
@@ -181,18 +202,27 @@
         """
         return self.revision > max(revision, since)
 
-    def note_peer(self, peer: listings.Summary) -> None:
+    def note_peer(
+        self,
+        peer: listings.Summary,
+        *,
+        confirmed_at: float = float('-inf'),
+    ) -> None:
         """Record what a peer knows of the endpoints.
 
         If this gateway stays behind, its own watch has stalled and is
         restarted, and peers are asked.  Without this it alone would go on
         using a leaving endpoint.
+
+        :param confirmed_at: when the list of the peer was last known to have
+            all changes.
         """
         if self._news.merge(peer):
             self._wake.set()
-        ahead = self._news.find_stall(
-            self.summarize_held(), is_settled=self._is_settled
-        )
+        held = self.summarize_held()
+        if held.has_all_of(peer):
+            self.confirmed_at = max(self.confirmed_at, confirmed_at)
+        ahead = self._news.find_stall(held, is_settled=self._is_settled)
         if ahead and self._watching is not None:
             logging.info(
                 'watch behind peers',
@@ -207,6 +237,9 @@
     def note_restore(self) -> None:
         """List the endpoints again after the store was restored."""
         self.presence.outages.note_restore()
+        self._restart_watch()
+
+    def _restart_watch(self) -> None:
         if self._watching is not None:
             self._watching.cancel()
 
@@ -440,6 +473,58 @@
             if has_stalled or not self.store.reached:
                 await self._ask_peers()
 
+    async def _confirm_list(self) -> None:
+        """Read changes from the store once the list's confirmation is old.
+
+        A watch that says nothing does not show that the store answers, to
+        this gateway or to the peers that read it for this one.
+        """
+        while True:
+            await anyio.sleep(CHECK_INTERVAL_SECONDS)
+            if self.listed and self._is_read_due():
+                await self._read_changes()
+
+    def _is_read_due(self) -> bool:
+        if self.store.reached:
+            is_due = self._schedule.is_due(confirmed_at=self.confirmed_at)
+        else:
+            is_due = self._schedule.may_read()
+        # While the endpoints are listed, the store is called often enough.
+        return is_due and (
+            self._watching is not None or self.relies_on_peers()
+        )
+
+    async def _read_changes(self) -> None:
+        """Ask the store for changes without waiting for one.
+
+        An answer without any confirms the list, but does not raise its
+        revision: for a moment before the store drops its history, changes may
+        be missing in it.
+        """
+        asked_after = self.revision
+        asked_at = self._clock()
+        found = await self._source.watch(after=asked_after, seconds=0.0)
+        match found:
+            case listings.Changes(revision=revision):
+                self._note_answer()
+                self.confirmed_at = max(self.confirmed_at, asked_at)
+                is_news = bool(found.records or found.removed)
+                if is_news and not self._has_passed(
+                    revision, since=asked_after
+                ):
+                    self.apply_changes(found)
+                    self._restart_watch()
+            case listings.HistoryGone():
+                listing = await self._list_once()
+                if listing is not None:
+                    self._note_answer()
+                    self.apply_listing(listing)
+            case store.Unavailable(detail=detail):
+                self.store.note_failure(
+                    detail, waited=self._clock() - asked_at
+                )
+                self._schedule.pause()
+
     async def _ask_peers(self) -> None:
         """Fetch the endpoints of a peer that knows more of them."""
         if self._fetch_from_peers is None or not self._is_peer_due():
--- a/marigoldramp/gateway/listings.py
+++ b/marigoldramp/gateway/listings.py
@@ -47,6 +47,14 @@
             self.complete > other.complete and self.checksum != other.checksum
         )
 
+    def has_all_of(self, other: 'Summary') -> bool:
+        """Whether a settled list has no change that this one lacks."""
+        if not other.complete:
+            return False
+        return (
+            self.complete >= other.complete or self.checksum == other.checksum
+        )
+
 
 class Changes(msgspec.Struct, frozen=True, kw_only=True):
     """The changes up to a revision of the store.
--- a/marigoldramp/gateway/peer_reports.py
+++ b/marigoldramp/gateway/peer_reports.py
@@ -130,6 +130,8 @@
     :ivar complete: revision of the store up to which the sender's list of
         endpoints is complete; 0 if the list is not known to be complete.
     :ivar checksum: checksum of that list.
+    :ivar complete_age: seconds since that list was last confirmed to have all
+        changes; negative if it never was.
     """
 
     instance: str
@@ -167,6 +169,7 @@
     ready_seconds: int = MAX_READY_SECONDS
     complete: int = 0
     checksum: int = 0
+    complete_age: float = -1.0
 
     def summarize_endpoints(self) -> listings.Summary:
         """Return what the sender knows of the endpoints."""
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -219,6 +219,7 @@
             position=lambda: self.peers.find_retry_position(
                 capacity=self.settings.capacity
             ),
+            read_position=self._find_read_position,
             find_cold_seconds=self.cold_starts.find_remaining,
         )
         is_evacuation_on = settings.bounds.evacuate is not None
--- a/marigoldramp/gateway/reporting.py
+++ b/marigoldramp/gateway/reporting.py
@@ -141,8 +141,14 @@
         )
         self._components.containment.exchange.handle_report(report)
         self._components.refresher.note_peer_version(report.version)
-        self._components.follower.note_peer(report.summarize_endpoints())
-        self._apply_confirmation(report)
+        self._components.follower.note_peer(
+            report.summarize_endpoints(),
+            confirmed_at=self._find_time(report, age=report.complete_age),
+        )
+        self._components.active_configuration.confirm(
+            version=report.version,
+            newest_at=self._find_time(report, age=report.version_age),
+        )
         if report.revision_age >= 0.0:
             self._components.follower.presence.outages.note_answer(
                 age=report.revision_age
@@ -193,6 +199,7 @@
             settled=known.settled,
             complete=known.complete,
             checksum=known.checksum,
+            complete_age=_age(now, components.follower.confirmed_at),
             in_flight={
                 endpoint.identity: endpoint.own_requests
                 for endpoint in components.table
@@ -291,19 +298,19 @@
             self._components.refresher.store.reached_at,
         )
 
-    def _apply_confirmation(self, report: peer_reports.Report) -> None:
-        """Record when a peer last knew its version to be the newest.
+    def _find_time(self, report: peer_reports.Report, *, age: float) -> float:
+        """Return the earliest time that an age in a report can mean.
 
         Only the echo of a report of this gateway shows how old the peer's
         report can be, including its time on the way and unread here.
+
+        :param age: seconds before the report was made, negative for never.
         """
-        if report.version_age < 0.0 or not report.echo:
-            return
-        if report.echo_incarnation == self._incarnation:
-            self._components.active_configuration.confirm(
-                version=report.version,
-                newest_at=report.echo - report.version_age,
-            )
+        if age < 0.0 or not report.echo:
+            return float('-inf')
+        if report.echo_incarnation != self._incarnation:
+            return float('-inf')
+        return report.echo - age
 
     def _apply_slowness(self, report: peer_reports.Report) -> None:
         for identity, slowness in report.slow_endpoints.items():
--- a/tests/gateway/drain_fleet.py
+++ b/tests/gateway/drain_fleet.py
@@ -205,7 +205,7 @@
             return failed
         until = virtual_time.now() + seconds
         cuts = self._store.cuts
-        while virtual_time.now() < until:
+        while True:
             if self._store.cuts > cuts:
                 return store.Unavailable(detail='cut')
             found = self._store.find_changes(after)
@@ -221,9 +221,10 @@
                     await self._gateway.wait_for_store()
                     continue
                 return store.Unavailable(detail='silent')
+            if virtual_time.now() >= until:
+                return listings.Changes(records=(), removed=(), revision=after)
             with anyio.move_on_after(TICK_SECONDS):
                 await self._store.wait_change()
-        return listings.Changes(records=(), removed=(), revision=after)
 
     async def call(self, *, seconds=CALL_TIMEOUT_SECONDS):
         """Wait for an answer; return the failure if there is none.
@@ -369,9 +370,7 @@
             source=Configuration(source),
             from_peers=self._fetch_no_configuration,
             clock=now,
-            position=lambda: len(
-                self.peers.list_earlier_readers(capacity=self.capacity)
-            ),
+            position=self._find_read_position,
             outages=outages,
         )
         self.follower = discovery.EndpointFollower(
@@ -391,6 +390,7 @@
             position=lambda: self.peers.find_retry_position(
                 capacity=self.capacity
             ),
+            read_position=self._find_read_position,
         )
         self._due_at = {}
         fleet.tasks.start_soon(self._run, self._scope)
@@ -413,6 +413,9 @@
             self._report,
         ]
 
+    def _find_read_position(self):
+        return len(self.peers.list_earlier_readers(capacity=self.capacity))
+
     def _relies_on_peers(self):
         return self.peers.has_enough_store_readers(capacity=self.capacity)
 
@@ -462,7 +465,6 @@
             follower.store.reached_at, self.refresher.store.reached_at
         )
         now = virtual_time.now()
-        confirmed_at = self.configuration.confirmed_at
         return site.make_report(
             self.name,
             host=self.name,
@@ -472,12 +474,13 @@
             capacity=self.capacity,
             period=interval,
             version=self.configuration.version,
-            version_age=now - confirmed_at if confirmed_at >= 0.0 else -1.0,
+            version_age=_find_age(now, self.configuration.confirmed_at),
             revision=known.newest,
-            revision_age=now - reached_at if reached_at >= 0.0 else -1.0,
+            revision_age=_find_age(now, reached_at),
             settled=known.settled,
             complete=known.complete,
             checksum=known.checksum,
+            complete_age=_find_age(now, follower.confirmed_at),
             can_lead=follower.store.reached and follower.listed,
         )
 
@@ -487,7 +490,12 @@
             return
         if self.peers.apply_report(report) is None:
             return
-        self.follower.note_peer(report.summarize_endpoints())
+        confirmed_at = float('-inf')
+        if report.complete_age >= 0.0:
+            confirmed_at = report.sent - report.complete_age
+        self.follower.note_peer(
+            report.summarize_endpoints(), confirmed_at=confirmed_at
+        )
         if report.version_age >= 0.0:
             self.configuration.confirm(
                 version=report.version,
@@ -502,6 +510,10 @@
         return not self.faults.total() and now - self.disturbed_at > seconds
 
 
+def _find_age(now, at):
+    return now - at if at >= 0.0 else -1.0
+
+
 class Fleet:
     """Gateways and the store.
 
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -128,7 +128,9 @@
         if not self.changes:
             with anyio.move_on_after(seconds):
                 await self.changed.wait()
-        self.changed = anyio.Event()
+        if self.changed.is_set():
+            # Another call may wait for it as well.
+            self.changed = anyio.Event()
         if self.away:
             return store.Unavailable(detail='away')
         if self.changes:
--- a/tests/gateway/test_gateway_state.py
+++ b/tests/gateway/test_gateway_state.py
@@ -804,6 +804,78 @@
         tasks.cancel_scope.cancel()
 
 
+class CountedReads(site.FakeEndpoints):
+    """Counts the reads that wait for no change."""
+
+    def __init__(self):
+        super().__init__()
+        self.reads = 0
+
+    async def watch(self, *, after, seconds):
+        if not seconds:
+            self.reads += 1
+        return await super().watch(after=after, seconds=seconds)
+
+
+@pytest.mark.parametrize(
+    ('complete', 'age', 'expected'),
+    [(1, 0.0, 0), (0, 0.0, 5), (2, 0.0, 5), (1, 3.0, 5)],
+    ids=['confirmed', 'not settled', 'peer ahead', 'old'],
+)
+async def test_list_that_nobody_confirms_is_read_again(
+    complete, age, expected
+):
+    """Guards against taking a watch that says nothing for an answer."""
+    source = CountedReads()
+    follower, _, _ = make_follower(source=source)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follower.run)
+        for _ in range(50):
+            await anyio.sleep(0.1)
+            follower.note_peer(
+                listings.Summary(newest=0, complete=complete, checksum=7),
+                confirmed_at=virtual_time.now() - age,
+            )
+        tasks.cancel_scope.cancel()
+    assert source.reads == expected
+
+
+async def test_change_that_only_a_read_shows_restarts_the_watch():
+    """Guards against waiting on a watch whose connection is dead."""
+    source = site.FakeEndpoints()
+    source.records = [site.make_record(EndpointStub('i-1'))]
+    follower, table, _ = make_follower(source=source)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follower.run)
+        await anyio.sleep(0.5)
+        watch = follower._watching
+        source.changes = [
+            listings.Changes(records=(), removed=('i-1',), revision=9)
+        ]
+        await anyio.sleep(1.0)
+        assert table.find('i-1') is None
+        assert watch.cancel_called
+        assert not follower._watching.cancel_called
+        tasks.cancel_scope.cancel()
+
+
+async def test_history_that_is_gone_for_a_read_is_listed():
+    """Guards against a list that stays old as its revision does."""
+    source = site.FakeEndpoints()
+    source.records = [site.make_record(EndpointStub('i-1'))]
+    follower, table, _ = make_follower(source=source)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follower.run)
+        await anyio.sleep(0.5)
+        source.records = []
+        source.revision = 30
+        source.changes = [listings.HistoryGone()]
+        await anyio.sleep(1.0)
+        tasks.cancel_scope.cancel()
+    assert table.find('i-1') is None
+    assert follower.revision == 30
+
+
 def test_list_after_a_restore_without_era_is_applied():
     """Guards against endpoints that are never learned after a restore.
 
--- a/tests/gateway/test_reporting.py
+++ b/tests/gateway/test_reporting.py
@@ -193,3 +193,43 @@
             assert outages._answered_at[-1] == pytest.approx(
                 now - 0.5, abs=0.3
             )
+
+
+@pytest.mark.parametrize(
+    ('echo_age', 'age', 'is_own_echo', 'expected'),
+    [
+        (0.25, 0.5, True, -0.75),
+        (0.25, -1.0, True, None),
+        (0.25, 0.5, False, None),
+        (None, 0.5, True, None),
+    ],
+    ids=['told', 'never confirmed', 'earlier process', 'no echo'],
+)
+async def test_peer_confirms_the_list_as_of_when_it_was_asked(
+    echo_age, age, is_own_echo, expected
+):
+    """Guards against an old list that counts as new after a freeze."""
+    one = fake.FakeEndpoint(identity='i-1', scripts=[fake.answer()])
+    async with site.run_site(one) as running:
+        gateway = running.gateway
+        known = gateway.follower.summarize_held()
+        gateway.follower.confirmed_at = float('-inf')
+        now = gateway._clock()
+        incarnation = gateway._reporter._incarnation
+        gateway._reporter.apply_report(
+            site.make_report(
+                'entry-2',
+                echo=0.0 if echo_age is None else now - echo_age,
+                echo_incarnation=incarnation if is_own_echo else 1,
+                revision=known.newest,
+                complete=known.complete,
+                checksum=known.checksum,
+                complete_age=age,
+            ),
+            frozenset(),
+        )
+        found = gateway.follower.confirmed_at
+        if expected is None:
+            assert found == float('-inf')
+        else:
+            assert found - now == pytest.approx(expected)
