Bound the time to open a connection to the platform's store

Seen: a watch that began while its gateway was cut off from the store waited for its connection for up to 26 s, as a watch may take, and the system sent opening packets after 1, 3, 7 and 15 s only.

A connection must be open within 1.5 s, which leaves room for one lost packet.

--- a/marigoldramp/api_client.py
+++ b/marigoldramp/api_client.py
@@ -73,13 +73,14 @@
 
     :param address: scheme, host and port.
     :param options: of the sockets.
+    :param connect_seconds: within which a connection must be open.
     :param kept: idle connections that are kept.  With 0 each call has a new
         one, which a connection that has gone silent cannot delay.
     :param limit: gives a context that raises ``TimeoutError`` after a number
         of seconds; tests pass one that they end themselves.
     """
 
-    __slots__ = ('_address', '_limit', '_pool')
+    __slots__ = ('_address', '_connect_seconds', '_limit', '_pool')
 
     def __init__(
         self,
@@ -87,8 +88,10 @@
         address: str,
         kept: int = MOST_CONNECTIONS,
         options: Iterable[tuple[int, int, int]] = (),
+        connect_seconds: float = float('inf'),
         limit: Limit = anyio.fail_after,
     ) -> None:
+        self._connect_seconds = connect_seconds
         self._address = address.rstrip('/')
         self._limit = limit
         self._pool = httpcore.AsyncConnectionPool(
@@ -126,6 +129,7 @@
         timeouts = dict.fromkeys(
             ('connect', 'read', 'write', 'pool'), request.seconds
         )
+        timeouts['connect'] = min(request.seconds, self._connect_seconds)
         async with self._pool.stream(
             request.method,
             self._address + request.path,
--- a/marigoldramp/platform/objects.py
+++ b/marigoldramp/platform/objects.py
@@ -19,6 +19,9 @@
 OBJECTS_PATH = '/marigoldramp/objects'
 #: The store responds within milliseconds, or a few hundred when it is slow.
 MAX_CALL_SECONDS = 1.0
+#: Limit of the time to open a connection, also for a watch.  The system sends
+#: a lost opening packet again after 1 s, and then after ever longer pauses.
+MAX_CONNECT_SECONDS = 1.5
 #: A connection counts as lost if the store acknowledges no TCP probe for this
 #: long.  Short, as an endpoint must get no new request later than 2 s after
 #: it reports that it is leaving.
@@ -152,6 +155,7 @@
         self._client = api_client.ApiClient(
             address=f'http://{address.host}:{address.port}',
             kept=0,
+            connect_seconds=MAX_CONNECT_SECONDS,
             options=tcp_streams.probe_options(MAX_SILENCE_SECONDS),
         )
         self._era_tracker = eras.EraTracker(clock=boot_clock.read_clock)
