Draw endpoints that tell single gateways that they are leaving

A gateway that an endpoint has told is bound also while the store is in disruption; no test drew that beside old lists of peers, records that are written again or are gone for a time, and lost history. A restart excuses it.

--- a/tests/gateway/drain_fleet.py
+++ b/tests/gateway/drain_fleet.py
@@ -273,6 +273,8 @@
     :ivar disturbed_at: end of its last fault.
     :ivar is_down: it is not running.
     :ivar rejections: how many of its next calls the store rejects.
+    :ivar told: starts of endpoints that told it that they are leaving, and
+        when; a restart excuses it.
     """
 
     def __init__(self, number, fleet):
@@ -345,6 +347,7 @@
         now = virtual_time.now
         fleet = self._fleet
         self.incarnation = fleet.random.getrandbits(40)
+        self.told = {}
         self.table = endpoints.EndpointTable(
             data_centre=self.data_centre, random=fleet.random
         )
@@ -400,6 +403,15 @@
         self.is_down = True
         self._scope.cancel()
 
+    def answer_leaving(self, identity):
+        """Have an endpoint answer this gateway that it is leaving."""
+        endpoint = self.table.find(identity)
+        if endpoint is None or self.is_down or self.is_frozen:
+            return
+        self.follower.presence.note_leaving(endpoint.record)
+        start = identity, endpoint.record.born
+        self.told.setdefault(start, virtual_time.now())
+
     async def _run(self, scope):
         with scope:
             async with anyio.create_task_group() as tasks:
@@ -617,12 +629,30 @@
         while True:
             await anyio.sleep(TICK_SECONDS / 2.0)
             now = virtual_time.now()
+            for gateway in self.gateways:
+                self._check_told(gateway, now)
             if now - self.store.disturbed_at <= self.bounds.contact:
                 continue
             for gateway in self.gateways:
                 if gateway.is_in_touch(self.bounds.contact):
                     self._check_gateway(gateway, now)
 
+    def _check_told(self, gateway, now):
+        """Note an endpoint that has itself told a gateway that it leaves.
+
+        That binds the gateway whatever the store or its links suffer.
+        """
+        for (identity, born), since in gateway.told.items():
+            found = gateway.table.find(identity)
+            if found is None or found.is_leaving:
+                continue
+            late = now - since
+            if found.record.born == born and late > self.bounds.drain:
+                self.broken.append(
+                    f'{now:.1f}: {gateway.name} uses {identity} {late:.1f} s '
+                    'after it was told by it'
+                )
+
     def _check_gateway(self, gateway, now):
         for departure in self.store.departures:
             late = now - departure.at
--- a/tests/gateway/drain_schedules.py
+++ b/tests/gateway/drain_schedules.py
@@ -162,3 +162,39 @@
                     for gateway in chosen:
                         seconds = self._random.uniform(0.2, MAX_STALL_SECONDS)
                         tasks.start_soon(gateway.stall, seconds)
+
+
+class ToldSchedule(ShortFailureSchedule):
+    """Also endpoints that tell single gateways that they are leaving.
+
+    Their records stay as they were, are written again without the report, or
+    are gone for a time; other gateways know nothing of it.
+    """
+
+    def __init__(self, fleet, seed):
+        super().__init__(fleet, seed)
+        self._telling = random.Random(f'telling {seed}')
+
+    async def run(self):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(super().run)
+            for number in range(14, 24):
+                delay = self._telling.uniform(0.0, DEPARTURES_WITHIN_SECONDS)
+                tasks.start_soon(self._tell, f'i-{number}', delay)
+
+    async def _tell(self, identity, delay):
+        gateways = self._telling.sample(self._fleet.gateways, 2)
+        event = self._telling.choice(('keep', 'write', 'lapse'))
+        pause = self._telling.uniform(0.0, SERIES_SECONDS)
+        await anyio.sleep(delay)
+        for gateway in gateways:
+            gateway.answer_leaving(identity)
+        await anyio.sleep(pause)
+        record = self._fleet.store.records.get(identity)
+        if record is None or self._fleet.store.fault:
+            return
+        if event == 'lapse':
+            self._fleet.store.remove(identity)
+            await anyio.sleep(pause)
+        if event != 'keep' and not self._fleet.store.fault:
+            self._fleet.store.write(record)
--- a/tests/gateway/test_departed_endpoints.py
+++ b/tests/gateway/test_departed_endpoints.py
@@ -258,3 +258,15 @@
         play, monkeypatch, gateways=gateways, bounds=choose_bounds(gateways)
     )
     assert not broken
+
+
+@pytest.mark.parametrize(
+    ('gateways', 'seed'), [(6, 1), (6, 2), (12, 1), (39, 1)]
+)
+async def test_endpoint_that_told_a_gateway_is_not_used_there(
+    gateways, seed, monkeypatch
+):
+    """Guards against lists that bring back what an endpoint itself denied."""
+    assert not await run_schedule(
+        drain_schedules.ToldSchedule, monkeypatch, gateways=gateways, seed=seed
+    )
