Read each form of a request's target, and end the search for a route

Cause: the search for a route went on from the last slash before the end of the path, and never ended for a path without a leading slash.

The search ends for any text. A target is a path, a URI whose host replaces that of the Host header, or * of OPTIONS; others, and CONNECT, get 400.

--- a/marigoldramp/gateway/inbound.py
+++ b/marigoldramp/gateway/inbound.py
@@ -23,6 +23,7 @@
 from . import codecs
 from . import deployment
 from . import request_bodies
+from . import request_targets
 
 READ_BYTES = 65536
 #: Seconds for which a connection is still read after a response that was sent
@@ -41,7 +42,8 @@
 class Head(msgspec.Struct, frozen=True, kw_only=True):
     """Head of a request.
 
-    :ivar target: path and query as sent.
+    :ivar target: path and query as sent, or ``*``; see
+        :mod:`.request_targets`.
     :ivar headers: all headers; names are in lower case.
     :ivar arrived: when it was complete, by :func:`.boot_clock.read_clock`.
     """
@@ -311,6 +313,12 @@
         except TimeoutError:
             await self._send_error(http.HTTPStatus.REQUEST_TIMEOUT)
             return False
+        except ValueError as error:
+            logging.info(
+                'request not understood', extra=logs.fields(detail=str(error))
+            )
+            await self._send_error(http.HTTPStatus.BAD_REQUEST)
+            return False
         if head is None:
             return False
         if _measure_head(head) > self._limits().head_bytes:
@@ -348,6 +356,7 @@
         """Return the head of the next request; ``None`` if none arrives.
 
         :raises TimeoutError: a head was started and not finished in time.
+        :raises ValueError: the target of the request cannot be read.
         """
         limits = self._limits()
         event = self._h11.next_event()
@@ -415,14 +424,24 @@
 
 
 def _make_head(event: h11.Request) -> Head:
-    headers = list(event.headers)
+    """Return the head of a request.
+
+    :raises ValueError: its target cannot be read.
+    """
+    target = request_targets.parse_target(
+        method=event.method, target=event.target
+    )
+    headers = [
+        (name, target.host or value if name == b'host' else value)
+        for name, value in event.headers
+    ]
     host = b''
     for name, value in headers:
         if name == b'host':
             host = value
     return Head(
         method=event.method,
-        target=event.target,
+        target=target.resource,
         host=host.decode('latin-1'),
         headers=headers,
         arrived=boot_clock.read_clock(),
--- a/marigoldramp/gateway/routes.py
+++ b/marigoldramp/gateway/routes.py
@@ -56,13 +56,12 @@
         prefixes = self._by_host.get(host.partition(':')[0].lower())
         if prefixes is None:
             return None
-        end = len(path)
-        while end:
-            end = path.rfind('/', 0, end) + 1
-            route = prefixes.get(path[:end])
+        end = path.rfind('/')
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
             if route is not None:
                 return route
-            end -= 1
+            end = path.rfind('/', 0, end)
         return None
 
 
