Answer a request that meets an unforeseen fault of the program

The request now gets 500, which promises nothing about whether it has run, the connection ends with it, and the line 'request failed' names the request and the fault. The three rows of the new test failed before.

--- a/marigoldramp/gateway/inbound.py
+++ b/marigoldramp/gateway/inbound.py
@@ -394,8 +394,21 @@
                 logging.info(
                     'caller lost', extra=logs.fields(detail=repr(error))
                 )
+            except Exception:
+                # One request that meets a fault of the program must get an
+                # answer, and must not end what serves the others.
+                logging.exception(
+                    'request failed',
+                    extra=logs.fields(request=exchange.attempt_id),
+                )
+                await self._send_fault(exchange)
             tasks.cancel_scope.cancel()
 
+    async def _send_fault(self, exchange: Exchange) -> None:
+        """Respond to a request of which it is not known whether it has run."""
+        if not exchange.begun:
+            await self._send_error(http.HTTPStatus.INTERNAL_SERVER_ERROR)
+
     async def _cancel_when_closed(self, scope: anyio.CancelScope) -> None:
         await self._stream.wait_end()
         scope.cancel()
--- a/tests/gateway/test_inbound.py
+++ b/tests/gateway/test_inbound.py
@@ -3,6 +3,8 @@
 import anyio
 import pytest
 
+from marigoldramp.gateway import forwarding
+
 from . import fake_endpoint as fake
 from . import site
 
@@ -149,3 +151,23 @@
     assert got.status == 200
     assert [seen.body for seen in one.seen] == [hidden]
     assert 'transfer-encoding' not in one.seen[0].headers
+
+
+@pytest.mark.parametrize('error', [OverflowError, UnicodeError, KeyError])
+async def test_request_that_meets_a_fault_of_the_program_is_answered(
+    error, monkeypatch
+):
+    """Guards against a connection that ends without an answer."""
+    one = make_endpoint(fake.answer())
+
+    async def fail(forwarder, call):
+        raise error('unforeseen')
+
+    monkeypatch.setattr(forwarding.Forwarder, '_serve', fail)
+    async with site.run_site(one) as running:
+        async with site.connect(running) as stream:
+            await site.send_request(stream)
+            got = await site.read_answer(stream)
+    assert got.status == 500
+    assert got.complete
+    assert got.headers['connection'] == 'close'
