--- a/marigoldramp/platform/headers.py
+++ b/marigoldramp/platform/headers.py
@@ -52,6 +52,9 @@
 UNAVAILABLE_STATUS = 503
 MILLISECONDS_PER_SECOND = 1000.0
 
+_COUNT = re.compile(rb'[0-9]{1,9}')
+#: Rate limit in requests per second above which none is ever reached.
+MAX_RATE = 1e6
 _DECIMAL = re.compile(rb'[0-9]+(\.[0-9]+)?')
 
 #: Headers that the gateway sets itself, or must not forward.
@@ -148,10 +151,18 @@
 
 
 def _read_tokens(text: bytes) -> tuple[int, int]:
+    match _read_counts(text):
+        case [prompt, answer]:
+            return prompt, answer
+    return 0, 0
+
+
+def _read_counts(text: bytes) -> list[int]:
+    """Return numbers separated by commas, none if one cannot be read."""
     parts = [part.strip() for part in text.split(b',')]
-    if len(parts) != 2 or not all(part.isdigit() for part in parts):
-        return 0, 0
-    return int(parts[0]), int(parts[1])
+    if not all(_COUNT.fullmatch(part) for part in parts):
+        return []
+    return [int(part) for part in parts]
 
 
 def _read_shared_parts(text: bytes) -> tuple[str, ...]:
@@ -166,11 +177,12 @@
 
 
 def _read_load(text: bytes) -> codecs.ReportedLoad | None:
-    parts = [part.strip() for part in text.split(b',')]
-    if len(parts) != 3 or not all(part.isdigit() for part in parts):
-        return None
-    running, waiting, slots = (int(part) for part in parts)
-    return codecs.ReportedLoad(running=running, waiting=waiting, slots=slots)
+    match _read_counts(text):
+        case [running, waiting, slots]:
+            return codecs.ReportedLoad(
+                running=running, waiting=waiting, slots=slots
+            )
+    return None
 
 
 def _read_leaving(status: int, headers: codecs.Headers) -> bool:
@@ -239,7 +251,7 @@
     if not _DECIMAL.fullmatch(text):
         return None
     rate = float(text)
-    return rate if 0.0 < rate < math.inf else None
+    return min(rate, MAX_RATE) if 0.0 < rate < math.inf else None
 
 
 def _read_cold_seconds(status: int, text: bytes | None) -> float | None:
