Use only endpoints whose records can be acted on

An entry's name outside ASCII ended callers' connections.

Cause: a record was checked for its types, not for what is done with it: its address is connected to, its name is sent in a header, its start is reported to peers. Connecting raised what nobody expected.

An address has a host name or IP and a port from 1 to 65535; a name is printable ASCII; slots and start are bounded. What no connection can have counts as unreached.

Reading by the schema stays as it was.

--- a/marigoldramp/gateway/outbound.py
+++ b/marigoldramp/gateway/outbound.py
@@ -268,7 +268,8 @@
             return Unreached(detail='no connection in time')
         except ConnectionRefusedError as error:
             return Unreached(detail=str(error), refused=True)
-        except OSError as error:
+        except (OSError, ValueError, OverflowError) as error:
+            # A host or port may be one that no connection can have.
             return Unreached(detail=str(error) or type(error).__name__)
         return Connection(stream=stream)
 
--- a/marigoldramp/platform/endpoints.py
+++ b/marigoldramp/platform/endpoints.py
@@ -1,5 +1,7 @@
 """Lists and watches the endpoints that register in the platform's store."""
 
+import re
+
 from absl import logging
 import msgspec
 
@@ -12,6 +14,10 @@
 
 ENDPOINT_KIND = 'servers'
 MILLISECONDS_PER_SECOND = 1000.0
+MAX_SLOTS = 100_000
+#: Latest start of an endpoint, as a Unix time: the year 5138.
+MAX_BORN_MS = 10**14
+_IDENTITY = re.compile(r'[!-~]{1,253}')
 _READY_STATE = 'ready'
 _DRAINING_STATE = 'draining'
 
@@ -106,7 +112,7 @@
     for item in found:
         try:
             records.append(_parse_record(item))
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             logging.warning(
                 'endpoint not understood',
                 extra=logs.fields(name=item.meta.name, detail=str(error)),
@@ -120,6 +126,12 @@
         raise ValueError(f'{spec.state!r} is not an endpoint state')
     if not spec.service:
         raise ValueError('service is empty')
+    if not _IDENTITY.fullmatch(found.meta.name):
+        raise ValueError('the name cannot be sent in a header')
+    if not 0 <= spec.slots <= MAX_SLOTS:
+        raise ValueError(f'{spec.slots} is not a number of slots')
+    if not 0 <= spec.born <= MAX_BORN_MS:
+        raise ValueError(f'{spec.born} is not a time in milliseconds')
     address = settings_file.parse_address(spec.address)
     return deployment.EndpointRecord(
         identity=found.meta.name,
--- a/marigoldramp/platform/settings_file.py
+++ b/marigoldramp/platform/settings_file.py
@@ -1,6 +1,7 @@
 """Reads the platform's settings file (TOML)."""
 
 import os
+import re
 import tomllib
 from typing import Annotated
 
@@ -20,6 +21,9 @@
 
 PositiveFloat = Annotated[float, msgspec.Meta(gt=0)]
 
+MAX_PORT = 65535
+_ADDRESS = re.compile(r'([A-Za-z0-9._-]{1,253}):([0-9]{1,5})')
+
 
 class _Listen(
     msgspec.Struct,
@@ -205,10 +209,10 @@
 
     :raises ValueError: the text has another form.
     """
-    host, colon, port = text.rpartition(':')
-    if not colon or not host or not port.isdigit():
-        raise ValueError(f'{text!r} is not an address and a port')
-    return settings.Address(host=host, port=int(port))
+    found = _ADDRESS.fullmatch(text)
+    if found is None or not 0 < int(found[2]) <= MAX_PORT:
+        raise ValueError(f'{text[:80]!r} is not an address and a port')
+    return settings.Address(host=found[1], port=int(found[2]))
 
 
 def _build_settings(found: _SettingsFile) -> settings.Settings:
--- /dev/null
+++ b/tests/adapter/test_foreign_records.py
@@ -0,0 +1,113 @@
+"""Tests of records that other programs write."""
+
+import msgspec
+import pytest
+
+from marigoldramp import api_client
+from marigoldramp.gateway import outbound
+from marigoldramp.platform import endpoints
+from marigoldramp.platform import objects
+
+pytestmark = pytest.mark.anyio
+SPEC = {
+    'Service': 's',
+    'Address': '10.1.1.1:80',
+    'Zone': 'z',
+    'Slots': 6,
+    'State': 'ready',
+}
+
+
+def encode_entry(name=b'"i-1"', **spec):
+    """Return an entry as bytes; bytes in the spec stand as they are."""
+    parts = []
+    for key, value in (SPEC | spec).items():
+        if not isinstance(value, bytes):
+            value = msgspec.json.encode(value)
+        parts.append(b'"%b":%b' % (key.encode(), value))
+    return b'{"Metadata":{"Name":%b,"Revision":3},"Spec":{%b}}' % (
+        name,
+        b','.join(parts),
+    )
+
+
+def encode_page(*entries):
+    return b'{"Items":[%b],"More":false,"AtRev":7}' % b', '.join(entries)
+
+
+def encode_events(*entries):
+    events = (b'{"Object":%b,"Deleted":false}' % one for one in entries)
+    return b'{"events":[%b],"AtRev":7}' % b','.join(events)
+
+
+class Client:
+    """Answers each call with the same body."""
+
+    def __init__(self, body):
+        self._body = body
+
+    async def call(self, request):
+        return api_client.Reply(status=200, headers=[], body=self._body)
+
+
+def make_source(body):
+    object_store = objects.ObjectStore(
+        address=outbound.Address(host='127.0.0.1', port=1)
+    )
+    object_store._client = Client(body)
+    return endpoints.StoreEndpointSource(objects=object_store)
+
+
+async def read_both(entry):
+    """Return the identities in a list and in changes with two more entries."""
+    others = encode_entry(b'"i-0"'), encode_entry(b'"i-2"')
+    entries = others[0], entry, others[1]
+    listed = await make_source(encode_page(*entries)).list_all()
+    changed = await make_source(encode_events(*entries)).watch(
+        after=1, seconds=0.0
+    )
+    assert listed.revision == changed.revision == 7
+    return [
+        [record.identity for record in found.records]
+        for found in (listed, changed)
+    ]
+
+
+@pytest.mark.parametrize(
+    'entry',
+    [
+        encode_entry(Address=b'"\xff\xfe127.0.0.1:80"'),
+        encode_entry(Address='127.0.0.1:99999'),
+        encode_entry(Address='127.0.0.1:0'),
+        encode_entry(Address='a b:80'),
+        encode_entry(Address='127.0.0.1:' + '9' * 5000),
+        encode_entry(b'"\xe2\x82\xac"'),
+        encode_entry(b'"a\\nb"'),
+        encode_entry(Slots=b'9' * 5000),
+        encode_entry(Slots=-1),
+        encode_entry(born=b'9' * 30),
+        encode_entry(born=-1),
+        encode_entry(ColdRemainingMs=b'1e999'),
+        encode_entry(Service=7),
+        b'7',
+        b'{"Metadata":{}}',
+    ],
+)
+async def test_unreadable_entry_hides_no_other_and_is_not_used(entry):
+    """Guards against one entry that ends processes or hides all endpoints."""
+    assert await read_both(entry) == [['i-0', 'i-2']] * 2
+
+
+@pytest.mark.parametrize(
+    'address',
+    [
+        outbound.Address(host='\ufffd127.0.0.1', port=80),
+        outbound.Address(host='127.0.0.1', port=99999),
+        outbound.Address(host='a' * 300, port=80),
+    ],
+)
+async def test_address_that_none_can_have_is_not_reached(address):
+    """Guards against an address that raises out of a task of the process."""
+    pool = outbound.Pool(max_idle=1)
+    found = await pool.open(address=address, seconds=1.0)
+    assert isinstance(found, outbound.Unreached)
