Read the other entries of a page of the store that has a damaged one

A page that the decoder refuses is taken apart without recursion. Half surrogate pairs are replaced, as bytes that are not UTF-8 are; an entry that still cannot be read is left out and logged.

test_foreign_records.py: the rows with such entries failed before; 900 drawn pages raise nothing now.

--- a/marigoldramp/platform/objects.py
+++ b/marigoldramp/platform/objects.py
@@ -12,6 +12,7 @@
 from .. import logs
 from .. import store
 from .. import tcp_streams
+from . import broken_json
 from . import eras
 from ..gateway import boot_clock
 from ..gateway import settings
@@ -27,6 +28,8 @@
 #: it reports that it is leaving.
 MAX_SILENCE_SECONDS = 3
 MILLISECONDS_PER_SECOND = 1000.0
+#: What decoding raises for malformed and for too deeply nested documents.
+DECODE_ERRORS = (msgspec.MsgspecError, RecursionError)
 JSON_HEADERS = [(b'content-type', b'application/json')]
 
 Reply = api_client.Reply
@@ -386,21 +389,54 @@
         return store.Unavailable(detail=reply.detail)
     if reply.status != http.HTTPStatus.OK:
         return store.Unavailable(detail=f'status {reply.status}')
+    body = _replace_invalid_utf8(reply.body)
     try:
-        return msgspec.json.decode(
-            _replace_invalid_utf8(reply.body), type=expected_type
-        )
-    except msgspec.MsgspecError as error:
+        return msgspec.json.decode(body, type=expected_type)
+    except DECODE_ERRORS as error:
         return store.Unavailable(detail=f'malformed response: {error}')
 
 
+def _decode_page(
+    reply: Reply | Failure, expected_type: type[T], *, array: str
+) -> T | store.Unavailable:
+    """Decode a response with an array of objects, of which some are damaged.
+
+    :param array: name of the array.  Elements that cannot be read at all are
+        left out.
+    """
+    found = _decode(reply, expected_type)
+    if isinstance(reply, Failure) or not isinstance(found, store.Unavailable):
+        return found
+    body = broken_json.replace_lone_surrogates(
+        _replace_invalid_utf8(reply.body)
+    )
+    split = broken_json.split_array(body, name=array)
+    if split is None:
+        return found
+    readable = split.join(one for one in split.items if _is_readable(one))
+    return _decode(
+        msgspec.structs.replace(reply, body=readable), expected_type
+    )
+
+
+def _is_readable(item: bytes) -> bool:
+    try:
+        msgspec.json.decode(item, type=msgspec.Raw)
+    except DECODE_ERRORS as error:
+        logging.warning(
+            'object not understood', extra=logs.fields(detail=str(error))
+        )
+        return False
+    return True
+
+
 def _replace_invalid_utf8(body: bytes) -> bytes:
     """Replace bytes that are not UTF-8 by replacement characters."""
     return body.decode(errors='replace').encode()
 
 
 def _parse_page(reply: Reply | Failure) -> Page | store.Unavailable:
-    found = _decode(reply, _PageResponse)
+    found = _decode_page(reply, _PageResponse, array='Items')
     if isinstance(found, store.Unavailable):
         return found
     items = [_parse_object(raw) for raw in found.items]
@@ -412,7 +448,7 @@
 
 
 def _parse_events(reply: Reply | Failure) -> Events | store.Unavailable:
-    found = _decode(reply, _EventsResponse)
+    found = _decode_page(reply, _EventsResponse, array='events')
     if isinstance(found, store.Unavailable):
         return found
     events = []
@@ -432,13 +468,13 @@
     """
     try:
         return msgspec.json.decode(raw, type=Object)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         logging.warning(
             'object not understood', extra=logs.fields(detail=str(error))
         )
     try:
         named = msgspec.json.decode(raw, type=_NameOnlyObject)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         # Without a name it can only be skipped; it is logged above.
         return None
     return Object(meta=Metadata(name=named.meta.name))
@@ -456,7 +492,7 @@
     if reply.status in (http.HTTPStatus.OK, http.HTTPStatus.CREATED):
         try:
             found = msgspec.json.decode(reply.body, type=Object)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             return store.Uncertain(detail=f'malformed response: {error}')
         return store.Written(key=key, version=found.meta.revision)
     if reply.status >= 500 and reply.status != 503:
--- a/tests/adapter/test_foreign_records.py
+++ b/tests/adapter/test_foreign_records.py
@@ -1,14 +1,18 @@
 """Tests of records that other programs write."""
 
+import random
+
 import msgspec
 import pytest
 
 from marigoldramp import api_client
 from marigoldramp.gateway import outbound
+from marigoldramp.platform import broken_json
 from marigoldramp.platform import endpoints
 from marigoldramp.platform import objects
 
 pytestmark = pytest.mark.anyio
+DEEP = b'[' * 3000 + b']' * 3000
 SPEC = {
     'Service': 's',
     'Address': '10.1.1.1:80',
@@ -83,6 +87,9 @@
         encode_entry(Address='127.0.0.1:' + '9' * 5000),
         encode_entry(b'"\xe2\x82\xac"'),
         encode_entry(b'"a\\nb"'),
+        encode_entry(b'"\\ud800"'),
+        encode_entry(Zone=DEEP),
+        encode_entry(More=DEEP),
         encode_entry(Slots=b'9' * 5000),
         encode_entry(Slots=-1),
         encode_entry(born=b'9' * 30),
@@ -98,6 +105,29 @@
     assert await read_both(entry) == [['i-0', 'i-2']] * 2
 
 
+async def test_entry_with_half_a_surrogate_pair_elsewhere_is_used():
+    entry = encode_entry(More=b'"\\udfff \\\\ud800 \\ud83d\\ude00"')
+    assert await read_both(entry) == [['i-0', 'i-1', 'i-2']] * 2
+
+
+PIECES = (
+    *(b'{', b'}', b'[', b']', b',', b':', b'"', b'\\', b'"Items":[', b'1'),
+    *(b'\\ud800', b'\xff', b'null', b'"Name"', b'-', b'e9', b'9' * 400, DEEP),
+)
+
+
+@pytest.mark.parametrize('seed', range(3))
+async def test_drawn_entries_hide_no_other(seed):
+    """Guards against bytes of another program that raise when read."""
+    draw = random.Random(seed)
+    for _ in range(300):
+        noise = b''.join(draw.choices(PIECES, k=draw.randint(1, 6)))
+        body = encode_page(encode_entry(b'"i-0"'), encode_entry(More=noise))
+        await make_source(body).list_all()
+        await make_source(noise).list_all()
+        broken_json.split_array(noise, name='Items')
+
+
 @pytest.mark.parametrize(
     'address',
     [
