Run the tests of four files at a time

Parameters that were drawn anew or came in no fixed order have fixed ones now, as all workers must collect the same tests; workers send their part of the fault matrix, which is printed as before.

--- a/Makefile
+++ b/Makefile
@@ -17,11 +17,15 @@
 demo-up: $(VENV)/installed
 	$(BIN)/python -m marigoldramp_standins.demo --stay
 
+# Tests run in WORKERS processes; those of a file in the same one.
+WORKERS ?= 4
+PYTEST := $(BIN)/python -m pytest --numprocesses $(WORKERS) --dist loadfile
+
 test: $(VENV)/installed
-	$(BIN)/python -m pytest
+	$(PYTEST)
 
 test-long: $(VENV)/installed
-	HYPOTHESIS_PROFILE=long $(BIN)/python -m pytest
+	HYPOTHESIS_PROFILE=long $(PYTEST)
 
 # SEEDS and FIRST choose the seeds: make soak SEEDS=50 FIRST=1 MORE=--ends
 SEEDS ?= 5
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -46,6 +46,22 @@
         row.checks += cell.checks
         row.outcomes[cell.outcome] += 1
 
+    def describe(self):
+        """Return the rows as values that one process can send another."""
+        return {
+            name: dataclasses.asdict(row) | {'outcomes': dict(row.outcomes)}
+            for name, row in self.rows.items()
+        }
+
+    def merge(self, described):
+        """Add the rows of another process."""
+        for name, values in described.items():
+            row = self.rows.setdefault(name, _Row())
+            row.cells += values['cells']
+            row.checks += values['checks']
+            row.impossible += values['impossible']
+            row.outcomes.update(values['outcomes'])
+
     def add_impossible(self, fault, cells):
         """Count cells that cannot occur, for a stated reason."""
         self.rows.setdefault(fault, _Row()).impossible += cells
@@ -80,6 +96,21 @@
     return _FAULT_TABLE
 
 
+def pytest_sessionfinish(session):
+    """Send what a worker of a parallel run has counted to its controller."""
+    output = getattr(session.config, 'workeroutput', None)
+    if output is not None:
+        output['fault_table'] = _FAULT_TABLE.describe()
+
+
+@pytest.hookimpl(optionalhook=True)
+def pytest_testnodedown(node, error):
+    """Take over what a worker has counted, if it has not crashed."""
+    _FAULT_TABLE.merge(
+        getattr(node, 'workeroutput', {}).get('fault_table', {})
+    )
+
+
 def pytest_terminal_summary(terminalreporter):
     """Print the fault matrix, if any of it was run."""
     if not _FAULT_TABLE.rows:
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -229,11 +229,14 @@
 
 @pytest.mark.parametrize(
     ('shape', 'name'),
-    {
-        (shape, name): None
-        for root in (settings.Settings, bundle.Bundle, Shape)
-        for shape, name in list_fields(root)
-    },
+    sorted(
+        {
+            (shape, name)
+            for root in (settings.Settings, bundle.Bundle, Shape)
+            for shape, name in list_fields(root)
+        },
+        key=lambda field: (field[0].__name__, field[1]),
+    ),
 )
 def test_both_checks_agree(shape, name):
     """What is converted without pydantic would pass its check as well.
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -126,6 +126,7 @@
         ('ann', 'ab', 'malformed'),
         ('ann', 'no hex', 'malformed'),
     ],
+    ids=['unknown', 'key of another', 'short key', 'no key'],
 )
 async def test_wrong_signers_are_refused(name, private, reason):
     platform = RollStore()
