Check unframed answers of endpoints that are leaving, too

Cause: that an endpoint is leaving was taken for a reason why its connections end; it was not asked whether its process had ended in the middle.

All unframed answers are checked. test_unframed_answer_of_a_leaving_endpoint_ is_whole asserted the opposite for an endpoint that ends within its answer: the two cannot be told apart, and a part that looks whole is the worse. It is replaced by one for each case, one that ends (502; failed before) and one that serves on (200). What the checks cost in connections was not measured.

--- a/marigoldramp/gateway/containment.py
+++ b/marigoldramp/gateway/containment.py
@@ -129,8 +129,8 @@
                 await self._detector.note_refused(run.endpoint)
             case attempts.Answer(framed=False) | attempts.Streamed(
                 framed=False
-            ) if not run.endpoint.is_leaving:
-                # One that is leaving may end right after its last answer.
+            ):
+                # Also one that is leaving may be ended in the middle.
                 if await self._detector.note_unframed_end(run):
                     return attempts.Broken(
                         detail='the endpoint ended with an unframed answer',
--- a/tests/gateway/test_ending_parts.py
+++ b/tests/gateway/test_ending_parts.py
@@ -3,7 +3,9 @@
 import anyio
 import pytest
 
+from . import fake_endpoint as fake
 from . import fleet as fleets
+from . import site
 
 pytestmark = pytest.mark.anyio
 #: Limit of sends of requests with a part after it has ended five endpoints and
@@ -68,8 +70,14 @@
         assert not got.complete
 
 
-async def test_unframed_answer_of_a_leaving_endpoint_is_whole(monkeypatch):
-    """Guards against losing the last answer of an endpoint that shuts down."""
+async def test_unframed_answer_of_a_leaving_endpoint_that_ends_is_cut(
+    monkeypatch,
+):
+    """Guards against a part of an answer that looks whole.
+
+    The endpoint has reported its shutdown, and its process is ended in the
+    middle of an answer that it had begun before.
+    """
     async with fleets.run_fleet(monkeypatch, entries=1, endpoints=1) as fleet:
         fleet.ending_part = 'bad'
         fleet.unframed = True
@@ -91,4 +99,31 @@
             [endpoint] = gateway.table
             gateway.follower.presence.note_leaving(endpoint.record)
             fleet.go_on.set()
-        assert answers == [200]
+        assert answers == [502]
+
+
+async def test_unframed_answer_of_a_leaving_endpoint_that_serves_is_whole():
+    """Guards against losing the answers of an endpoint that shuts down."""
+    go_on = anyio.Event()
+    answers = []
+
+    async def answer_unframed(stream, seen):
+        await go_on.wait()
+        await stream.send(f'{fake.head(seen)}\r\nhello'.encode())
+        return False
+
+    one = fake.FakeEndpoint(identity='i-1', scripts=[answer_unframed])
+    async with site.run_site(one) as running:
+
+        async def call_held():
+            async with site.connect(running) as stream:
+                await site.send_request(stream)
+                answers.append(await site.read_answer(stream))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(call_held)
+            await one.arrived.wait()
+            [endpoint] = running.gateway.table
+            running.gateway.follower.presence.note_leaving(endpoint.record)
+            go_on.set()
+    assert [(got.status, got.body) for got in answers] == [(200, b'hello')]
