Move the merging of lists and changes out of the follower of endpoints

No behaviour changes; callers say follower.known. The gateway's tests of state, departures, restores, reports and forwarding pass.

--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -6,12 +6,11 @@
 
 from absl import logging
 import anyio
-import msgspec
 
 from .. import logs
 from .. import store
 from . import dependency_health
-from . import deployment
+from . import endpoint_list
 from . import listings
 from . import peer_news
 from . import presence as presence_module
@@ -64,32 +63,22 @@
         before this gateway.
     :param find_cold_seconds: returns for how much longer an endpoint is cold,
         ``None`` if it is not known.
-    :ivar listed: whether a list of endpoints has been applied.
-    :ivar revision: the store's revision up to which changes are known.
+    :ivar known: the list of endpoints that this gateway holds.
     :ivar confirmed_at: when the list was last known to have all changes.
     :ivar store: whether the store answers calls about endpoints.
-    :ivar change_revision: revision of the newest known change of an endpoint.
-    :ivar settled_revision: newest ``change_revision`` at which the list was
-        settled, see :class:`.listings.Listing`.
     """
 
     __slots__ = (
         '_source',
-        '_table',
         '_clock',
-        '_on_change',
         '_fetch_from_peers',
         '_position',
-        '_find_cold_seconds',
         '_news',
         '_wake',
         '_watching',
         '_watched_since',
         'presence',
-        'listed',
-        'revision',
-        'change_revision',
-        'settled_revision',
+        'known',
         '_asked_at',
         '_schedule',
         'confirmed_at',
@@ -114,22 +103,22 @@
         ),
     ) -> None:
         self._source = source
-        self._table = table
         self._clock = clock
         self.presence = presence
-        self._on_change = on_change
         self.relies_on_peers = relies_on_peers
         self._fetch_from_peers = fetch_from_peers
         self._position = position
-        self._find_cold_seconds = find_cold_seconds
+        self.known = endpoint_list.EndpointList(
+            table=table,
+            presence=presence,
+            is_store_reached=lambda: self.store.reached,
+            on_change=on_change,
+            find_cold_seconds=find_cold_seconds,
+        )
         self._news = peer_news.PeerNews(clock=clock)
         self._wake = anyio.Event()
         self._watching: anyio.CancelScope | None = None
         self._watched_since = float('-inf')
-        self.listed = False
-        self.revision = 0
-        self.change_revision = 0
-        self.settled_revision = 0
         self._asked_at = float('-inf')
         self._schedule = read_schedule.ReadSchedule(
             clock=clock, position=read_position
@@ -148,7 +137,7 @@
             while True:
                 found = await self._list_endpoints()
                 self._note_answer()
-                self.apply_listing(found)
+                self._apply_listing(found)
                 await self._follow_store()
 
     async def _list_endpoints(self) -> listings.Listing:
@@ -180,10 +169,10 @@
         A list that was made before a peer's list, which arrived meanwhile, is
         discarded: it can have endpoints that have left since.
         """
-        known = self.revision
+        known = self.known.revision
         asked_at = self._clock()
         match await self._source.list_all():
-            case listings.Listing(revision=revision) if self._has_passed(
+            case listings.Listing(revision=revision) if self.known.has_passed(
                 revision, since=known
             ):
                 return None
@@ -194,14 +183,6 @@
                 self.store.note_failure(detail)
         return None
 
-    def _has_passed(self, revision: int, *, since: int) -> bool:
-        """Whether more than a revision became known during a call.
-
-        :param since: revision that was known before the call.  A store that
-            answers with a lower one was restored.
-        """
-        return self.revision > max(revision, since)
-
     def note_peer(
         self,
         peer: listings.Summary,
@@ -219,15 +200,15 @@
         """
         if self._news.merge(peer):
             self._wake.set()
-        held = self.summarize_held()
+        held = self.known.summarize_held()
         if held.has_all_of(peer):
             self.confirmed_at = max(self.confirmed_at, confirmed_at)
-        ahead = self._news.find_stall(held, is_settled=self._is_settled)
+        ahead = self._news.find_stall(held, is_settled=self.known.is_settled)
         if ahead and self._watching is not None:
             logging.info(
                 'watch behind peers',
                 extra=logs.fields(
-                    revision=self.revision,
+                    revision=self.known.revision,
                     heard=ahead,
                     waited=round(self._clock() - self._watched_since, 3),
                 ),
@@ -243,162 +224,13 @@
         if self._watching is not None:
             self._watching.cancel()
 
-    def apply_peer_listing(self, listing: listings.Listing) -> None:
-        """Apply a peer's list while this gateway does not ask the store.
-
-        Endpoints are added and marked as leaving; those that are missing in
-        the list are removed only if it is settled.  A list that is complete
-        up to a lower revision than this gateway's shows no departures, and
-        still has endpoints that have left since.
-        """
-        if self.listed and not self._knows_less(listing):
-            return
-        is_complete = listing.settled and listing.revision >= self.revision
-        for record in listing.records:
-            if is_complete or not self._has_left(record):
-                self.presence.put_told(record)
-        logging.info(
-            'endpoints told',
-            extra=logs.fields(
-                endpoints=len(listing.records),
-                settled=listing.settled,
-                newest=listing.newest,
-                before=self.change_revision,
-                complete=listing.revision,
-                complete_before=self.revision,
-            ),
-        )
-        if is_complete:
-            self.presence.drop_unlisted(
-                listing.records, revision=listing.revision
-            )
-            self.revision = listing.revision
-        if listing.settled:
-            self.settled_revision = max(self.settled_revision, listing.newest)
-        self.change_revision = max(self.change_revision, listing.newest)
-        self.listed = True
-        self._log_held()
-        self._on_change()
-
-    def _knows_less(self, listing: listings.Listing) -> bool:
-        """Whether a peer's list may hold something new."""
-        if not listing.settled:
-            return listing.newest > self.change_revision
-        return (
-            listing.newest > self.settled_revision
-            or listing.revision > self.revision
-        )
-
-    def _has_left(self, record: deployment.EndpointRecord) -> bool:
-        """Whether an endpoint has left since its record was written.
-
-        A peer that the store does not answer still lists such endpoints.
-        """
-        if not record.revision or record.revision > self.revision:
-            return False
-        return self._table.find(record.identity) is None
-
-    def apply_listing(self, listing: listings.Listing) -> None:
-        """Apply a complete list; treat missing endpoints as unlisted."""
-        for record in listing.records:
-            self.presence.put_listed(record)
-        self.presence.drop_unlisted(listing.records, revision=listing.revision)
-        self.revision = listing.revision
-        self.change_revision = max(self.change_revision, listing.newest)
-        self.settled_revision = self.change_revision
-        self.listed = True
-        self._news.note_progress()
-        logging.info(
-            'endpoints listed',
-            extra=logs.fields(
-                endpoints=len(listing.records), revision=listing.revision
-            ),
-        )
-        self._log_held()
-        self._on_change()
-
-    def apply_changes(self, changes: listings.Changes) -> None:
-        """Apply the changes that a watch has returned."""
-        for record in changes.records:
-            self.presence.put_written(record)
-        for identity in changes.removed:
-            self.presence.note_unlisted(identity, revision=changes.revision)
-        self.revision = max(self.revision, changes.revision)
-        if changes.records or changes.removed:
-            logging.info(
-                'endpoints changed',
-                extra=logs.fields(
-                    changed=len(changes.records),
-                    removed=len(changes.removed),
-                    revision=changes.revision,
-                    newest=changes.newest,
-                ),
-            )
-            self.change_revision = max(self.change_revision, changes.newest)
-            self.settled_revision = self.change_revision
-            self._log_held()
-            self._on_change()
+    def _apply_listing(self, listing: listings.Listing) -> None:
+        self.known.apply_listing(listing)
         self._news.note_progress()
 
-    def _log_held(self) -> None:
-        """Log what tells whether two gateways hold the same endpoints."""
-        logging.info(
-            'endpoints held',
-            extra=logs.fields(
-                endpoints=len(self._table),
-                checksum=self._table.checksum,
-                revision=self.revision,
-                newest=self.change_revision,
-                settled=self._is_settled(),
-            ),
-        )
-
-    def make_listing(self) -> listings.Listing:
-        """Return the known endpoints, for a peer."""
-        return listings.Listing(
-            records=tuple(
-                self._describe_endpoint(endpoint) for endpoint in self._table
-            ),
-            revision=self.revision,
-            newest=self.change_revision,
-            settled=self._is_settled(),
-        )
-
-    def _describe_endpoint(
-        self, endpoint: endpoints.Endpoint
-    ) -> deployment.EndpointRecord:
-        """Return the record of an endpoint, with what remains of its times.
-
-        The receiver counts them from the arrival of the list.
-        """
-        return msgspec.structs.replace(
-            endpoint.record, cold_seconds=self._find_cold_seconds(endpoint)
-        )
-
-    def _is_settled(self) -> bool:
-        """Whether listed endpoints exist and all others have left.
-
-        That the store answers is not enough: a gateway that relies on peers
-        for endpoints still calls the store for other objects.
-        """
-        if not self.store.reached or not self.presence.is_settled:
-            return False
-        return self.settled_revision >= self.change_revision
-
-    def summarize(self) -> listings.Summary:
-        """Return what this gateway knows, for peers."""
-        if not self._is_settled():
-            return listings.Summary(newest=self.change_revision)
-        return self.summarize_held()
-
-    def summarize_held(self) -> listings.Summary:
-        """Return what this gateway knows, though it may not be settled."""
-        return listings.Summary(
-            newest=self.change_revision,
-            settled=self.settled_revision,
-            complete=self.revision,
-            checksum=self._table.checksum,
-        )
+    def _apply_changes(self, changes: listings.Changes) -> None:
+        self.known.apply_changes(changes)
+        self._news.note_progress()
 
     async def _follow_store(self) -> None:
         """Watch until the store fails or has dropped the needed changes.
@@ -409,7 +241,7 @@
         while True:
             if self.relies_on_peers():
                 await self._follow_peers()
-            asked_after = self.revision
+            asked_after = self.known.revision
             self._watched_since = self._clock()
             found: (
                 listings.Changes
@@ -425,13 +257,13 @@
             match found:
                 case None:
                     continue
-                case listings.Changes(revision=revision) if self._has_passed(
-                    revision, since=asked_after
-                ):
+                case listings.Changes(
+                    revision=revision
+                ) if self.known.has_passed(revision, since=asked_after):
                     continue
                 case listings.Changes():
                     self._note_answer()
-                    self.apply_changes(found)
+                    self._apply_changes(found)
                     if found.records or found.removed:
                         await anyio.sleep(self._find_batch_seconds())
                 case listings.HistoryGone():
@@ -481,7 +313,7 @@
         """
         while True:
             await anyio.sleep(CHECK_INTERVAL_SECONDS)
-            if self.listed and self._is_read_due():
+            if self.known.listed and self._is_read_due():
                 await self._read_changes()
 
     def _is_read_due(self) -> bool:
@@ -501,7 +333,7 @@
         revision: for a moment before the store drops its history, changes may
         be missing in it.
         """
-        asked_after = self.revision
+        asked_after = self.known.revision
         asked_at = self._clock()
         found = await self._source.watch(after=asked_after, seconds=0.0)
         match found:
@@ -509,16 +341,16 @@
                 self._note_answer()
                 self.confirmed_at = max(self.confirmed_at, asked_at)
                 is_news = bool(found.records or found.removed)
-                if is_news and not self._has_passed(
+                if is_news and not self.known.has_passed(
                     revision, since=asked_after
                 ):
-                    self.apply_changes(found)
+                    self._apply_changes(found)
                     self._restart_watch()
             case listings.HistoryGone():
                 listing = await self._list_once()
                 if listing is not None:
                     self._note_answer()
-                    self.apply_listing(listing)
+                    self._apply_listing(listing)
             case store.Unavailable(detail=detail):
                 self.store.note_failure(
                     detail, waited=self._clock() - asked_at
@@ -530,9 +362,9 @@
         if self._fetch_from_peers is None or not self._is_peer_due():
             return
         self._asked_at = self._clock()
-        found = await self._fetch_from_peers(self.summarize_held())
+        found = await self._fetch_from_peers(self.known.summarize_held())
         if found is not None:
-            self.apply_peer_listing(found)
+            self.known.apply_peer_listing(found)
 
     def _is_peer_due(self) -> bool:
         """Whether to ask a peer for changes or for a settled list.
@@ -541,11 +373,11 @@
         seconds.  That it has settled is not announced as a change, so peers
         are polled for it.
         """
-        if self._news.latest.newest > self.change_revision:
+        if self._news.latest.newest > self.known.change_revision:
             return True
-        is_settled = self.settled_revision >= self.change_revision
+        is_settled = self.known.settled_revision >= self.known.change_revision
         if is_settled and not self._news.latest.is_more_complete(
-            self.summarize_held()
+            self.known.summarize_held()
         ):
             return False
         return self._clock() - self._asked_at >= UNSETTLED_RETRY_SECONDS
@@ -574,7 +406,7 @@
             return float('inf')
         if self.store.reached and not self.relies_on_peers():
             return float('inf')
-        if self._news.latest.newest > self.change_revision:
+        if self._news.latest.newest > self.known.change_revision:
             return 0.0
         return self._news.latest.complete
 
--- a/marigoldramp/gateway/peer_exchange.py
+++ b/marigoldramp/gateway/peer_exchange.py
@@ -83,8 +83,8 @@
         path = exchange.head.path
         if path == CONFIGURATION_PATH and self._configuration.document:
             body = self._configuration.document
-        elif path == ENDPOINTS_PATH and self._follower.listed:
-            listing = self._follower.make_listing()
+        elif path == ENDPOINTS_PATH and self._follower.known.listed:
+            listing = self._follower.known.make_listing()
             body = msgspec.json.encode(
                 EndpointList(
                     newest=listing.newest,
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -398,7 +398,7 @@
 
     def is_ready(self) -> bool:
         """Whether callers may be sent here."""
-        if self.leaving or not self.follower.listed:
+        if self.leaving or not self.follower.known.listed:
             return False
         if not self.evacuation.state.is_known:
             return False
--- a/marigoldramp/gateway/reporting.py
+++ b/marigoldramp/gateway/reporting.py
@@ -177,7 +177,7 @@
         components = self._components
         settings = self._settings()
         calls = settings.calls
-        known = components.follower.summarize()
+        known = components.follower.known.summarize()
         return peer_reports.Report(
             instance=settings.instance,
             host=settings.peers.host,
--- a/tests/gateway/drain_fleet.py
+++ b/tests/gateway/drain_fleet.py
@@ -472,7 +472,7 @@
 
     def _make_report(self, interval):
         follower = self.follower
-        known = follower.summarize()
+        known = follower.known.summarize()
         reached_at = max(
             follower.store.reached_at, self.refresher.store.reached_at
         )
@@ -493,7 +493,7 @@
             complete=known.complete,
             checksum=known.checksum,
             complete_age=_find_age(now, follower.confirmed_at),
-            can_lead=follower.store.reached and follower.listed,
+            can_lead=follower.store.reached and follower.known.listed,
         )
 
     def handle_report(self, report):
@@ -568,12 +568,12 @@
         """Return the list of a gateway, as a request over HTTP does."""
         other = self.find(address.host)
         await anyio.sleep(CALL_SECONDS)
-        if other.is_down or not other.follower.listed:
+        if other.is_down or not other.follower.known.listed:
             return None
         if other.is_frozen or other.is_cut:
             await anyio.sleep(peer_exchange.EXCHANGE_TIMEOUT_SECONDS)
             return None
-        return other.follower.make_listing()
+        return other.follower.known.make_listing()
 
     def leave(self, identity, *, reports):
         """Have an endpoint leave, with a report of it or without."""
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -247,7 +247,7 @@
         removed = {one.identity for one in entry.gateway.table} - known
         entry.endpoints.records = records
         entry.endpoints.revision = self._revision
-        entry.gateway.follower.apply_changes(
+        entry.gateway.follower.known.apply_changes(
             listings.Changes(
                 records=tuple(records),
                 removed=tuple(removed),
--- a/tests/gateway/test_cold_endpoints.py
+++ b/tests/gateway/test_cold_endpoints.py
@@ -192,7 +192,7 @@
     gateway.answer(3.0)
     assert gateway.find_seconds() == 0.0
     assert math.isinf(gateway.table.find('i-0').rate_limit.share)
-    listed = gateway.follower.make_listing().records[0]
+    listed = gateway.follower.known.make_listing().records[0]
     assert listed.cold_seconds == 5.0
 
 
@@ -205,10 +205,14 @@
     gateway.put(cold_seconds=8.0)
     gateway.wait(passed)
     peer = ColdGateway()
-    peer.follower.apply_peer_listing(gateway.follower.make_listing())
+    peer.follower.known.apply_peer_listing(
+        gateway.follower.known.make_listing()
+    )
     assert peer.find_seconds() == pytest.approx(seconds)
     peer.wait(1.0)
-    peer.follower.apply_peer_listing(gateway.follower.make_listing())
+    peer.follower.known.apply_peer_listing(
+        gateway.follower.known.make_listing()
+    )
     assert peer.find_seconds() == pytest.approx(max(0.0, seconds - 1.0))
 
 
--- a/tests/gateway/test_evacuation_state.py
+++ b/tests/gateway/test_evacuation_state.py
@@ -417,7 +417,7 @@
             one, evacuation_source=source, bounds=BOUNDS, ready=False
         ) as entry:
             await entry.until(lambda: source.calls)
-            await entry.until(lambda: entry.gateway.follower.listed)
+            await entry.until(lambda: entry.gateway.follower.known.listed)
             assert not entry.gateway.is_ready()
             assert entry.gateway.describer.describe().evacuated is None
             assert (await site.call(entry)).status == 503
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -135,7 +135,7 @@
     fleet.store.fault = 'silent'
     for gateway in fleet.gateways:
         gateway.start()
-        gateway.follower.apply_listing(fleet.store.list_all())
+        gateway.follower.known.apply_listing(fleet.store.list_all())
     await anyio.sleep(1.0)
     fleet.store.fault = ''
 
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -304,7 +304,7 @@
             dispatcher = running.gateway.dispatcher
             tasks.start_soon(site.call, running)
             await running.until(lambda: dispatcher.count_waiting('notes') == 1)
-            running.gateway.follower.apply_changes(
+            running.gateway.follower.known.apply_changes(
                 site.listings.Changes(
                     records=(site.make_record(one, leaving=True),),
                     removed=(),
--- a/tests/gateway/test_gateway_state.py
+++ b/tests/gateway/test_gateway_state.py
@@ -554,14 +554,14 @@
     """
     follower, table, _ = make_follower(Clock())
     record = site.make_record(EndpointStub('i-1'))
-    follower.apply_listing(listing(record))
-    follower.apply_listing(
+    follower.known.apply_listing(listing(record))
+    follower.known.apply_listing(
         listing(
             site.make_record(EndpointStub('i-1'), leaving=True), revision=2
         )
     )
-    follower.apply_peer_listing(listing(record, revision=3))
-    follower.apply_listing(listing(record, revision=4))
+    follower.known.apply_peer_listing(listing(record, revision=3))
+    follower.known.apply_listing(listing(record, revision=4))
     assert table.find('i-1').record.leaving
     assert not table.find('i-1').is_open(now=0.0)
 
@@ -582,12 +582,12 @@
     """Guards against requests to an endpoint that an older list still has."""
     follower, table, _ = make_follower(Clock())
     old = site.make_record(EndpointStub('i-1'), born=1, revision=1)
-    follower.apply_listing(listing(old))
-    follower.apply_changes(
+    follower.known.apply_listing(listing(old))
+    follower.known.apply_changes(
         listings.Changes(records=(), removed=('i-1',), revision=5, newest=5)
     )
     found = msgspec.structs.replace(old, revision=written_at)
-    follower.apply_peer_listing(
+    follower.known.apply_peer_listing(
         msgspec.structs.replace(listing(found, revision=7), settled=settled)
     )
     assert (table.find('i-1') is not None) is is_used
@@ -607,17 +607,17 @@
     follower, table, _ = make_follower(Clock())
     left = site.make_record(EndpointStub('i-1'), revision=1)
     other = site.make_record(EndpointStub('i-2'), revision=2)
-    follower.apply_listing(listing(left, other, revision=2))
-    follower.apply_listing(
+    follower.known.apply_listing(listing(left, other, revision=2))
+    follower.known.apply_listing(
         msgspec.structs.replace(listing(other, revision=9), newest=2)
     )
-    follower.apply_peer_listing(
+    follower.known.apply_peer_listing(
         listings.Listing(
             records=(left, other), revision=complete, newest=5, settled=True
         )
     )
     assert (table.find('i-1') is not None) is is_used
-    assert follower.revision == 9
+    assert follower.known.revision == 9
 
 
 @pytest.mark.parametrize('answer', ['list', 'watch'])
@@ -637,7 +637,7 @@
         if answer == 'watch':
             source.answer(listing(record, other, revision=3))
             await anyio.sleep(0.1)
-        follower.apply_peer_listing(
+        follower.known.apply_peer_listing(
             msgspec.structs.replace(
                 listing(other, revision=9), newest=9, settled=True
             )
@@ -652,7 +652,7 @@
             )
         await anyio.sleep(0.1)
         assert table.find('i-1') is None
-        assert follower.revision == 9
+        assert follower.known.revision == 9
         tasks.cancel_scope.cancel()
 
 
@@ -696,7 +696,7 @@
         await lose_record_in_outage(source)
         assert table.find('i-1').is_open(now=virtual_time.now())
         leaving = msgspec.structs.replace(record, leaving=True)
-        follower.apply_peer_listing(
+        follower.known.apply_peer_listing(
             msgspec.structs.replace(
                 listing(leaving, revision=9), settled=settled
             )
@@ -714,7 +714,7 @@
     async with anyio.create_task_group() as tasks:
         follow(tasks, follower, source)
         await lose_record_in_outage(source)
-        follower.apply_peer_listing(listing(record, revision=9))
+        follower.known.apply_peer_listing(listing(record, revision=9))
         await anyio.sleep(store_outages.RETURN_SECONDS + 1.0)
         tasks.cancel_scope.cancel()
     assert table.find('i-1') is None
@@ -726,13 +726,13 @@
     follower, table, _ = make_follower(Clock())
     first = site.make_record(EndpointStub('i-1'), revision=1)
     new = site.make_record(EndpointStub('i-2'), revision=7)
-    follower.apply_listing(listing(first, revision=2))
-    follower.apply_peer_listing(listing(first, new, revision=7))
+    follower.known.apply_listing(listing(first, revision=2))
+    follower.known.apply_peer_listing(listing(first, new, revision=7))
     older = msgspec.structs.replace(listing(first, revision=5), settled=True)
     if source == 'store':
-        follower.apply_listing(older)
+        follower.known.apply_listing(older)
     else:
-        follower.apply_peer_listing(older)
+        follower.known.apply_peer_listing(older)
     assert table.find('i-2') is not None
 
 
@@ -770,7 +770,7 @@
     """
     clock = Clock()
     follower, _, _ = make_follower(clock)
-    follower.apply_listing(listing())
+    follower.known.apply_listing(listing())
     watch = follower._watching = anyio.CancelScope()
     for _ in range(10):
         follower.note_peer(listings.Summary(newest=9))
@@ -873,7 +873,7 @@
         await anyio.sleep(1.0)
         tasks.cancel_scope.cancel()
     assert table.find('i-1') is None
-    assert follower.revision == 30
+    assert follower.known.revision == 30
 
 
 def test_list_after_a_restore_without_era_is_applied():
@@ -883,8 +883,8 @@
     was asked for after a newer one counts.
     """
     follower, table, _ = make_follower(Clock())
-    follower.apply_listing(listing(revision=9))
-    follower.apply_listing(
+    follower.known.apply_listing(listing(revision=9))
+    follower.known.apply_listing(
         listing(site.make_record(EndpointStub('i-1')), revision=3)
     )
     assert table.find('i-1') is not None
@@ -900,8 +900,8 @@
     """
     follower, table, _ = make_follower(Clock())
     record = site.make_record(EndpointStub('i-1'), born=1, revision=1)
-    follower.apply_listing(listing(record))
-    follower.apply_changes(
+    follower.known.apply_listing(listing(record))
+    follower.known.apply_changes(
         listings.Changes(
             records=(msgspec.structs.replace(record, leaving=True),),
             removed=(),
@@ -909,11 +909,11 @@
             newest=2,
         )
     )
-    follower.apply_changes(
+    follower.known.apply_changes(
         listings.Changes(records=(), removed=('i-1',), revision=3, newest=3)
     )
     back = msgspec.structs.replace(record, born=born, revision=4)
-    follower.apply_listing(listing(back, revision=4))
+    follower.known.apply_listing(listing(back, revision=4))
     assert table.find('i-1').is_open(now=0.0) is is_used
 
 
@@ -927,30 +927,32 @@
     follower, table, gone = make_follower(Clock())
     old = site.make_record(EndpointStub('i-1'), leaving=True, born=1000)
     new = site.make_record(EndpointStub('i-1'), born=2000)
-    follower.apply_listing(listing(old))
+    follower.known.apply_listing(listing(old))
     table.find('i-1').note_failure(now=0.0)
     match heard_by:
         case 'list':
-            follower.apply_listing(listing(new, revision=2))
+            follower.known.apply_listing(listing(new, revision=2))
         case 'watch':
-            follower.apply_changes(
+            follower.known.apply_changes(
                 listings.Changes(records=(new,), removed=(), revision=2)
             )
         case 'peer':
-            follower.apply_peer_listing(listing(new, revision=2))
+            follower.known.apply_peer_listing(listing(new, revision=2))
     assert gone == ['i-1']
     assert table.find('i-1').is_open(now=0.0)
     assert table.find('i-1').failures == 0
     # An outdated list does not restore the record of the earlier start.
-    follower.apply_listing(listing(old, revision=3))
+    follower.known.apply_listing(listing(old, revision=3))
     assert table.find('i-1').is_open(now=0.0)
     assert gone == ['i-1']
 
 
 def test_removed_endpoint_is_dropped_at_once_while_the_store_works():
     follower, table, gone = make_follower(Clock())
-    follower.apply_listing(listing(site.make_record(EndpointStub('i-1'))))
-    follower.apply_changes(
+    follower.known.apply_listing(
+        listing(site.make_record(EndpointStub('i-1')))
+    )
+    follower.known.apply_changes(
         listings.Changes(records=(), removed=('i-1',), revision=2)
     )
     assert table.find('i-1') is None
@@ -1031,18 +1033,18 @@
     follower, _, _ = make_follower(source=source)
     other, _, _ = make_follower(source=site.FakeEndpoints())
     for each, revision in ((follower, 7), (other, 12)):
-        each.apply_changes(
+        each.known.apply_changes(
             listings.Changes(
                 records=(record,), removed=(), revision=revision, newest=6
             )
         )
-    assert other.change_revision == 6
+    assert other.known.change_revision == 6
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(follower.run)
         await anyio.sleep(0.5)
         watching = follower._watching
         for _ in range(20):
-            follower.note_peer(other.summarize())
+            follower.note_peer(other.known.summarize())
             await anyio.sleep(0.1)
         assert follower._watching is watching
         for _ in range(40):
--- a/tests/gateway/test_large_deployments.py
+++ b/tests/gateway/test_large_deployments.py
@@ -468,13 +468,13 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(relying.run)
         await anyio.sleep(store_outages.RETURN_SECONDS + 1.0)
-        announced.append(relying.follower.make_listing().settled)
+        announced.append(relying.follower.known.make_listing().settled)
         relying.announce(other, settled=False, newest=9)
         await anyio.sleep(0.3)
-        announced.append(relying.follower.make_listing().settled)
+        announced.append(relying.follower.known.make_listing().settled)
         relying.announce(other, settled=True, newest=9)
         await anyio.sleep(discovery.UNSETTLED_RETRY_SECONDS + 0.3)
-        announced.append(relying.follower.make_listing().settled)
+        announced.append(relying.follower.known.make_listing().settled)
         tasks.cancel_scope.cancel()
     assert announced == [True, False, True]
 
@@ -572,7 +572,7 @@
         await anyio.sleep(store_outages.RETURN_SECONDS + 1.0)
         relying.announce(relying.record, settled=settles, newest=9)
         await anyio.sleep(0.3)
-        seen = relying.follower.summarize().settled
+        seen = relying.follower.known.summarize().settled
         tasks.cancel_scope.cancel()
     assert seen == expected
 
@@ -593,7 +593,7 @@
         relying.source.away = True
         await anyio.sleep(OUTAGE_SECONDS)
         relying.source.away = False
-        follower.apply_changes(
+        follower.known.apply_changes(
             listings.Changes(
                 records=(), removed=('i-1',), revision=9, newest=9
             )
@@ -601,7 +601,7 @@
         seen = []
         for _ in range(80):
             await anyio.sleep(0.05)
-            listing = follower.make_listing()
+            listing = follower.known.make_listing()
             seen.append((listing.settled, bool(listing.records)))
         tasks.cancel_scope.cancel()
     assert (True, True) not in seen
--- a/tests/gateway/test_reporting.py
+++ b/tests/gateway/test_reporting.py
@@ -212,7 +212,7 @@
     one = fake.FakeEndpoint(identity='i-1', scripts=[fake.answer()])
     async with site.run_site(one) as running:
         gateway = running.gateway
-        known = gateway.follower.summarize_held()
+        known = gateway.follower.known.summarize_held()
         gateway.follower.confirmed_at = float('-inf')
         now = gateway._clock()
         incarnation = gateway._reporter._incarnation
--- a/tests/gateway/test_restores.py
+++ b/tests/gateway/test_restores.py
@@ -88,7 +88,7 @@
         self.follower.note_restore()
         self.source.records = list(records)
         self.source.revision = revision
-        self.follower.apply_listing(listing(*records, revision=revision))
+        self.follower.known.apply_listing(listing(*records, revision=revision))
 
     @contextlib.asynccontextmanager
     async def run(self):
@@ -121,16 +121,18 @@
     one.source.records = [make_record(), make_record('i-2')]
     async with one.run():
         if announced:
-            one.follower.apply_changes(
+            one.follower.known.apply_changes(
                 changes(make_record(leaving=True), revision=5)
             )
-        one.follower.apply_changes(changes(removed=('i-1',), revision=6))
+        one.follower.known.apply_changes(changes(removed=('i-1',), revision=6))
         await anyio.sleep(10.0)
         one.restore(make_record(), make_record('i-2'))
         assert (one.is_open('i-1'), one.is_open('i-2')) == (False, True)
         # Its record lapses, as nobody renews it.
         await anyio.sleep(RESTORE_WINDOW - 1.0)
-        one.follower.apply_changes(changes(removed=('i-1',), revision=101))
+        one.follower.known.apply_changes(
+            changes(removed=('i-1',), revision=101)
+        )
         await anyio.sleep(RESTORE_WINDOW)
         assert not one.is_open('i-1')
 
@@ -166,10 +168,12 @@
     one = FollowerSite()
     one.source.records = [make_record()]
     async with one.run():
-        one.follower.apply_changes(changes(removed=('i-1',), revision=6))
+        one.follower.known.apply_changes(changes(removed=('i-1',), revision=6))
         one.restore(make_record())
         if writes:
-            one.follower.apply_changes(changes(make_record(), revision=101))
+            one.follower.known.apply_changes(
+                changes(make_record(), revision=101)
+            )
         await anyio.sleep(seconds)
         assert one.is_open() is is_open
 
@@ -178,7 +182,7 @@
     one = FollowerSite()
     one.source.records = [make_record(born=1000)]
     async with one.run():
-        one.follower.apply_changes(changes(removed=('i-1',), revision=6))
+        one.follower.known.apply_changes(changes(removed=('i-1',), revision=6))
         one.restore(make_record(born=2000))
         assert one.is_open()
         # An older copy does not bring the previous process back.
@@ -201,7 +205,9 @@
         await anyio.sleep(store_outages.RETURN_SECONDS - 0.5)
         assert one.is_open()
         if comes_back:
-            one.follower.apply_changes(changes(make_record(), revision=101))
+            one.follower.known.apply_changes(
+                changes(make_record(), revision=101)
+            )
         await anyio.sleep(1.0)
         assert one.is_open() is comes_back
 
