Begin no request that may outlast a process that is being stopped

Cause: nothing compared the time of a request with the time that is left until the exit; a stream whose head had gone out before SIGTERM cannot tell its caller to close the connection.

From SIGTERM on, a request whose own time or route's time ends after the exit is refused at once as not run, with Connection: close; callers find another gateway. The exit is fixed by the first request to stop.

--- a/marigoldramp/gateway/admission.py
+++ b/marigoldramp/gateway/admission.py
@@ -31,6 +31,8 @@
 
     :param revoke_seconds: returns the seconds after which a removed key must
         no longer work.
+    :param ends_at: returns when the process exits at the latest; infinite
+        unless it is being stopped.
     """
 
     __slots__ = (
@@ -40,6 +42,7 @@
         '_clock',
         '_random',
         '_stated_timeouts',
+        '_ends_at',
     )
 
     def __init__(
@@ -50,7 +53,9 @@
         revoke_seconds: Callable[[], float],
         clock: Callable[[], float],
         random: random_module.Random,
+        ends_at: Callable[[], float] = lambda: float('inf'),
     ) -> None:
+        self._ends_at = ends_at
         self._codec = codec
         self._configuration = configuration
         self._revoke_seconds = revoke_seconds
@@ -95,6 +100,13 @@
         if facts.seconds is not None:
             seconds = min(seconds, facts.seconds)
         deadline = head.arrived + seconds
+        if deadline > self._ends_at():
+            # It would be cut off at the exit.
+            return NotRun(
+                reason=Reason.LEAVING,
+                detail='the process is being stopped',
+                retry_after=0.0,
+            )
         body = await exchange.read_body(
             max_bytes=config.limits.body_bytes,
             seconds=deadline - self._clock(),
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -75,6 +75,7 @@
         random = random_module.Random(secrets.randbits(64))
         clock = boot_clock.read_clock
         self.leaving = False
+        self._ends_at = float('inf')
         self.call_port = 0
         self.peer_port = 0
         self._stop_requested = anyio.Event()
@@ -130,6 +131,7 @@
             revoke_seconds=lambda: self.settings.bounds.revoke,
             clock=clock,
             random=random,
+            ends_at=lambda: self._ends_at,
         )
         self.containment = containment.Containment(
             instance=settings.instance,
@@ -656,7 +658,12 @@
 
     def begin_stop(self) -> None:
         """Begin a graceful shutdown, unless one has begun already."""
+        if self.leaving:
+            return
         self.leaving = True
+        self._ends_at = stopping.find_exit_time(
+            self._clock(), grace=self.settings.bounds.grace
+        )
         self._stop_requested.set()
 
     async def _shut_down(self) -> None:
@@ -674,7 +681,7 @@
                 last_request_at=lambda: self.forwarder.last_request_at,
                 clock=self._clock,
             ),
-            grace=self.settings.bounds.grace,
+            ends_at=self._ends_at,
         )
         self._stopped.set()
 
--- a/marigoldramp/gateway/stopping.py
+++ b/marigoldramp/gateway/stopping.py
@@ -42,24 +42,31 @@
     clock: Callable[[], float]
 
 
-async def shut_down(components: Components, *, grace: float) -> None:
-    """Shut down; return when all requests have ended, or at the deadline.
+def find_exit_time(now: float, *, grace: float) -> float:
+    """Return when a process exits at the latest that is asked to stop.
 
     :param grace: seconds between the request to stop and the forced stop.
     """
+    return now + grace - EXIT_MARGIN_SECONDS
+
+
+async def shut_down(components: Components, *, ends_at: float) -> None:
+    """Shut down; return when all requests have ended, or at the deadline.
+
+    :param ends_at: see :func:`find_exit_time`.
+    """
     started_at = components.clock()
-    with anyio.move_on_after(grace / 2):
+    with anyio.move_on_after((ends_at - started_at) / 2.0):
         await components.resign()
-    deadline = started_at + grace - EXIT_MARGIN_SECONDS
     await anyio.sleep(MIN_ACCEPTING_SECONDS)
     while components.clock() < min(
-        started_at + MAX_ACCEPTING_SECONDS, deadline
+        started_at + MAX_ACCEPTING_SECONDS, ends_at
     ):
         if components.clock() - components.last_request_at() > QUIET_SECONDS:
             break
         await anyio.sleep(CHECK_INTERVAL_SECONDS)
     components.listener.close()
-    while components.clock() < deadline:
+    while components.clock() < ends_at:
         for connection in list(components.connections):
             connection.close_if_idle(longer_than=MIN_IDLE_SECONDS)
         if not components.connections:
