Bound what is received of one answer, and of all together

An endless body took the process that asked 2,151,219,200 bytes within 3 s; interim responses without end, or one that is none, raised what nothing expected.

A plain answer has 4 MiB at most, an event 256 KiB, a reply to a request of the process 4 MiB, a head 32 interim responses. All plain answers that are being received share a tenth of the process's memory. Past a bound the connection is closed, the call counts as broken and the endpoint is charged with it. Event identifiers of more than 18 digits are not compared as numbers.

--- a/marigoldramp/gateway/attempts.py
+++ b/marigoldramp/gateway/attempts.py
@@ -17,6 +17,7 @@
 from . import endpoint_signals
 from . import event_frames
 from . import outbound
+from . import request_bodies
 from .balancing import endpoints
 
 #: Seconds within which a connection must open.  Nothing was sent by then, so
@@ -97,6 +98,8 @@
 )
 
 WRONG_ENDPOINT = 421
+#: Size limit of a plain answer.
+MAX_ANSWER_BYTES = 4194304
 
 
 class AttemptRunner:
@@ -108,11 +111,13 @@
         pause since the endpoint's previous ones, 0 for the first.
     :param has_priorities: returns whether requests of a service have several
         priorities, which endpoints must then know.
+    :param bodies: bounds the plain answers that are being received.
     :ivar pool: connections to endpoints.
     """
 
     __slots__ = (
         '_codec',
+        '_bodies',
         '_on_events',
         '_signals',
         '_has_priorities',
@@ -126,9 +131,11 @@
         pool: outbound.Pool,
         signals: endpoint_signals.EndpointSignals,
         on_events: Callable[[calls.Call, float], None],
+        bodies: request_bodies.RequestBodies,
         has_priorities: Callable[[str], bool] = lambda _: False,
     ) -> None:
         self._codec = codec
+        self._bodies = bodies
         self._on_events = on_events
         self._has_priorities = has_priorities
         self._signals = signals
@@ -254,17 +261,39 @@
         framed = _is_framed(head)
         if head.status == 200 and _is_stream(headers):
             return await self._relay_stream(call, connection, headers, framed)
-        body = bytearray()
-        while chunk := await connection.read_chunk():
-            body += chunk
+        body = await self._read_body(connection)
+        if body is None:
+            return Broken(detail='the answer is too long')
         return Answer(
             status=head.status,
             headers=headers,
-            body=bytes(body),
+            body=body,
             framed=framed,
             load=facts.load,
         )
 
+    async def _read_body(
+        self, connection: outbound.Connection
+    ) -> bytes | None:
+        """Return the body of a plain answer, ``None`` if it is too long.
+
+        A failing endpoint may send bytes until its connection is closed.
+        """
+        body = bytearray()
+        reserved = 0
+        try:
+            while chunk := await connection.read_chunk():
+                body += chunk
+                size = len(body)
+                if size > MAX_ANSWER_BYTES:
+                    return None
+                if not self._bodies.reserve(before=reserved, size=size):
+                    return None
+                reserved = size
+            return bytes(body)
+        finally:
+            self._bodies.release(reserved)
+
     async def _relay_stream(
         self,
         call: calls.Call,
@@ -300,6 +329,8 @@
                 if not exchange.begun:
                     await exchange.begin(status=200, headers=headers)
                 await exchange.send(events)
+            if splitter.is_overlong:
+                return Broken(detail='an event of the stream is too long')
         if splitter.rest and not framed:
             return Broken(
                 detail='the stream ended in the middle of an event', cut=True
--- a/marigoldramp/gateway/event_frames.py
+++ b/marigoldramp/gateway/event_frames.py
@@ -6,6 +6,10 @@
 
 #: An event ends with an empty line; lines may end with LF or CRLF.
 _EVENT_END = re.compile(rb'\r?\n\r?\n')
+#: Bytes of an incomplete event from which its stream counts as broken.
+MAX_EVENT_BYTES = 262144
+#: Digits that the number of an event may have.
+MAX_ID_DIGITS = 18
 _ID_FIELD = re.compile(rb'(?m)^id:[ ]?([^\r\n]*)')
 
 
@@ -41,6 +45,11 @@
         self.rest = buffer[start:]
         return frames
 
+    @property
+    def is_overlong(self) -> bool:
+        """Whether the incomplete event has too many bytes."""
+        return len(self.rest) > MAX_EVENT_BYTES
+
 
 def _parse(data: bytes) -> Frame:
     match = _ID_FIELD.search(data)
@@ -53,6 +62,10 @@
 
     Always true if an identifier is empty or not a number.
     """
-    if not identifier.isdecimal() or not last.isdecimal():
+    if not _is_number(identifier) or not _is_number(last):
         return True
     return int(identifier) > int(last)
+
+
+def _is_number(identifier: str) -> bool:
+    return identifier.isdecimal() and len(identifier) <= MAX_ID_DIGITS
--- a/marigoldramp/gateway/outbound.py
+++ b/marigoldramp/gateway/outbound.py
@@ -21,6 +21,11 @@
 READ_BYTES = 65536
 #: Size limit of a response head.
 MAX_HEAD_BYTES = 65536
+#: Interim responses before a response, of which a failing endpoint may send
+#: any number.
+MAX_INTERIM_RESPONSES = 32
+#: Size limit of a response to a request of this process.
+MAX_REPLY_BYTES = 4194304
 #: Seconds that an idle connection is kept if the endpoint states no time.
 DEFAULT_IDLE_SECONDS = 2.0
 #: Share of the idle time stated by an endpoint after which a connection is no
@@ -32,6 +37,7 @@
 #: Exceptions of a connection on which a request has been started.
 CONNECTION_ERRORS = (
     httpcore.NetworkError,
+    httpcore.ProtocolError,
     httpcore.TimeoutException,
     h11.ProtocolError,
 )
@@ -109,7 +115,7 @@
 
         :raises httpcore.NetworkError, h11.ProtocolError: none arrived.
         """
-        while True:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._next()
             if isinstance(event, h11.Response):
                 headers = list(event.headers)
@@ -119,6 +125,7 @@
                 raise httpcore.RemoteProtocolError(
                     'expected the head of a response'
                 )
+        raise httpcore.RemoteProtocolError('too many interim responses')
 
     async def read_chunk(self) -> bytes:
         """Return the next bytes of the body, empty once it is complete.
@@ -350,6 +357,8 @@
             response_body = bytearray()
             while chunk := await connection.read_chunk():
                 response_body += chunk
+                if len(response_body) > MAX_REPLY_BYTES:
+                    return NoReply(detail='the response is too long')
             is_complete = True
             return Reply(status=head.status, body=bytes(response_body))
     except TimeoutError:
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -94,6 +94,9 @@
         self.request_bodies = request_bodies.RequestBodies(
             most=lambda: request_bodies.find_sum_bound(self.settings.memory)
         )
+        self.answer_bodies = request_bodies.RequestBodies(
+            most=lambda: request_bodies.find_sum_bound(self.settings.memory)
+        )
         self.active_configuration = configurations.ActiveConfiguration(
             source=adapter.configuration
         )
@@ -180,6 +183,7 @@
                     cold_starts=self.cold_starts,
                 ),
                 on_events=self._record_events,
+                bodies=self.answer_bodies,
                 has_priorities=lambda service: (
                     self.dispatcher.contention(service).has_priorities
                 ),
--- a/marigoldramp/gateway/request_bodies.py
+++ b/marigoldramp/gateway/request_bodies.py
@@ -1,15 +1,15 @@
-"""Bounds the memory that the bodies of all requests take up together.
+"""Bounds the memory that bodies take up together.
 
-A body is kept until its request is served, as the request may have to be sent
-again.  Each is bounded in size and in time, but callers that send many large
-ones slowly could still use up the memory of the process.
+The body of a request is kept until it is served, as the request may have to be
+sent again; that of a plain answer until it is whole.  Each is bounded in size
+and in time, but many large ones could still use up the memory of the process.
 """
 
 from typing import Callable
 
-#: Bytes of each body that are not counted.  Requests of ordinary size are
-#: accepted while large ones are refused; the number of connections bounds what
-#: they take up.
+#: Bytes of each body that are not counted.  Requests and answers of ordinary
+#: size are accepted while large ones are refused; the number of connections
+#: bounds what they take up.
 UNCOUNTED_BYTES = 16384
 #: Share of the process's memory that counted bytes may take up.
 MEMORY_SHARE = 0.1
@@ -26,7 +26,7 @@
 
 
 class RequestBodies:
-    """The bodies of all requests.
+    """The bodies of all requests, or of all answers.
 
     :param most: returns how many counted bytes they may have.
     :ivar held: counted bytes that they have.
--- a/tests/gateway/retry_fleet.py
+++ b/tests/gateway/retry_fleet.py
@@ -24,6 +24,7 @@
 from marigoldramp.gateway import outbound
 from marigoldramp.gateway import peer_registry
 from marigoldramp.gateway.queueing import dispatch
+from marigoldramp.gateway import request_bodies
 from marigoldramp.gateway import retry_budget
 from marigoldramp import metrics
 from marigoldramp.platform import headers
@@ -186,6 +187,7 @@
                 shares=rate_limit_fleet.make_shares(gateway.table, clock=now),
             ),
             on_events=lambda call, pause: None,
+            bodies=request_bodies.RequestBodies(most=lambda: 10**9),
         ),
         budget=retry_budget.RetryBudget(
             instance=gateway.name,
