Confirm the list of endpoints every 1.2 s at the least, and not every 0.8 s

A departure must be known within 2 s there, and 0.8 s is the age that the configuration needs.

A gateway for which others read does not count the store as lost when its own read fails, as it is no reader: in an outage all gateways would have called until each had an answer.

--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -24,6 +24,9 @@
 RETRY_SECONDS = 0.5
 #: Seconds between two checks whether such a wait can end.
 PAUSE_STEP_SECONDS = 0.1
+#: Age of the list's confirmation at which the first gateway reads changes.
+#: All must have learned of a departure within 2 s or more.
+MIN_READ_AGE_SECONDS = 1.2
 #: Seconds between two searches for lapsed endpoints.
 CHECK_INTERVAL_SECONDS = 0.1
 #: Seconds between a change and the next watch, so that endpoints that start or
@@ -121,7 +124,7 @@
         self._watched_since = float('-inf')
         self._asked_at = float('-inf')
         self._schedule = read_schedule.ReadSchedule(
-            clock=clock, position=read_position
+            min_age=MIN_READ_AGE_SECONDS, clock=clock, position=read_position
         )
         self.confirmed_at = float('-inf')
         self.store = dependency_health.DependencyHealth(
@@ -352,10 +355,11 @@
                     self._note_answer()
                     self._apply_listing(listing)
             case store.Unavailable(detail=detail):
-                self.store.note_failure(
-                    detail, waited=self._clock() - asked_at
-                )
                 self._schedule.pause()
+                if not self.relies_on_peers():
+                    self.store.note_failure(
+                        detail, waited=self._clock() - asked_at
+                    )
 
     async def _ask_peers(self) -> None:
         """Fetch the endpoints of a peer that knows more of them."""
--- a/marigoldramp/gateway/refresh.py
+++ b/marigoldramp/gateway/refresh.py
@@ -11,6 +11,8 @@
 from . import read_schedule
 from . import store_outages
 
+#: Age of the confirmation at which the first gateway reads the configuration.
+MIN_READ_AGE_SECONDS = 0.8
 #: Time after a restore of the store from a backup within which the operator's
 #: changes since that backup are written again.
 RESTORED_SECONDS = 2.2
@@ -63,7 +65,7 @@
         self._from_peers = from_peers
         self._clock = clock
         self._schedule = read_schedule.ReadSchedule(
-            clock=clock, position=position
+            min_age=MIN_READ_AGE_SECONDS, clock=clock, position=position
         )
         self._announced_version = 0
         self._wake = anyio.Event()
