--- a/marigoldramp/gateway/discovery.py
+++ b/marigoldramp/gateway/discovery.py
@@ -27,7 +27,8 @@
 #: Age of the list's confirmation at which the first gateway reads changes.
 #: All must have learned of a departure within 2 s or more.
 MIN_READ_AGE_SECONDS = 1.2
-#: Seconds between two searches for lapsed endpoints.
+#: Seconds between two checks for lapsed endpoints, and for a list whose
+#: confirmation is old.
 CHECK_INTERVAL_SECONDS = 0.1
 #: Seconds between a change and the next watch, so that endpoints that start or
 #: leave together take one call to the store and not one each.
