--- a/tests/gateway/test_gateway_state.py
+++ b/tests/gateway/test_gateway_state.py
@@ -840,6 +840,26 @@
     assert source.reads == expected
 
 
+@pytest.mark.parametrize('relies', [True, False])
+async def test_only_readers_count_the_store_as_lost_by_a_failed_read(relies):
+    """Guards against readers that others rely on though they do not read.
+
+    One for which peers read is none, and must not call until it has an
+    answer.
+    """
+    source = site.FakeEndpoints()
+    source.records = [site.make_record(EndpointStub('i-1'))]
+    follower, _, _ = make_follower(source=source)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follower.run)
+        await anyio.sleep(0.5)
+        follower.relies_on_peers = lambda: relies
+        source.away = True
+        await anyio.sleep(3.0)
+        tasks.cancel_scope.cancel()
+    assert follower.store.reached is relies
+
+
 async def test_change_that_only_a_read_shows_restarts_the_watch():
     """Guards against waiting on a watch whose connection is dead."""
     source = site.FakeEndpoints()
