--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -95,7 +95,10 @@
             most=lambda: request_bodies.find_sum_bound(self.settings.memory)
         )
         self.answer_bodies = request_bodies.RequestBodies(
-            most=lambda: request_bodies.find_sum_bound(self.settings.memory)
+            most=lambda: max(
+                attempts.MAX_ANSWER_BYTES,
+                request_bodies.find_sum_bound(self.settings.memory),
+            )
         )
         self.active_configuration = configurations.ActiveConfiguration(
             source=adapter.configuration
