Show what clients that keep to no limit do to a gateway

Callers saw a process end: clients had sent many requests ahead at paths without a route and read none of the answers, until it ran out of memory.

The tests start a gateway process on loopback with lowered limits, and let a crowd of clients come to one of its listeners. They check that the process lives, that its memory (the peak of its resident set, and that set with the bytes that the system holds for its sockets) and its descriptors stay under those set, and that ordinary requests are answered beside the crowd and afterwards.

They run in a step of their own, one at a time, after the other tests.

--- a/Makefile
+++ b/Makefile
@@ -17,12 +17,16 @@
 demo-up: $(VENV)/installed
 	$(BIN)/python -m marigoldramp_standins.demo --stay
 
-# Tests run in WORKERS processes; those of a file in the same one.
+# Tests run in WORKERS processes; those of a file in the same one.  Those of
+# CROWDS check the memory of processes, and run one at a time after the others.
 WORKERS ?= 4
-PYTEST := $(BIN)/python -m pytest --numprocesses $(WORKERS) --dist loadfile
+CROWDS := tests/crowds
+PYTEST := $(BIN)/python -m pytest --numprocesses $(WORKERS) --dist loadfile \
+    --ignore $(CROWDS)
 
 test: $(VENV)/installed
 	$(PYTEST)
+	$(BIN)/python -m pytest $(CROWDS)
 
 test-long: $(VENV)/installed
 	HYPOTHESIS_PROFILE=long $(PYTEST)
