Key the answers of a fake rank by its connection, not by its id

test_report_after_an_order_is_not_one_from_before_it failed once beside other load: the report after an order showed the state from before it. The script kept what it had sent under id(stream). The product makes orders on connections of their own, so an earlier stream may be gone, and the next one may get its id; the script then sent the earlier answer first on a new connection, which no endpoint does.

In one process, 814 of 1,500 runs failed before on unchanged product code, and none of 1,500 with the stream itself as the key. What the test checks is unchanged.

--- a/tests/adapter/test_ranks.py
+++ b/tests/adapter/test_ranks.py
@@ -213,9 +213,9 @@
         status, value = remaining.pop(0)
         body = msgspec.json.encode(value)
         text = f'HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n'
-        before = given.get(id(stream), b'')
-        given[id(stream)] = text.encode() + body
-        await stream.send(before + given[id(stream)])
+        before = given.get(stream, b'')
+        given[stream] = text.encode() + body
+        await stream.send(before + given[stream])
 
     return script
 
