Bound connections, and what each of them holds, on all listeners

Callers saw a process end for its memory: clients sent many requests ahead at paths without a route and read no answer. Ordinary requests got no answer while others held all connections with heads that never ended.

Cause: a bound stood on one place where bytes wait, and a client could fill every other. Only connections of the callers' listener had bounded buffers; each listener allowed as many connections as the process has descriptors; 256 KiB were received at once before a bound was looked at; 64 KiB went to the parser, where nothing counted them; requests sent ahead were answered while earlier answers were unread; up to 1,024 connections were accepted in a row before one was counted; a closing connection did not count; a full listener turned away whoever came.

Change: one bound for the connections of all listeners, from the memory and descriptors set, so that together with the sums that are bounded already it stays within the memory. When it is met, connections without a request are closed first, then idle ones, unfinished bodies, answers that nobody takes, and requests with many bytes sent ahead; a request in progress is never closed for a new connection. All listeners have the buffers of the callers' listener. A stream receives no more than it has room for, pieces are joined, what the parser holds counts, and the next request waits until the client has taken the answers before it.

Three crowds still exceed their memory; they stay listed.

--- a/marigoldramp/gateway/inbound.py
+++ b/marigoldramp/gateway/inbound.py
@@ -20,12 +20,16 @@
 from .. import logs
 from .. import tcp_streams
 from . import boot_clock
+from . import client_connections
 from . import codecs
 from . import deployment
 from . import request_bodies
 from . import request_targets
 
 READ_BYTES = 65536
+#: Bytes that are read at once before the head of a request is complete.  The
+#: parser keeps what belongs to the next requests.
+HEAD_READ_BYTES = 4096
 #: Seconds for which a connection is still read after a response that was sent
 #: before the request's end.  Closing it with unread bytes resets it, and the
 #: caller may never see the response.
@@ -106,8 +110,9 @@
         '_is_stopping',
         '_stream',
         '_h11',
+        '_client',
         '_bodies',
-        '_body_size',
+        '_reserved',
     )
 
     def __init__(
@@ -117,6 +122,7 @@
         stream: tcp_streams.Stream,
         connection: h11.Connection,
         is_stopping: Callable[[], bool],
+        client: client_connections.ClientConnection | None = None,
         bodies: request_bodies.RequestBodies | None = None,
     ) -> None:
         self.head = head
@@ -127,15 +133,16 @@
         self._is_stopping = is_stopping
         self._stream = stream
         self._h11 = connection
+        self._client = client
         self._bodies = bodies
-        self._body_size = 0
+        self._reserved = 0
 
     def close(self) -> None:
         """Release what is held for the request, once it is served."""
         self.source = None
         if self._bodies is not None:
-            self._bodies.release(self._body_size)
-        self._body_size = 0
+            self._bodies.release(self._reserved)
+        self._reserved = 0
 
     async def read_body(
         self, *, max_bytes: int, seconds: float
@@ -166,6 +173,7 @@
 
     async def begin(self, *, status: int, headers: codecs.Headers) -> None:
         """Send the response head."""
+        self._note(client_connections.Activity.REQUEST)
         sent_headers = list(headers)
         if self._is_stopping() or self._h11.their_state is h11.SEND_BODY:
             sent_headers.append((b'connection', b'close'))
@@ -214,6 +222,8 @@
                     if not self._reserve(len(body)):
                         return BodyFault.NO_ROOM
                 case h11.EndOfMessage():
+                    self._note(client_connections.Activity.REQUEST)
+                    self._stream.note_unparsed(_count_unparsed(self._h11))
                     return bytes(body)
                 case h11.NEED_DATA:
                     data = await self._stream.read(READ_BYTES)
@@ -221,12 +231,17 @@
                 case _:
                     return BodyFault.BROKEN
 
-    def _reserve(self, size: int) -> bool:
-        """Reserve memory for the body; return whether there is room."""
-        if self._bodies is not None:
-            if not self._bodies.reserve(before=self._body_size, size=size):
-                return False
-            self._body_size = size
+    def _note(self, activity: client_connections.Activity) -> None:
+        if self._client is not None:
+            self._client.note(activity)
+
+    def _reserve(self, body_size: int) -> bool:
+        """Reserve memory for the request; return whether there is room."""
+        if self._bodies is None:
+            return True
+        if not self._bodies.reserve(before=self._reserved, size=body_size):
+            return False
+        self._reserved = body_size
         return True
 
     async def _write(self, data: bytes | None) -> None:
@@ -242,8 +257,10 @@
 
     :param limits: returns the current limits.
     :param is_stopping: returns whether the process is being stopped.
-    :param bodies: bounds the bodies of all requests, ``None`` if they are
-        bounded one by one only.
+    :param client: the connection among all others, ``None`` if there is no
+        bound on these.
+    :param bodies: bounds the heads and bodies of all requests, ``None`` if
+        they are bounded one by one only.
     """
 
     __slots__ = (
@@ -254,6 +271,7 @@
         '_is_stopping',
         '_idle_since',
         '_exchange',
+        '_client',
         '_bodies',
     )
 
@@ -264,8 +282,10 @@
         handler: Handler,
         limits: Callable[[], deployment.Limits],
         is_stopping: Callable[[], bool],
+        client: client_connections.ClientConnection | None = None,
         bodies: request_bodies.RequestBodies | None = None,
     ) -> None:
+        self._client = client
         self._bodies = bodies
         self._stream = stream
         self._handler = handler
@@ -279,7 +299,7 @@
 
     @property
     def attempt_id(self) -> str:
-        """Identifier of the last request's attempt, empty while unknown."""
+        """Identifier of the current request's attempt, empty while unknown."""
         return '' if self._exchange is None else self._exchange.attempt_id
 
     @property
@@ -290,10 +310,16 @@
     async def serve(self) -> None:
         """Serve requests until the connection ends."""
         try:
-            while await self._serve_one():
+            while await self._serve_one() and await self._wait_sent():
                 self._h11.start_next_cycle()
+                self._note(client_connections.Activity.IDLE)
+            self._note(client_connections.Activity.ENDING)
+            if self._h11.our_state is h11.MUST_CLOSE:
+                await self._drain()
         except (httpcore.NetworkError, httpcore.TimeoutException):
             return
+        if not await self._wait_sent():
+            self._stream.reset()
 
     def close_if_idle(self, *, longer_than: float) -> None:
         """Close the connection if no request is being read or served.
@@ -306,6 +332,26 @@
         if boot_clock.read_clock() - self._idle_since > longer_than:
             self._stream.finish()
 
+    async def _wait_sent(self) -> bool:
+        """Wait until the client's host has taken all responses.
+
+        Return whether it has; a client that takes nothing for the time that
+        it may be idle is not waited for.  The next request is served only
+        then, as the responses would pile up otherwise.
+        """
+        while self._stream.unsent:
+            taken = self._stream.taken
+            with anyio.move_on_after(self._limits().idle_seconds):
+                await self._stream.wait_sent()
+            if self._stream.taken == taken:
+                return False
+        await self._stream.wait_sent()
+        return True
+
+    def _note(self, activity: client_connections.Activity) -> None:
+        if self._client is not None:
+            self._client.note(activity)
+
     async def _serve_one(self) -> bool:
         """Serve one request; return whether another one can follow."""
         try:
@@ -334,9 +380,11 @@
             stream=self._stream,
             connection=self._h11,
             is_stopping=self._is_stopping,
+            client=self._client,
             bodies=self._bodies,
         )
         self._exchange = exchange
+        self._note(client_connections.Activity.BODY)
         try:
             await self._run_handler(exchange)
         finally:
@@ -348,8 +396,6 @@
                 # Nobody takes what is still buffered.
                 self._stream.abort()
             return False
-        if self._h11.our_state is h11.MUST_CLOSE:
-            await self._drain()
         return (
             self._h11.our_state is h11.DONE
             and self._h11.their_state is h11.DONE
@@ -363,11 +409,11 @@
         """
         limits = self._limits()
         event = self._h11.next_event()
-        if event is h11.NEED_DATA and not self._h11.trailing_data[0]:
+        if event is h11.NEED_DATA and not _count_unparsed(self._h11):
             self._idle_since = boot_clock.read_clock()
             try:
                 data = await self._stream.read(
-                    READ_BYTES, timeout=limits.idle_seconds
+                    HEAD_READ_BYTES, timeout=limits.idle_seconds
                 )
             except httpcore.ReadTimeout:
                 return None
@@ -379,9 +425,11 @@
             event = self._h11.next_event()
         with anyio.fail_after(limits.head_seconds):
             while event is h11.NEED_DATA:
-                data = await self._stream.read(READ_BYTES)
+                self._stream.note_unparsed(_count_unparsed(self._h11))
+                data = await self._stream.read(HEAD_READ_BYTES)
                 self._h11.receive_data(data)
                 event = self._h11.next_event()
+        self._stream.note_unparsed(_count_unparsed(self._h11))
         if not isinstance(event, h11.Request):
             return None
         return _make_head(event)
@@ -428,7 +476,6 @@
         data = self._h11.send(head) or b''
         data += self._h11.send(h11.EndOfMessage()) or b''
         await self._stream.write(data)
-        await self._drain()
 
     async def _drain(self) -> None:
         """Let the caller read a response sent before its request's end."""
@@ -472,6 +519,11 @@
     )
 
 
+def _count_unparsed(connection: h11.Connection) -> int:
+    """Return the bytes that a parser keeps for what comes next."""
+    return len(connection.trailing_data[0])
+
+
 def _find_reason_phrase(status: int) -> bytes:
     try:
         return http.HTTPStatus(status).phrase.encode()
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -17,6 +17,7 @@
 from . import attempts
 from . import boot_clock
 from . import calls
+from . import client_connections
 from . import configurations
 from . import containment
 from . import deployment
@@ -53,8 +54,6 @@
 from .shared_state import rate_shares
 from .shared_state import suspect_storage
 
-#: File descriptors that are reserved for everything but callers.
-RESERVED_DESCRIPTORS = 600
 MAX_IDLE_CONNECTIONS_PER_ENDPOINT = 12
 METRICS_PATH = '/metrics'
 
@@ -89,6 +88,14 @@
         self._listeners: list[listeners.Listener] = []
         self._connections: set[inbound.Connection] = set()
         self._platform_pages = adapter.make_pages(self)
+        self.client_connections = client_connections.ClientConnections(
+            most=lambda: client_connections.find_most(
+                memory=self.settings.memory,
+                descriptors=self.settings.descriptors,
+            ),
+            metrics=metrics,
+            clock=clock,
+        )
         self.response_buffers = response_buffers.ResponseBuffers(
             most=lambda: response_buffers.find_sum_bound(self.settings.memory),
             metrics=metrics,
@@ -508,7 +515,6 @@
 
     async def _listen(self, tasks: anyio.abc.TaskGroup) -> None:
         settings = self.settings
-        max_connections = max(64, settings.descriptors - RESERVED_DESCRIPTORS)
         server = peer_exchange.PeerServer(
             configuration=self.active_configuration,
             follower=self.follower,
@@ -517,7 +523,7 @@
             release=self.containment.release,
         )
         self._call_listener = listeners.Listener(
-            serve=self._serve_calls, max_connections=max_connections
+            serve=self._serve_calls, connections=self.client_connections
         )
         self._listeners.append(self._call_listener)
         handlers: list[tuple[outbound.Address | None, adapter_module.Page]] = [
@@ -530,7 +536,7 @@
             if address is not None:
                 listener = listeners.Listener(
                     serve=self._make_server(page),
-                    max_connections=max_connections,
+                    connections=self.client_connections,
                 )
                 self._listeners.append(listener)
                 port = await listener.listen(
@@ -548,32 +554,41 @@
     def _make_server(
         self, page: adapter_module.Page
     ) -> listeners.ServeConnection:
-        async def serve(stream: tcp_streams.Stream) -> None:
+        async def serve(
+            stream: tcp_streams.Stream,
+            client: client_connections.ClientConnection,
+        ) -> None:
             connection = inbound.Connection(
                 stream=stream,
                 handler=page,
                 limits=lambda: inbound.DEFAULT_LIMITS,
                 is_stopping=lambda: False,
+                client=client,
+                bodies=self.request_bodies,
             )
+            self.response_buffers.add(stream=stream, connection=connection)
             await connection.serve()
 
         return serve
 
-    async def _serve_calls(self, stream: tcp_streams.Stream) -> None:
+    async def _serve_calls(
+        self,
+        stream: tcp_streams.Stream,
+        client: client_connections.ClientConnection,
+    ) -> None:
         connection = inbound.Connection(
             stream=stream,
             handler=self.forwarder.handle,
             limits=self._find_limits,
             is_stopping=lambda: self.leaving,
+            client=client,
             bodies=self.request_bodies,
         )
         self.response_buffers.add(stream=stream, connection=connection)
+        # The process must not exit before the caller has its answer.
         self._connections.add(connection)
         try:
             await connection.serve()
-            # The process must not exit before the caller has its answer.
-            with anyio.move_on_after(self._find_limits().idle_seconds):
-                await stream.wait_sent()
         finally:
             self._connections.discard(connection)
 
--- a/marigoldramp/gateway/response_buffers.py
+++ b/marigoldramp/gateway/response_buffers.py
@@ -23,10 +23,12 @@
 MAX_UNSENT_BYTES = 65536
 #: Size of the system's send buffer, which the system doubles.  Without it, the
 #: buffer grows to some megabytes, which count as memory of the instance.
-SEND_BUFFER_BYTES = 65536
+SEND_BUFFER_BYTES = 16384
 #: Bytes received from a caller from which nothing more is received until they
-#: are read: most requests as a whole.  Unread bytes above it count, too.
+#: are read: most requests as a whole.
 MAX_UNREAD_BYTES = 32768
+#: Bytes received from a caller that do not count: a few ordinary requests.
+UNCOUNTED_BYTES = 4096
 #: Share of the process's memory that all connections together may hold.
 MEMORY_SHARE = 0.2
 #: The same in bytes if the memory of the process is not known.
@@ -140,6 +142,7 @@
             most_unsent=MAX_UNSENT_BYTES,
             system_most=SEND_BUFFER_BYTES,
             most_unread=MAX_UNREAD_BYTES,
+            most_uncounted=UNCOUNTED_BYTES,
             backlog=_Backlog(
                 buffers=self, stream=stream, connection=connection
             ),
@@ -162,7 +165,7 @@
 
     def note_end(self, backlog: _Backlog) -> None:
         """Record that a connection holds no unsent bytes."""
-        if backlog.stream.unread > MAX_UNREAD_BYTES:
+        if backlog.stream.counts_unread:
             self._look_at(backlog, self._clock())
         else:
             self._remove(backlog)
--- a/marigoldramp/tcp_streams.py
+++ b/marigoldramp/tcp_streams.py
@@ -19,12 +19,19 @@
 
 #: Received bytes that wait for their reader before reading is paused.
 MOST_WAITING = 262144
+#: Received pieces that are kept apart.  A piece costs some 50 bytes beside its
+#: own, which a peer that sends single bytes would multiply.
+MOST_PIECES = 16
 #: Value of ``SO_LINGER`` with which closing resets the connection.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 class Backlog(Protocol):
-    """Is told of the bytes that wait on a connection."""
+    """Is told of the bytes that wait on a connection.
+
+    Received bytes count from :meth:`Stream.limit_buffers`' ``most_uncounted``
+    on.
+    """
 
     def note_growth(self) -> None:
         """Note that more bytes wait to be taken or read."""
@@ -33,7 +40,7 @@
         """Note that a writer waits until no byte does."""
 
     def note_end(self) -> None:
-        """Note that no byte waits: all were taken, or were dropped."""
+        """Note that no byte waits that counts: all were taken or dropped."""
 
 
 class Stream(asyncio.Protocol, httpcore.AsyncNetworkStream):
@@ -53,10 +60,14 @@
         '_due',
         '_end',
         '_most_unsent',
+        '_system_most',
         '_most_waiting',
+        '_most_uncounted',
+        '_unparsed',
         '_backlog',
         '_passed',
         '_writing',
+        '_noted',
     )
 
     def __init__(self) -> None:
@@ -73,10 +84,14 @@
         self._due = 0.0
         self._end: asyncio.Future[None] | None = None
         self._most_unsent = 0
+        self._system_most = 0
         self._most_waiting = MOST_WAITING
+        self._most_uncounted = 0
+        self._unparsed = 0
         self._backlog: Backlog | None = None
         self._passed = 0
         self._writing = 0
+        self._noted = False
 
     # Called by the event loop
 
@@ -88,11 +103,12 @@
     def data_received(self, data: bytes) -> None:
         """Keep bytes for the reader; pause when they are many."""
         self._received.append(data)
+        if len(self._received) > MOST_PIECES:
+            self._received = [b''.join(self._received)]
         self._waiting += len(data)
-        if self._waiting > self._most_waiting and not self._paused:
+        if self._waiting > self._most_waiting:
             self.hold_reading()
-            if self._backlog is not None:
-                self._backlog.note_growth()
+        self._note_received()
         _wake(self._reader)
 
     def eof_received(self) -> bool:
@@ -133,18 +149,22 @@
         most_unsent: int,
         system_most: int,
         most_unread: int,
+        most_uncounted: int,
         backlog: Backlog,
     ) -> None:
         """Limit what is buffered in both directions.
 
         :param most_unsent: unsent bytes above which writers wait.
-        :param system_most: what the system may buffer beyond that, in bytes.
+        :param system_most: what the system may buffer beyond that, in bytes;
+            the system doubles it.
         :param most_unread: unread bytes above which nothing is received.
-        :param backlog: told of unsent bytes, and of unread ones above their
-            limit.
+        :param most_uncounted: unread bytes that the backlog is not told of.
+        :param backlog: told of unsent bytes, and of further unread ones.
         """
         self._most_unsent = most_unsent
+        self._system_most = 2 * system_most
         self._most_waiting = most_unread
+        self._most_uncounted = most_uncounted
         self._backlog = backlog
         transport = self._open()
         transport.set_write_buffer_limits(high=0)
@@ -157,6 +177,11 @@
         """Whether the peer sends nothing more."""
         return self._ended
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether the connection is gone, with all that was unsent."""
+        return self._transport is None
+
     async def wait_end(self) -> None:
         """Return when the peer has closed; what it sent stays to be read.
 
@@ -186,8 +211,15 @@
 
     @property
     def held(self) -> int:
-        """Bytes in memory for the peer, with those that a writer still has."""
-        return self.unsent + self._writing
+        """Bytes in memory for the peer.
+
+        Those that a writer still has count, and the system's buffer, which is
+        full if bytes are unsent.
+        """
+        unsent = self.unsent
+        if unsent:
+            unsent += self._system_most
+        return unsent + self._writing
 
     @property
     def taken(self) -> int:
@@ -196,8 +228,32 @@
 
     @property
     def unread(self) -> int:
-        """Received bytes that wait for their reader, 0 after the end."""
-        return 0 if self._transport is None else self._waiting
+        """Received bytes that wait for their reader or to be parsed.
+
+        It is 0 after the end.
+        """
+        if self._transport is None:
+            return 0
+        return self._waiting + self._unparsed
+
+    @property
+    def counts_unread(self) -> bool:
+        """Whether more bytes are unread than go uncounted."""
+        return self.unread > self._most_uncounted
+
+    @property
+    def room(self) -> int:
+        """Bytes that may be received now; with them, reading is paused."""
+        return max(1, self._most_waiting + 1 - self._waiting)
+
+    def note_unparsed(self, size: int) -> None:
+        """Record how many bytes the reader holds that are not parsed yet."""
+        has_grown = size > self._unparsed
+        self._unparsed = size
+        if has_grown:
+            self._note_received()
+        else:
+            self._note_read()
 
     def hold_reading(self) -> None:
         """Receive nothing more until :meth:`release_reading`."""
@@ -211,13 +267,11 @@
             self._paused = False
             if self._transport is not None:
                 self._transport.resume_reading()
-            if self._backlog is not None and not self.held:
-                self._backlog.note_end()
 
     @property
     def is_above_limit(self) -> bool:
         """Whether more bytes are unsent than :meth:`limit_buffers` allows."""
-        return self.held > self._most_unsent
+        return self.unsent + self._writing > self._most_unsent
 
     async def wait_sent(self) -> None:
         """Wait until the peer's host has taken everything written.
@@ -244,13 +298,19 @@
             self._transport.write_eof()
 
     def abort(self) -> None:
-        """Close at once; what was not sent yet is dropped."""
+        """Close at once; what was not sent or read yet is dropped."""
+        self.drop_unread()
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
         if self._transport is not None:
             self._transport.abort()
 
+    def drop_unread(self) -> None:
+        """Drop what was received and not read."""
+        self._received = []
+        self._waiting = 0
+
     def reset(self) -> None:
         """Close at once; the peer sees an error and not an end.
 
@@ -347,8 +407,23 @@
         self._received = [rest] if rest else []
         self._waiting = len(rest)
         self.release_reading()
+        self._note_read()
         return taken
 
+    def _note_received(self) -> None:
+        """Tell the backlog of unread bytes that count."""
+        if self._backlog is not None and self.counts_unread:
+            self._noted = True
+            self._backlog.note_growth()
+
+    def _note_read(self) -> None:
+        """Tell the backlog once no byte waits any more that counts."""
+        if not self._noted or self.counts_unread:
+            return
+        self._noted = False
+        if self._backlog is not None and not self.held:
+            self._backlog.note_end()
+
     def _is_readable(self) -> bool:
         """Whether bytes or an end have come, even if not yet looked at.
 
--- a/marigoldramp_soak/objects.py
+++ b/marigoldramp_soak/objects.py
@@ -8,10 +8,13 @@
 import anyio
 import httpcore
 
+from marigoldramp.gateway import client_connections
 from marigoldramp.gateway import inbound
 from marigoldramp.gateway import listeners
+from marigoldramp import metrics
 
 PATH = '/marigoldramp/objects/'
+MOST_CONNECTIONS = 1000
 JSON = (b'content-type', b'application/json')
 
 
@@ -152,10 +155,19 @@
         self._changed = anyio.Event()
 
 
+def make_connections():
+    """Return a bound that no test of the gateway meets."""
+    return client_connections.ClientConnections(
+        most=lambda: MOST_CONNECTIONS,
+        metrics=metrics.create_local(instance='soak'),
+        clock=anyio.current_time,
+    )
+
+
 async def serve(handler, host, port, tasks):
     """Serve HTTP by a handler; return the listener and its port."""
 
-    async def run(stream):
+    async def run(stream, _):
         connection = inbound.Connection(
             stream=stream,
             handler=handler,
@@ -164,6 +176,6 @@
         )
         await connection.serve()
 
-    listener = listeners.Listener(serve=run, max_connections=1000)
+    listener = listeners.Listener(serve=run, connections=make_connections())
     bound = await listener.listen(host=host, port=port, tasks=tasks)
     return listener, bound
--- a/marigoldramp_soak/proxies.py
+++ b/marigoldramp_soak/proxies.py
@@ -8,8 +8,9 @@
 from marigoldramp.gateway import listeners
 from marigoldramp import tcp_streams
 
+from . import objects
+
 READ_BYTES = 65536
-MOST_CONNECTIONS = 1000
 
 
 class Proxy:
@@ -34,7 +35,7 @@
         """Begin to take connections, again on the same port after an end."""
         self.refuses = False
         self._listener = listeners.Listener(
-            serve=self._handle, max_connections=MOST_CONNECTIONS
+            serve=self._handle, connections=objects.make_connections()
         )
         self.port = await self._listener.listen(
             host=self.host, port=self.port, tasks=tasks
@@ -55,7 +56,7 @@
         """Lose whatever is sent on the connections that are open now."""
         self._silent.update(self._open)
 
-    async def _handle(self, stream):
+    async def _handle(self, stream, _):
         with anyio.CancelScope() as scope:
             self._open.add(scope)
             try:
