Free what a connection held when it ends, not at the next collection

Cause: a stream referred to its backlog, the backlog to the connection, and that to the stream, and the task that watched for the caller's end stayed in a cycle of its traceback after it was cancelled. What an ended connection held was freed only by the garbage collector, which runs by the number of objects and not by their size. Ruled out: the bounded sums themselves, whose gauges stayed below their bounds.

Change: a stream forgets its backlog when it is lost, a connection forgets its request when that is served, and the end of the peer is told by a function that the stream calls, which also saves a task for each request.

Evidence: a test that ends connections with the collector off fails before in both its cases.

--- a/marigoldramp/gateway/inbound.py
+++ b/marigoldramp/gateway/inbound.py
@@ -389,6 +389,7 @@
             await self._run_handler(exchange)
         finally:
             exchange.close()
+            self._exchange = None
         if not exchange.ended:
             # The connection is closed before the response's end, which shows
             # the caller that the response is incomplete.
@@ -436,8 +437,8 @@
 
     async def _run_handler(self, exchange: Exchange) -> None:
         """Run the handler; cancel it when the caller disconnects."""
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._cancel_when_closed, tasks.cancel_scope)
+        with anyio.CancelScope() as scope:
+            self._stream.call_at_end(scope.cancel)
             try:
                 await self._handler(exchange)
             except (httpcore.NetworkError, httpcore.TimeoutException) as error:
@@ -453,17 +454,14 @@
                     extra=logs.fields(request=exchange.attempt_id),
                 )
                 await self._send_fault(exchange)
-            tasks.cancel_scope.cancel()
+            finally:
+                self._stream.call_at_end(None)
 
     async def _send_fault(self, exchange: Exchange) -> None:
         """Respond to a request of which it is not known whether it has run."""
         if not exchange.begun:
             await self._send_error(http.HTTPStatus.INTERNAL_SERVER_ERROR)
 
-    async def _cancel_when_closed(self, scope: anyio.CancelScope) -> None:
-        await self._stream.wait_end()
-        scope.cancel()
-
     async def _send_error(self, status: int) -> None:
         """Respond to a request that cannot be read, and end the connection."""
         if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
--- a/marigoldramp/gateway/listeners.py
+++ b/marigoldramp/gateway/listeners.py
@@ -34,17 +34,17 @@
 class _AcceptedStream(tcp_streams.Stream, asyncio.BufferedProtocol):
     """An accepted connection, which receives no more than it has room for."""
 
-    __slots__ = ('_accept', '_note_end', 'is_served')
+    __slots__ = ('_accept', '_forget', 'is_served')
 
     def __init__(
         self,
         *,
         accept: Callable[['_AcceptedStream'], None],
-        note_end: Callable[['_AcceptedStream'], None],
+        forget: Callable[['_AcceptedStream'], None],
     ) -> None:
         super().__init__()
         self._accept = accept
-        self._note_end = note_end
+        self._forget = forget
         self.is_served = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -62,7 +62,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
         if not self.is_served:
-            self._note_end(self)
+            self._forget(self)
 
 
 class Listener:
@@ -107,7 +107,7 @@
 
     def _make_stream(self) -> _AcceptedStream:
         return _AcceptedStream(
-            accept=self._accept, note_end=self._connections.remove
+            accept=self._accept, forget=self._connections.remove
         )
 
     def _accept(self, stream: _AcceptedStream) -> None:
@@ -133,6 +133,7 @@
             logging.exception('connection failed')
         finally:
             stream.is_served = False
+            stream.drop_unread()
             stream.finish()
             if stream.is_closed:
                 self._connections.remove(stream)
--- a/marigoldramp/tcp_streams.py
+++ b/marigoldramp/tcp_streams.py
@@ -13,6 +13,7 @@
 import socket
 import struct
 from typing import Any
+from typing import Callable
 from typing import Protocol
 
 import httpcore
@@ -59,6 +60,7 @@
         '_timer',
         '_due',
         '_end',
+        '_on_end',
         '_most_unsent',
         '_system_most',
         '_most_waiting',
@@ -83,6 +85,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._due = 0.0
         self._end: asyncio.Future[None] | None = None
+        self._on_end: Callable[[], None] | None = None
         self._most_unsent = 0
         self._system_most = 0
         self._most_waiting = MOST_WAITING
@@ -115,7 +118,7 @@
         """Note that the peer sends nothing more; the transport closes."""
         self._ended = True
         _wake(self._reader)
-        _wake(self._end)
+        self._note_end()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -126,9 +129,12 @@
         self._transport = None
         _wake(self._reader)
         _wake(self._writer)
-        _wake(self._end)
+        self._note_end()
         if self._backlog is not None:
             self._backlog.note_end()
+            # It refers to this stream, and what is held for both would be
+            # freed only by the next garbage collection.
+            self._backlog = None
 
     def pause_writing(self) -> None:
         """Make writers wait: the peer takes the bytes too slowly."""
@@ -192,6 +198,16 @@
         self._end = self._loop.create_future()
         await self._end
 
+    def call_at_end(self, callback: Callable[[], None] | None) -> None:
+        """Have a function called once the peer has closed, ``None`` for none.
+
+        This costs less than a task in :meth:`wait_end`, and leaves nothing
+        behind for the garbage collector.
+        """
+        self._on_end = callback
+        if self._ended:
+            self._note_end()
+
     def push(self, buffer: bytes) -> None:
         """Send bytes without waiting for the peer to take them.
 
@@ -410,6 +426,13 @@
         self._note_read()
         return taken
 
+    def _note_end(self) -> None:
+        """Tell those that wait for the end of the connection."""
+        _wake(self._end)
+        callback, self._on_end = self._on_end, None
+        if callback is not None:
+            callback()
+
     def _note_received(self) -> None:
         """Tell the backlog of unread bytes that count."""
         if self._backlog is not None and self.counts_unread:
--- a/tests/gateway/test_client_connections.py
+++ b/tests/gateway/test_client_connections.py
@@ -1,6 +1,8 @@
 """Tests of the bound on the connections of all listeners."""
 
 import contextlib
+import gc
+import weakref
 
 import anyio
 import h11
@@ -296,3 +298,33 @@
             await running.until(lambda: not running.gateway._connections)
             await anyio.sleep(0.1)
     assert len(one.seen) == 1
+
+
+@pytest.mark.parametrize(
+    ('method', 'more'),
+    [('GET', ''), ('PUT', 'Content-Length: 9\r\n')],
+    ids=['answered', 'in its body'],
+)
+async def test_ended_connection_leaves_nothing_to_the_collector(method, more):
+    """Guards against memory that only the garbage collector would free.
+
+    It runs by the number of objects, so that few large requests of clients
+    that come and go would fill the memory before it runs.
+    """
+    one = fake.FakeEndpoint(identity='i-1', scripts=[fake.answer()])
+    async with site.run_site(one) as running:
+        connections = running.gateway.client_connections
+        gc.collect()
+        gc.disable()
+        try:
+            async with site.connect(running) as stream:
+                await site.send_request(stream, method, more=more)
+                await running.until(lambda: len(connections) == 1)
+                if method == 'GET':
+                    await site.read_answer(stream)
+                else:
+                    await anyio.sleep(0.05)
+                found = weakref.ref(next(iter(connections._open)))
+            await running.until(lambda: found() is None)
+        finally:
+            gc.enable()
