Serve the largest head also where its lines have no spaces

A head of 16,384 bytes whose lines are "x:1" was refused with 431 at a limit of 16,384 bytes: the size of a head was put together from its parts, with a space behind each colon, sent or not. Spaces do not count any more.

Evidence: test_largest_head_of_short_lines_is_served; its case of 16,384 bytes fails with 431 on the code before, that of 20,480 bytes is still refused.

--- a/marigoldramp/gateway/inbound.py
+++ b/marigoldramp/gateway/inbound.py
@@ -510,10 +510,13 @@
 
 
 def _measure_head(head: Head) -> int:
-    """Return the bytes of a head; h11 limits only incomplete heads."""
+    """Return the bytes of a head; h11 limits only incomplete heads.
+
+    Spaces around the values of headers do not count, as they may be missing.
+    """
     size = len(head.method) + len(head.target) + len(' HTTP/1.1\r\n') + 1
     return size + sum(
-        len(name) + len(value) + len(': \r\n') for name, value in head.headers
+        len(name) + len(value) + len(':\r\n') for name, value in head.headers
     )
 
 
--- a/tests/gateway/test_client_connections.py
+++ b/tests/gateway/test_client_connections.py
@@ -224,6 +224,26 @@
 )
 
 
+def fill_head(size):
+    """Return headers that bring a head of these tests to a size."""
+    start = f'GET /notes/1 HTTP/1.1\r\nHost: {site.HOST_NAME}\r\n'
+    left = size - len(start + 'Attempt-Id: a1\r\n\r\n')
+    lines = LINE * (left // len(LINE) - 1)
+    return lines + 'y:' + 'z' * (left - len(lines) - 4) + '\r\n'
+
+
+@pytest.mark.parametrize(
+    ('size', 'status'), [(16384, 200), (16384 + 4096, 431)]
+)
+async def test_largest_head_of_short_lines_is_served(size, status):
+    """Guards against a head that counts for more bytes than it has."""
+    one = fake.FakeEndpoint(identity='i-1', scripts=[fake.answer()])
+    configuration = site.make_configuration(**LIMITS)
+    async with site.run_site(one, configuration=configuration) as running:
+        got = await site.call(running, more=fill_head(size))
+    assert got.status == status
+
+
 async def test_client_inside_the_limits_meets_no_bound_in_calm():
     """Guards against a limit that ordinary clients meet.
 
