Keep connections open after requests without a body that are not forwarded

Each question for addresses or readiness, and each request without a route, cost its caller a connection: the answer said "Connection: close", and the connection was then read for a second. The parser had not been asked for the end of the request, which has no body, and so counted as unfinished.

Change: the end of a request without a body is read before the response. An answer to a request whose body has not come still closes the connection.

Evidence: test_connection_without_a_body_can_be_used_again fails for a path without a route on the code before.

--- a/marigoldramp/gateway/inbound.py
+++ b/marigoldramp/gateway/inbound.py
@@ -72,6 +72,15 @@
         """The query without the question mark."""
         return self.target.partition(b'?')[2].decode('latin-1')
 
+    @property
+    def has_body(self) -> bool:
+        """Whether a body follows, even if it may turn out to be empty."""
+        return any(
+            name == b'transfer-encoding'
+            or (name == b'content-length' and value != b'0')
+            for name, value in self.headers
+        )
+
 
 class BodyFault(enum.Enum):
     """Why the body of a request was not accepted."""
@@ -182,6 +191,7 @@
     async def begin(self, *, status: int, headers: codecs.Headers) -> None:
         """Send the response head."""
         self._note(client_connections.Activity.REQUEST)
+        self._read_end()
         sent_headers = list(headers)
         if self._is_stopping() or self._h11.their_state is h11.SEND_BODY:
             sent_headers.append((b'connection', b'close'))
@@ -239,6 +249,14 @@
                 case _:
                     return BodyFault.BROKEN
 
+    def _read_end(self) -> None:
+        """Read the end of a request that has no body, if nothing else has.
+
+        The connection could not be used again otherwise.
+        """
+        if self._h11.their_state is h11.SEND_BODY and not self.head.has_body:
+            self._h11.next_event()
+
     def _note(self, activity: client_connections.Activity) -> None:
         if self._client is not None:
             self._client.note(activity)
--- a/tests/gateway/test_client_connections.py
+++ b/tests/gateway/test_client_connections.py
@@ -281,6 +281,19 @@
     assert len(one.seen) == 14
 
 
+@pytest.mark.parametrize('path', ['/notes/1', '/none/1'])
+async def test_connection_without_a_body_can_be_used_again(path):
+    """Guards against a connection for each request without a route."""
+    one = fake.FakeEndpoint(identity='i-1', scripts=[fake.answer()])
+    async with site.run_site(one) as running:
+        async with site.connect(running) as stream:
+            for _ in range(3):
+                await site.send_request(stream, path=path)
+                got = await site.read_answer(stream)
+                assert got.complete
+                assert 'connection' not in got.headers
+
+
 # Clients outside the limits
 
 
