Bound the log lines, and their length, that clients without a route cause

Change: requests that are not admitted have 100 lines a second of the 300; the next line says how many were skipped, and the metric counts all of them. A text field of a line has 1,024 characters at most.

Evidence: the new tests fail before, as there is no such bound; after, the line of an ordinary request beside such a crowd is written.

--- a/marigoldramp/gateway/forwarding.py
+++ b/marigoldramp/gateway/forwarding.py
@@ -39,6 +39,11 @@
 #: a long expected wait.
 SETTLING_SHARE = 0.125
 
+#: Log lines in a second about requests without a route or key, or that cannot
+#: be read.  Some clients send these by the thousand, and the lines of all
+#: other requests would be dropped.
+UNADMITTED_LINES_A_SECOND = 100
+
 NotRun = outcomes.NotRun
 OutcomeUnknown = outcomes.OutcomeUnknown
 Reason = outcomes.Reason
@@ -64,6 +69,8 @@
         '_metrics',
         '_on_wrong_endpoint',
         '_exit',
+        '_unadmitted_lines',
+        '_skipped_lines',
         'running',
         'last_request_at',
     )
@@ -92,6 +99,10 @@
         self._clock = clock
         self._metrics = metrics
         self._on_wrong_endpoint = on_wrong_endpoint
+        self._unadmitted_lines = logs.LineBudget(
+            lines_a_second=UNADMITTED_LINES_A_SECOND, clock=clock
+        )
+        self._skipped_lines = 0
         self.running = 0
         self.last_request_at = float('-inf')
 
@@ -462,18 +473,7 @@
         kind = outcome.partition(':')[0]
         if call is None:
             self._metrics.count('requests', outcome=kind, route='')
-            logging.info(
-                'request ended',
-                extra=logs.fields(
-                    request=exchange.attempt_id,
-                    outcome=outcome,
-                    version=self._admission.version,
-                    version_age=_round(self._admission.version_age()),
-                    host=exchange.head.host,
-                    path=exchange.head.path,
-                    seconds=_round(seconds),
-                ),
-            )
+            self._log_unadmitted(exchange, outcome, seconds)
             return
         self._metrics.count('requests', outcome=kind, route=call.route.name)
         self._metrics.record('request_seconds', seconds, outcome=kind)
@@ -504,6 +504,28 @@
             ),
         )
 
+    def _log_unadmitted(
+        self, exchange: inbound.Exchange, outcome: str, seconds: float
+    ) -> None:
+        """Write the log line of a request that was not admitted."""
+        if not self._unadmitted_lines.has_room():
+            self._skipped_lines += 1
+            return
+        logging.info(
+            'request ended',
+            extra=logs.fields(
+                request=exchange.attempt_id,
+                outcome=outcome,
+                version=self._admission.version,
+                version_age=_round(self._admission.version_age()),
+                host=exchange.head.host,
+                path=exchange.head.path,
+                seconds=_round(seconds),
+                skipped_lines=self._skipped_lines,
+            ),
+        )
+        self._skipped_lines = 0
+
 
 def _round(seconds: float) -> float:
     """Return seconds rounded for the log, -1 if they are not finite."""
--- a/marigoldramp/logs.py
+++ b/marigoldramp/logs.py
@@ -25,6 +25,8 @@
 
 HIDDEN = '[hidden]'
 LONGEST_MESSAGE = 8192
+#: Characters of a field; clients choose what some fields hold.
+LONGEST_FIELD = 1024
 #: Lines that one process writes to standard output in a second at most;
 #: a line costs about 50 microseconds.
 MOST_LINES_A_SECOND = 300
@@ -99,6 +101,35 @@
     return redactor.redact(text)
 
 
+class LineBudget:
+    """Bounds how many lines are written.
+
+    :param lines_a_second: most lines that are written in a second.
+    """
+
+    __slots__ = ('_most', '_clock', '_second', '_lines')
+
+    def __init__(
+        self,
+        *,
+        lines_a_second: int,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._most = lines_a_second
+        self._clock = clock
+        self._second = 0
+        self._lines = 0
+
+    def has_room(self) -> bool:
+        """Take one line from the budget; return whether there was one."""
+        second = int(self._clock())
+        if second != self._second:
+            self._second = second
+            self._lines = 0
+        self._lines += 1
+        return self._lines <= self._most
+
+
 class _Formatter(standard_logging.Formatter):
     """What both forms have in common."""
 
@@ -183,17 +214,14 @@
     ) -> None:
         super().__init__()
         self._descriptor = descriptor
-        self._most = lines_a_second
-        self._clock = clock
-        self._second = 0
-        self._lines = 0
+        self._budget = LineBudget(lines_a_second=lines_a_second, clock=clock)
         self._rest = b''
         self.dropped = 0
         os.set_blocking(descriptor, False)
 
     def emit(self, record: standard_logging.LogRecord) -> None:
         """Write a record, or count it as dropped."""
-        if not self._has_room():
+        if not self._budget.has_room():
             self.dropped += 1
             return
         if self.dropped and self._write(self._describe_dropped(record)):
@@ -201,14 +229,6 @@
         if not self._write(self.format(record)):
             self.dropped += 1
 
-    def _has_room(self) -> bool:
-        second = int(self._clock())
-        if second != self._second:
-            self._second = second
-            self._lines = 0
-        self._lines += 1
-        return self._lines <= self._most
-
     def _describe_dropped(self, record: standard_logging.LogRecord) -> str:
         told = standard_logging.makeLogRecord(
             {
@@ -253,7 +273,11 @@
 
 def _clean(values: dict[str, Any]) -> dict[str, Any]:
     return {
-        key: hide_secrets(value) if isinstance(value, str) else value
+        key: (
+            hide_secrets(value)[:LONGEST_FIELD]
+            if isinstance(value, str)
+            else value
+        )
         for key, value in values.items()
     }
 
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -6,6 +6,7 @@
 
 from marigoldramp.gateway import deployment
 from marigoldramp.gateway import outbound
+from marigoldramp import logs
 
 from . import fake_endpoint as fake
 from . import site
@@ -487,6 +488,26 @@
     assert found['seconds'] >= 0.0
 
 
+async def test_lines_of_requests_without_a_route_leave_room_for_others(lines):
+    """Guards against a crowd's lines that replace those of other callers."""
+    now = 0.0
+    one = make_endpoint('i-1', fake.answer())
+    async with site.run_site(one) as running:
+        running.gateway.forwarder._unadmitted_lines = logs.LineBudget(
+            lines_a_second=2, clock=lambda: now
+        )
+        for number in range(5):
+            await site.call(running, path='/none/', attempt=f'n-{number}')
+        await site.call(running, attempt='a-7')
+        now = 1.0
+        await site.call(running, path='/none/', attempt='n-5')
+        await running.until(lambda: len(lines('request ended')) == 4)
+    found = lines('request ended')
+    written = [line['request'] for line in found]
+    assert written == ['n-0', 'n-1', 'a-7', 'n-5']
+    assert found[-1]['skipped_lines'] == 3
+
+
 async def test_metrics_page_shows_requests_and_state():
     one = make_endpoint('i-1', fake.answer())
     async with site.run_site(one) as running:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -107,6 +107,35 @@
     assert len(log()('x' * 100_000)) < 2 * logs.LONGEST_MESSAGE
 
 
+def test_long_field_is_cut(pipe):
+    """Guards against lines as long as the paths that clients send."""
+    handler = make_handler(pipe, lambda: 1.0)
+    record = standard_logging.makeLogRecord(
+        {'msg': 'm', 'levelname': 'INFO', **logs.fields(path='x' * 12_000)}
+    )
+    handler.handle(record)
+    (line,) = pipe.lines()
+    assert line['fields'] == {'path': 'x' * logs.LONGEST_FIELD}
+
+
+@pytest.mark.parametrize(
+    ('times', 'expected'),
+    [
+        ([0.0, 0.1, 0.2], [True, True, False]),
+        ([0.0, 0.1, 0.9, 1.0], [True, True, False, True]),
+        ([0.0, 1.0, 2.0], [True, True, True]),
+    ],
+)
+def test_budget_gives_lines_by_the_second(times, expected):
+    now = [0.0]
+    budget = logs.LineBudget(lines_a_second=2, clock=lambda: now[0])
+    found = []
+    for time in times:
+        now[0] = time
+        found.append(budget.has_room())
+    assert found == expected
+
+
 class Pipe:
     """A pipe whose reader a test plays."""
 
