Stop a process beside clients that keep to no limit

Tests of a stop with such clients on the callers' port: an ordinary request in progress is answered, the process ends by itself with exit code 0, and stays within its memory.

--- a/tests/crowds/site.py
+++ b/tests/crowds/site.py
@@ -26,6 +26,20 @@
 MOST_TRIES = 3
 RETRY_SECONDS = 0.1
 LARGE_BODY = b'x' * 2_000_000
+#: What an endpoint takes some time for, in seconds.
+SLOW_TARGET = '/notes/slow'
+SLOW_SECONDS = 2.0
+#: Time that an ordinary client gives an answer: less than a process has that
+#: stops, in milliseconds.
+BUDGET_MS = 5000
+#: What is raised where a request gets no whole answer.
+NO_ANSWER = (
+    OSError,
+    anyio.BrokenResourceError,
+    anyio.EndOfStream,
+    h11.RemoteProtocolError,
+    TimeoutError,
+)
 SEAL = (b'runner-seal', b's')
 LIMITS = {
     'MaxHeaderBytes': 16384,
@@ -64,48 +78,60 @@
     await exchange.read_body(max_bytes=1 << 20, seconds=5.0)
     if exchange.head.path.startswith('/hang/'):
         await anyio.sleep(60.0)
+    if exchange.head.path == SLOW_TARGET:
+        await anyio.sleep(SLOW_SECONDS)
     large = exchange.head.path.startswith('/large/')
     body = LARGE_BODY if large else b'done'
     await exchange.respond(status=200, headers=echo, body=body)
 
 
+async def read_status(stream, connection):
+    """Read one whole answer; return its status."""
+    status = 0
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await stream.receive())
+        elif isinstance(event, h11.Response):
+            status = event.status_code
+        elif isinstance(event, h11.EndOfMessage):
+            return status
+
+
 class Site:
     """The gateway, and where its listeners are."""
 
     def __init__(self, *, gateway):
         self.gateway = gateway
 
-    async def ask(self, listener, target=''):
+    async def ask(self, listener):
         """Make one ordinary request; return its status, 0 for none."""
+        with contextlib.suppress(*NO_ANSWER):
+            with anyio.fail_after(PATIENCE):
+                target = ORDINARY_TARGETS[listener]
+                async with self.open_request(target, listener) as read:
+                    return await read()
+        return 0
+
+    @contextlib.asynccontextmanager
+    async def open_request(self, target, listener='calls'):
+        """Send one request; give a function that returns its status."""
         address = (self.gateway.host, processes.PORTS[listener])
         connection = h11.Connection(h11.CLIENT)
         data = connection.send(
             h11.Request(
                 method='GET',
-                target=target or ORDINARY_TARGETS[listener],
-                headers=[('host', HOST_NAME), ('attempt-id', 'a1')],
+                target=target,
+                headers=[
+                    ('host', HOST_NAME),
+                    ('attempt-id', 'a1'),
+                    ('time-budget-ms', str(BUDGET_MS)),
+                ],
             )
         )
-        status = 0
-        with contextlib.suppress(
-            OSError,
-            anyio.BrokenResourceError,
-            anyio.EndOfStream,
-            h11.RemoteProtocolError,
-            TimeoutError,
-        ):
-            with anyio.fail_after(PATIENCE):
-                async with await anyio.connect_tcp(*address) as stream:
-                    await stream.send(data)
-                    while not connection.states[h11.SERVER] is h11.DONE:
-                        event = connection.next_event()
-                        if event is h11.NEED_DATA:
-                            connection.receive_data(await stream.receive())
-                        elif isinstance(event, h11.Response):
-                            status = event.status_code
-                        elif isinstance(event, h11.EndOfMessage):
-                            return status
-        return 0
+        async with await anyio.connect_tcp(*address) as stream:
+            await stream.send(data)
+            yield lambda: read_status(stream, connection)
 
     async def is_served(self, listener):
         """Ask as an ordinary client, which tries again a few times."""
--- a/tests/crowds/test_clients.py
+++ b/tests/crowds/test_clients.py
@@ -79,3 +79,34 @@
     assert set(afterwards.values()) == {200}
     assert peak.memory <= crowd.memory * processes.MEGABYTE
     assert peak.descriptors <= crowd.descriptors
+
+
+#: Clients that hold connections in each way while a process stops.
+STOPS = [
+    Crowd(kind='ahead', listener='calls', clients=300),
+    Crowd(kind='heads', listener='calls', clients=100),
+    Crowd(kind='bodies', listener='calls', clients=100),
+    Crowd(kind='large answers', listener='calls', clients=100),
+]
+
+
+@pytest.mark.parametrize(
+    ('number', 'crowd'), list(enumerate(STOPS, 1)), ids=map(str, STOPS)
+)
+async def test_stop_beside_such_clients_is_clean(number, crowd):
+    """Guards against a stop that they hold up, or that cuts off others."""
+    async with site_module.run_site(
+        host=f'127.90.1.{number}',
+        memory=crowd.memory,
+        descriptors=crowd.descriptors,
+    ) as site:
+        async with site.crowd(crowd.kind, crowd.listener, crowd.clients):
+            async with site.open_request(site_module.SLOW_TARGET) as read:
+                site.gateway.ask_to_stop()
+                status = await read()
+            await site.gateway.wait_end()
+    peak = site.gateway.peak
+    print(f'{crowd}: {peak} {status=} {site.gateway.exit_code=}')
+    assert status == 200
+    assert site.gateway.exit_code == 0
+    assert peak.memory <= crowd.memory * processes.MEGABYTE
