--- a/marigoldramp_soak/__main__.py
+++ b/marigoldramp_soak/__main__.py
@@ -27,6 +27,7 @@
 #: Further kinds of trouble, each an option.
 MORE = {
     'ends': 'callers come whose requests end their endpoints',
+    'crowds': 'clients come that keep to no limit',
     'restores': 'the store comes back from older copies',
     'stops': 'gateways are stopped in series while bodies come slowly',
     'backoffs': 'endpoints decline requests and request a backoff',
--- a/marigoldramp_soak/checks.py
+++ b/marigoldramp_soak/checks.py
@@ -61,6 +61,7 @@
     broken += check_ends(site, faults)
     broken += check_backoffs(site, faults)
     broken += check_leaving(site)
+    broken += check_memory(site)
     broken += check_limits(site, faults)
     broken += check_colds(site, faults)
     broken += check_budget(site)
@@ -71,6 +72,13 @@
     return broken
 
 
+def check_memory(site):
+    """Return the gateways that took up more memory than they may."""
+    for entry in site.entries:
+        if entry.peak > entries.MEMORY * entries.MEGABYTE:
+            yield f'{entry.host}: took up {entry.peak} bytes'
+
+
 def is_cut(told, runs):
     """Whether a request was read and then got no whole answer.
 
--- a/marigoldramp_soak/entries.py
+++ b/marigoldramp_soak/entries.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from . import crowds
 from . import gateway
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -19,6 +20,10 @@
 COLD_EXTRA = 5
 #: Time within which an evacuation must be in force.
 EVACUATE_MS = 5000
+#: Megabytes of memory, and descriptors, that a process may use.
+MEMORY = 80
+DESCRIPTORS = 700
+MEGABYTE = 1_000_000
 #: File with the hosts that are partitioned from the other gateways.
 PARTITION = 'partition'
 
@@ -32,6 +37,9 @@
 FrontAddr = "{host}:{calls}"
 Ready = "{host}:{ready}"
 Directory = "{host}:{directory}"
+[Limits]
+MemoryMb = {memory}
+MaxFds = {descriptors}
 [Bounds]
 DrainMs = 2000
 GraceS = {grace}
@@ -63,6 +71,8 @@
         # Seeds that run at the same time keep apart by their addresses.
         self.host = f'127.{seed >> 8 & 63}.{seed & 255}.{20 + number}'
         self.calls = ports['calls']
+        self.ports = [ports[name] for name in ('calls', 'ready', 'directory')]
+        self.peak = 0
         self.stopping = False
         self.paused = False
         self.resumed_at = []
@@ -75,6 +85,8 @@
             grace=GRACE,
             store=store,
             fenced=str(fenced).lower(),
+            memory=MEMORY,
+            descriptors=DESCRIPTORS,
             cold_factor=COLD_FACTOR,
             cold_extra=COLD_EXTRA,
             evacuate=f'EvacuateMs = {EVACUATE_MS}' if evacuates else '',
@@ -106,6 +118,12 @@
         """Record that the process may have missed earlier responses."""
         self.resumed_at.append(anyio.current_time())
 
+    def note_peak(self):
+        """Record the most memory that the process has had."""
+        if self._process is not None:
+            peak = crowds.read_peak(self._process.pid)
+            self.peak = max(self.peak, peak)
+
     @property
     def runs(self):
         """Whether the process lives."""
--- a/marigoldramp_soak/faults.py
+++ b/marigoldramp_soak/faults.py
@@ -5,6 +5,8 @@
 
 import anyio
 
+from . import crowds
+
 PLANNED = ('stop', 'reload', 'configure', 'revoke', 'drain')
 UNPLANNED = (
     'kill',
@@ -91,6 +93,28 @@
                 tasks.start_soon(caller.run, lambda leaves=leaves: leaves)
                 await anyio.sleep(draw.uniform(0.5, 4.0))
 
+    async def _inject_crowds(self, draw, until):
+        """Have crowds of clients come to random listeners."""
+        async with anyio.create_task_group() as tasks:
+            while anyio.current_time() < until:
+                await anyio.sleep(draw.uniform(0.2, 2.0))
+                entry = draw.choice(self._site.entries)
+                kind = draw.choice(crowds.KINDS)
+                self.injected.append(f'crowd_{kind}')
+                tasks.start_soon(self._bring_crowd, draw, entry, kind, until)
+        for entry in self._site.entries:
+            entry.note_peak()
+
+    async def _bring_crowd(self, draw, entry, kind, until):
+        seconds = draw.uniform(0.5, crowds.MOST_SECONDS)
+        await crowds.run_crowd(
+            kind=kind,
+            address=(entry.host, draw.choice(entry.ports)),
+            clients=draw.randrange(5, crowds.MOST_CLIENTS),
+            seconds=min(seconds, until - anyio.current_time()),
+        )
+        entry.note_peak()
+
     async def _inject_backoffs(self, draw, until):
         """Start backoff periods on random endpoints; they may overlap."""
         async with anyio.create_task_group() as tasks:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,6 +17,7 @@
         *((seed, []) for seed in (2, *REGRESSIONS)),
         (301, ['--ends']),
         (1003, ['--stops']),
+        (1101, ['--crowds']),
         (402, ['--backoffs']),
         (611, ['--maps']),
         (801, ['--limits']),
