Leave memory for what a process knows of its endpoints

The bound on connections left 40 MB for the process itself, whatever it serves. At 3,000 endpoints the median gateway took 11 MB more than at 299 (37.5 and 26.4 MB, docs/CAPACITY.md), so the bounds together could exceed the memory there. 5,000 bytes for each known endpoint are left as well.

Evidence: the rows of test_bound_follows_memory_and_descriptors; no crowd was played at that size.

--- a/marigoldramp/gateway/client_connections.py
+++ b/marigoldramp/gateway/client_connections.py
@@ -22,8 +22,9 @@
 #: Share of the process's memory that is bounded in sum elsewhere: unsent and
 #: unread bytes, bodies of requests, and answers.
 COUNTED_SHARE = 0.4
-#: Bytes that a process takes up without any client.
+#: Bytes that a process takes up without any client, and for each endpoint.
 PROCESS_BYTES = 40_000_000
+ENDPOINT_BYTES = 5_000
 #: File descriptors that are reserved for everything but clients.
 RESERVED_DESCRIPTORS = 600
 #: Connections that are allowed however small the instance is.
@@ -38,15 +39,17 @@
 STALLED_SECONDS = 1.0
 
 
-def find_most(*, memory: int, descriptors: int) -> int:
+def find_most(*, memory: int, descriptors: int, endpoints: int = 0) -> int:
     """Return how many connections may be open.
 
     :param memory: bytes that the process may use, 0 if not known.
     :param descriptors: descriptors that the process may have open.
+    :param endpoints: endpoints that the process knows.
     """
     most = descriptors - RESERVED_DESCRIPTORS
     if memory:
-        left = int((1.0 - COUNTED_SHARE) * memory) - PROCESS_BYTES
+        process = PROCESS_BYTES + ENDPOINT_BYTES * endpoints
+        left = int((1.0 - COUNTED_SHARE) * memory) - process
         most = min(most, left // CONNECTION_BYTES)
     return max(MIN_CONNECTIONS, most)
 
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -92,6 +92,7 @@
             most=lambda: client_connections.find_most(
                 memory=self.settings.memory,
                 descriptors=self.settings.descriptors,
+                endpoints=len(self.table),
             ),
             metrics=metrics,
             clock=clock,
--- a/tests/gateway/test_client_connections.py
+++ b/tests/gateway/test_client_connections.py
@@ -42,18 +42,23 @@
 
 
 @pytest.mark.parametrize(
-    ('memory', 'descriptors', 'expected'),
+    ('memory', 'descriptors', 'endpoints', 'expected'),
     [
-        (0, 4100, 3500),
-        (0, 600, bound.MIN_CONNECTIONS),
-        (1000 * MEGABYTE, 4100, 3500),
-        (80 * MEGABYTE, 4100, 8 * MEGABYTE // bound.CONNECTION_BYTES),
-        (300 * MEGABYTE, 4100, 140 * MEGABYTE // bound.CONNECTION_BYTES),
-        (10 * MEGABYTE, 4100, bound.MIN_CONNECTIONS),
+        (0, 4100, 20, 3500),
+        (0, 600, 20, bound.MIN_CONNECTIONS),
+        (1000, 4100, 20, 3500),
+        (80, 4100, 0, 8 * MEGABYTE // bound.CONNECTION_BYTES),
+        (300, 4100, 0, 140 * MEGABYTE // bound.CONNECTION_BYTES),
+        (300, 4100, 3000, 125 * MEGABYTE // bound.CONNECTION_BYTES),
+        (10, 4100, 0, bound.MIN_CONNECTIONS),
     ],
 )
-def test_bound_follows_memory_and_descriptors(memory, descriptors, expected):
-    found = bound.find_most(memory=memory, descriptors=descriptors)
+def test_bound_follows_memory_and_descriptors(
+    memory, descriptors, endpoints, expected
+):
+    found = bound.find_most(
+        memory=memory * MEGABYTE, descriptors=descriptors, endpoints=endpoints
+    )
     assert found == expected
 
 
