Serve other clients between requests that one has sent ahead

Cause: nothing is waited for between two requests that have been received and have no endpoint to go to, so a connection's were served in a row, some hundred of them, while the event loop stood still. A new connection waited for more than a second for its first turn, counted as one without a request, and was closed to make room.

Change: the event loop runs between requests sent ahead, and from the 17th in a row on each waits 0.1 s. Clients that send a few ahead meet no pause.

--- a/marigoldramp/gateway/inbound.py
+++ b/marigoldramp/gateway/inbound.py
@@ -30,6 +30,11 @@
 #: Bytes that are read at once before the head of a request is complete.  The
 #: parser keeps what belongs to the next requests.
 HEAD_READ_BYTES = 4096
+#: Requests that a client may send ahead of the answers without a pause between
+#: them, and the pause from then on, in seconds.  Other connections are served
+#: meanwhile.
+MOST_AHEAD = 16
+AHEAD_PAUSE_SECONDS = 0.1
 #: Memory that a header takes up beside its bytes.
 HEADER_BYTES = 160
 #: Seconds after which a request may come again that found no memory.
@@ -336,10 +341,13 @@
 
     async def serve(self) -> None:
         """Serve requests until the connection ends."""
+        ahead = 0
         try:
             while await self._serve_one() and await self._wait_sent():
                 self._h11.start_next_cycle()
                 self._note(client_connections.Activity.IDLE)
+                ahead = ahead + 1 if self._stream.unread else 0
+                await self._let_others_run(ahead)
             self._note(client_connections.Activity.ENDING)
             if self._h11.our_state is h11.MUST_CLOSE:
                 await self._drain()
@@ -359,6 +367,17 @@
         if boot_clock.read_clock() - self._idle_since > longer_than:
             self._stream.finish()
 
+    async def _let_others_run(self, ahead: int) -> None:
+        """Let other connections be served before a request sent ahead.
+
+        :param ahead: requests in a row that came before the answer to the
+            one before them was written.
+        """
+        if ahead > MOST_AHEAD:
+            await anyio.sleep(AHEAD_PAUSE_SECONDS)
+        elif ahead:
+            await anyio.sleep(0.0)
+
     async def _wait_sent(self) -> bool:
         """Wait until the client's host has taken all responses.
 
--- a/tests/gateway/test_client_connections.py
+++ b/tests/gateway/test_client_connections.py
@@ -323,6 +323,24 @@
             await running.until(lambda: len(one.seen) == 3)
 
 
+async def test_requests_sent_ahead_keep_no_other_client_waiting():
+    """Guards against a process that is busy with one client for long.
+
+    All that it had received from a client was served in a row, and with some
+    hundred such clients others got no answer.
+    """
+    count = 60
+    one = fake.FakeEndpoint(identity='i-1', scripts=[fake.answer()])
+    async with site.run_site(one) as running, site.connect(running) as ahead:
+        head = f'GET /none/ HTTP/1.1\r\nHost: {site.HOST_NAME}\r\n\r\n'
+        await ahead.send(head.encode() * count)
+        answer = await site.call(running)
+        page = running.gateway._metrics.render().decode()
+    assert answer.status == 200
+    refused = [line for line in page.splitlines() if 'refused' in line]
+    assert sum(float(line.split()[-1]) for line in refused) < count
+
+
 async def test_dropped_requests_are_never_run():
     """Guards against a request that runs after its connection was closed."""
     one = fake.FakeEndpoint(identity='i-1', scripts=[fake.hang])
