Send answers in two writes without a delay again

Since listeners bind their sockets themselves, accepted connections had no TCP_NODELAY: asyncio sets it only on sockets that name their protocol, and these did not. The second write of an answer could wait some 40 ms for an acknowledgement.

Evidence: test_answers_in_two_writes_are_not_delayed fails before.

--- a/marigoldramp/gateway/listeners.py
+++ b/marigoldramp/gateway/listeners.py
@@ -142,7 +142,8 @@
 def _bind(host: str, port: int) -> socket.socket:
     """Return a socket whose connections have a small receive buffer."""
     family = socket.AF_INET6 if ':' in host else socket.AF_INET
-    listening = socket.socket(family, socket.SOCK_STREAM)
+    # asyncio sets TCP_NODELAY only on sockets that name their protocol.
+    listening = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listening.setblocking(False)
     listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listening.setsockopt(
--- a/tests/gateway/test_client_connections.py
+++ b/tests/gateway/test_client_connections.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import gc
+import socket
 import weakref
 
 import anyio
@@ -194,6 +195,17 @@
             assert not found._transport.is_reading()
 
 
+async def test_answers_in_two_writes_are_not_delayed():
+    """Guards against 40 ms that the system waits before the second write."""
+    one = fake.FakeEndpoint(identity='i-1', scripts=[fake.hang])
+    async with site.run_site(one) as running, site.connect(running) as stream:
+        await site.send_request(stream)
+        await running.until(lambda: one.seen)
+        (found,) = running.gateway.client_connections._open
+        accepted = found._transport.get_extra_info('socket')
+        assert accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+
 async def test_pieces_of_single_bytes_are_joined():
     """Guards against received bytes that cost many times their size."""
 
