Bound the requests that a caller of an entry sends ahead

Cause: uvicorn parses all that it has received and keeps a request of some kilobytes for each, up to 256 KiB of requests for each connection.

Change: bytes are parsed 4 KiB at a time, and a connection with more than 16 requests ahead of the answers is closed.

--- a/marigoldramp/servers.py
+++ b/marigoldramp/servers.py
@@ -30,6 +30,10 @@
 #: Seconds that a kept-alive connection may be idle.
 KEEP_ALIVE = 60
 BACKLOG = 1024
+#: Requests that a caller may send ahead of the answers, and the bytes that are
+#: parsed before these are counted.
+MOST_AHEAD = 16
+PARSED_BYTES = 4096
 HEAD_END = b'\r\n\r\n'
 KEY_HEADER = b'idempotency-key'
 
@@ -87,7 +91,12 @@
             self._expect_head()
         if self.head_timer is not None and not self._fits(data):
             return
-        super().data_received(data)
+        for start in range(0, len(data), PARSED_BYTES):
+            super().data_received(data[start : start + PARSED_BYTES])
+            if len(self.pipeline) > MOST_AHEAD:
+                # uvicorn keeps each of them with some kilobytes of its own.
+                self.transport.abort()
+                return
 
     def _fits(self, data: bytes) -> bool:
         """Count what belongs to the head; refuse one that is too long."""
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -17,6 +17,7 @@
 
 from marigoldramp import outcomes
 from marigoldramp import problems
+from marigoldramp import servers
 from marigoldramp_standins import site as site_module
 from marigoldramp_standins import site_layout
 from marigoldramp_standins import web
@@ -299,6 +300,21 @@
         assert [one.runs for one in site.endpoints] == [{'bad': 1}]
 
 
+async def test_requests_sent_ahead_are_bounded():
+    """Guards against an entry that requests sent ahead fill."""
+    request = b'GET /none HTTP/1.1\r\nhost: a\r\n\r\n'
+    async with open_site() as site:
+        port = site.doors[0].port
+        async with await anyio.connect_tcp('127.0.0.1', port) as stream:
+            with anyio.fail_after(20.0):
+                with pytest.raises(
+                    (anyio.BrokenResourceError, anyio.EndOfStream)
+                ):
+                    await stream.send(request * 20 * servers.MOST_AHEAD)
+                    while True:
+                        await stream.receive()
+
+
 async def test_too_many_connections_are_refused_each_with_an_answer():
     async with open_site() as site:
         port = site.doors[0].port
