Leave connections to the other listeners while callers keep all busy

The bound on connections is one for all listeners, and a request in progress is never closed for a new connection: a gateway whose callers keep all of them busy would have answered no question for its readiness or for addresses, and no peer, and would have counted as gone.

Change: callers leave 32 connections to the others. A request that finds no memory for its head writes a log line, too.

Evidence: test_callers_leave_connections_to_other_listeners.

--- a/marigoldramp/gateway/client_connections.py
+++ b/marigoldramp/gateway/client_connections.py
@@ -29,6 +29,9 @@
 RESERVED_DESCRIPTORS = 600
 #: Connections that are allowed however small the instance is.
 MIN_CONNECTIONS = 64
+#: Connections that callers leave to the other listeners: those who ask for
+#: addresses or readiness, and peers, are answered while all others are busy.
+KEPT_CONNECTIONS = 32
 #: Share of all connections that is closed at once when there is no room, so
 #: that not each new one leads to a search.
 BATCH_SHARE = 0.0625
@@ -150,9 +153,15 @@
     def __len__(self) -> int:
         return len(self._open)
 
-    def add(self, stream: tcp_streams.Stream) -> ClientConnection | None:
-        """Add a new connection; return ``None`` if there is no room for it."""
-        if len(self._open) >= self._most() and not self._make_room():
+    def add(
+        self, stream: tcp_streams.Stream, *, kept: int = 0
+    ) -> ClientConnection | None:
+        """Add a new connection; return ``None`` if there is no room for it.
+
+        :param kept: how many it leaves to others.
+        """
+        most = self._most() - kept
+        if len(self._open) >= most and not self._make_room(most):
             self._metrics.count('refused_connections')
             return None
         added = ClientConnection(stream=stream, clock=self._clock)
@@ -163,7 +172,7 @@
         """Remove a connection that has ended."""
         self._open.pop(stream, None)
 
-    def _make_room(self) -> bool:
+    def _make_room(self, most: int) -> bool:
         """Close the connections that can be closed with the least harm.
 
         Return whether there is room for a new one.
@@ -176,8 +185,8 @@
             for number, one in enumerate(self._open.values())
         ]
         ranked.sort()
-        excess = len(self._open) + 1 - self._most()
-        count = max(excess, int(BATCH_SHARE * self._most()))
+        excess = len(self._open) + 1 - most
+        count = max(excess, int(BATCH_SHARE * most))
         closed = 0
         for rank, _, _, one in ranked[:count]:
             if rank is _Rank.NEVER:
@@ -194,7 +203,7 @@
                     closed=closed,
                     first=ranked[0][0].name.lower(),
                     open=len(self._open),
-                    most=self._most(),
+                    most=most,
                 ),
             )
         return closed >= excess
--- a/marigoldramp/gateway/inbound.py
+++ b/marigoldramp/gateway/inbound.py
@@ -430,6 +430,9 @@
             bodies=self._bodies,
         )
         if not exchange.reserve_head():
+            logging.info(
+                'request refused', extra=logs.fields(detail='no memory')
+            )
             await self._send_error(http.HTTPStatus.SERVICE_UNAVAILABLE)
             return False
         self._exchange = exchange
--- a/marigoldramp/gateway/listeners.py
+++ b/marigoldramp/gateway/listeners.py
@@ -70,18 +70,21 @@
 
     :param serve: serves one connection until it ends.
     :param connections: bounds the connections of all listeners.
+    :param kept: connections that this one leaves to the others.
     """
 
-    __slots__ = ('_serve', '_connections', '_server', '_tasks')
+    __slots__ = ('_serve', '_connections', '_kept', '_server', '_tasks')
 
     def __init__(
         self,
         *,
         serve: ServeConnection,
         connections: client_connections.ClientConnections,
+        kept: int = 0,
     ) -> None:
         self._serve = serve
         self._connections = connections
+        self._kept = kept
         self._server: asyncio.Server | None = None
         self._tasks: anyio.abc.TaskGroup | None = None
 
@@ -112,7 +115,7 @@
 
     def _accept(self, stream: _AcceptedStream) -> None:
         assert self._tasks is not None
-        connection = self._connections.add(stream)
+        connection = self._connections.add(stream, kept=self._kept)
         if connection is None:
             stream.abort()
             return
--- a/marigoldramp/gateway/program.py
+++ b/marigoldramp/gateway/program.py
@@ -524,7 +524,9 @@
             release=self.containment.release,
         )
         self._call_listener = listeners.Listener(
-            serve=self._serve_calls, connections=self.client_connections
+            serve=self._serve_calls,
+            connections=self.client_connections,
+            kept=client_connections.KEPT_CONNECTIONS,
         )
         self._listeners.append(self._call_listener)
         handlers: list[tuple[outbound.Address | None, adapter_module.Page]] = [
--- a/tests/gateway/test_client_connections.py
+++ b/tests/gateway/test_client_connections.py
@@ -123,6 +123,19 @@
     assert len(connections) == len(opened)
 
 
+@pytest.mark.parametrize(('kept', 'expected'), [(0, True), (1, False)])
+def test_callers_leave_connections_to_other_listeners(kept, expected):
+    """Guards against a gateway that seems dead while callers keep it busy."""
+    connections = bound.ClientConnections(
+        most=lambda: 2,
+        metrics=metrics.create_local(instance='m'),
+        clock=lambda: 0.0,
+    )
+    connections.add(FakeStream('busy', [])).note(bound.Activity.REQUEST)
+    added = connections.add(FakeStream('new', []), kept=kept)
+    assert (added is not None) == expected
+
+
 def test_reader_that_takes_its_answer_is_not_closed():
     """Guards against the loss of answers that are taken slowly."""
     now = 0.0
