Keep one figure for stalled clients, and check that the shares agree

Two modules each had their own second without progress from which a client counts as not reading; response_buffers now takes that of client_connections. COUNTED_SHARE has to be the sum of the shares that response_buffers and request_bodies keep, which cannot be imported there without a circle, so a test compares them. Two attributes of the crowds' gateway that nothing read are gone. Nothing behaves differently; no check is changed.

--- a/marigoldramp/gateway/response_buffers.py
+++ b/marigoldramp/gateway/response_buffers.py
@@ -16,6 +16,7 @@
 from .. import logs
 from .. import metrics as metrics_module
 from .. import tcp_streams
+from . import client_connections
 from . import inbound
 
 #: Unsent bytes of a connection from which its writers wait: some hundred
@@ -38,7 +39,7 @@
 RELIEF_SHARE = 0.9
 #: Seconds without progress after which a connection is aborted rather than
 #: one whose caller reads, whatever they hold.
-STALLED_SECONDS = 1.0
+STALLED_SECONDS = client_connections.STALLED_SECONDS
 
 
 def find_sum_bound(memory: int) -> int:
--- a/tests/crowds/processes.py
+++ b/tests/crowds/processes.py
@@ -74,8 +74,6 @@
 
     def __init__(self, *, host, store, memory, descriptors):
         self.host = host
-        self.memory = memory * MEGABYTE
-        self.descriptors = descriptors
         self.peak = Peak()
         self._folder = pathlib.Path(tempfile.mkdtemp(prefix='crowd-'))
         self._settings = self._folder / 'settings.toml'
--- a/tests/gateway/test_client_connections.py
+++ b/tests/gateway/test_client_connections.py
@@ -11,6 +11,8 @@
 
 from marigoldramp.gateway import client_connections as bound
 from marigoldramp.gateway import listeners
+from marigoldramp.gateway import request_bodies
+from marigoldramp.gateway import response_buffers
 from marigoldramp import metrics
 from marigoldramp import tcp_streams
 
@@ -72,6 +74,12 @@
     assert together + bound.COUNTED_SHARE * size <= size
 
 
+def test_share_that_is_counted_elsewhere_is_that_of_the_sums():
+    """Guards against a sum that grows while connections leave it no room."""
+    sums = response_buffers.MEMORY_SHARE + 2.0 * request_bodies.MEMORY_SHARE
+    assert bound.COUNTED_SHARE == pytest.approx(sums)
+
+
 #: Connections in the order in which they were opened, a second apart: what
 #: each is occupied with, and more about it.
 @pytest.mark.parametrize(
