--- /dev/null
+++ b/review/7/case.py
@@ -0,0 +1,88 @@
+"""Two servers turn cold shortly after one another."""
+
+import os
+import pathlib
+import sys
+
+import anyio
+
+from review import cold_2
+from review import site_2
+
+GATEWAYS = 6
+SERVERS = 3
+#: Requests per second of all clients together.
+RATE = 240.0
+WARM_UP_SECONDS = 12.0
+#: From the first server's cold time to that of the second one.
+DELAY_SECONDS = 0.1
+#: Pause between two rounds, in which the servers are warm again.
+PAUSE_SECONDS = 5.0
+ROUNDS = 4
+TROUBLE = os.environ.get('TROUBLE', '1') != '0'
+RECORD = pathlib.Path(__file__).parent / 'record.txt'
+
+
+async def main():
+    """Run the case; return its exit code."""
+    record = site_2.Record(RECORD)
+    async with anyio.create_task_group() as tasks:
+        site = site_2.Site(
+            tasks=tasks, record=record, more_bounds=cold_2.BOUNDS
+        )
+        try:
+            servers = await play(site, tasks)
+        finally:
+            await site.end()
+            tasks.cancel_scope.cancel()
+    broken = judge(record, servers)
+    record.close()
+    return 1 if broken else 0
+
+
+async def play(site, tasks):
+    """Play the events; return the servers."""
+    cold_2.configure(site)
+    await site.prepare(GATEWAYS)
+    servers = await cold_2.add_servers(site, SERVERS)
+    for gateway in site.gateways:
+        gateway.start()
+    await site.wait_ready()
+    clients = cold_2.Clients(site=site, rate=RATE)
+    await clients.start(tasks)
+    await anyio.sleep(WARM_UP_SECONDS)
+    for _ in range(ROUNDS):
+        if TROUBLE:
+            tasks.start_soon(servers[1].turn_cold)
+            await anyio.sleep(DELAY_SECONDS)
+        tasks.start_soon(servers[0].turn_cold)
+        await anyio.sleep(cold_2.COLD_SECONDS + PAUSE_SECONDS)
+    clients.stop()
+    await anyio.sleep(0.5)
+    served = sum(one.whole and one.status == 200 for one in clients.told)
+    print(f'{served} of {len(clients.told)} requests served')
+    return servers
+
+
+def judge(record, servers):
+    """Return whether a cold server got more than the rule allows.
+
+    Seconds count from the store's acknowledgement of the server's entry.
+    """
+    found = [
+        server.count_most(span, since=span.told_at)
+        for server in servers
+        for span in server.spans
+    ]
+    lines = (
+        f'allowed in any second while cold: {cold_2.ALLOWED}',
+        f'most in a second, for each cold time: {found}',
+    )
+    for line in lines:
+        print(line)
+        record.note(line)
+    return max(found) > cold_2.ALLOWED
+
+
+if __name__ == '__main__':
+    sys.exit(site_2.run(main))
