--- a/review/site_2.py
+++ b/review/site_2.py
@@ -30,6 +30,8 @@
 #: Port of the metrics, which the program does not take from its settings.
 METRICS_PORT = 9464
 START_TIMEOUT_SECONDS = 30.0
+#: Time of a whole run in seconds.
+MOST_SECONDS = 110
 #: Seconds between two questions of a client for addresses.
 RESOLVE_SECONDS = 1.0
 #: Requests on one connection of a client.
@@ -501,7 +503,13 @@
 
 
 def run(main):
-    """Run a case; return its exit code: 2 if it could not run."""
+    """Run a case; return its exit code: 2 if it could not run.
+
+    A request to stop, and the end of the time, end all processes as well.
+    """
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    signal.signal(signal.SIGALRM, signal.default_int_handler)
+    signal.alarm(MOST_SECONDS)
     try:
         return anyio.run(main)
     except BaseException as error:
