--- a/review/6/case.py
+++ b/review/6/case.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from marigoldramp_soak import objects
 from review import cold_2
 from review import site_2
 
@@ -48,7 +49,7 @@
     return head + text + tail
 
 
-class PagedStore(site_2.Store):
+class PagedStore(objects.Objects):
     """The platform's store, whose lists have pages."""
 
     def __init__(self):
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,5 +1,6 @@
-"""The store comes back from a copy while all gateways start again."""
+"""One part of long prompts ends each server that begins an answer on it."""
 
+import itertools
 import os
 import pathlib
 import random
@@ -7,88 +8,136 @@
 
 import anyio
 
-from review import cold_2
 from review import site_2
 
 GATEWAYS = 3
-SERVERS = 3
-CLIENTS = 6
-PAUSE_SECONDS = 0.05
-KEPT_KEY = 'kept-key'
-REVOKED_KEY = 'revoked-key'
-REVOKE_SECONDS = 5.0
+SERVERS = 6
+SERVICE = 'drafting'
+SLOTS = 6
+WORK_SECONDS = 0.3
+#: Parts of a prompt that all requests share, and the place of the part that
+#: ends servers among those of its requests, counted from 1.
+SHARED_PARTS = 19
+PLACE = int(os.environ.get('PLACE', '18'))
+BAD_PART = 'bad0bad0'
+SOUND_CLIENTS = 8
+SOUND_PAUSE_SECONDS = 0.2
+BAD_PAUSE_SECONDS = 1.0
+#: Time after which a server that has ended is back.
+BACK_SECONDS = 3.0
 WARM_UP_SECONDS = 6.0
-#: Age of the copy when the key is taken away.
-COPY_SECONDS = 0.5
-#: Times from the acknowledgement of the configuration without the key: the
-#: store goes away and all gateways are killed; it is back, and they start;
-#: the operator has written again what the copy lacks.
-AWAY_AT = 3.2
-BACK_AT = 3.8
-WRITTEN_AT = 5.8
-END_AT = 9.0
+BAD_SECONDS = 40.0
+#: The rule: crashes, time after them, and requests that may still come.
+MOST_CRASHES = 5
+CONTACT_SECONDS = 3.0
+MOST_REQUESTS = 3
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 RECORD = pathlib.Path(__file__).parent / 'record.txt'
+_numbers = itertools.count(1)
 
 
-def configure(site, keys):
-    """Write a configuration in which a tenant has some keys."""
-    site.configure(
-        routes=[
-            site_2.make_route(
-                'fetch', cold_2.PREFIX, 'idempotent', cold_2.SERVICE
-            )
-        ],
-        services=[
+class Server(site_2.Server):
+    """One server that a part of a prompt ends."""
+
+    def __init__(self, *, site, crashes, arrivals):
+        super().__init__(site=site)
+        self._crashes = crashes
+        self._arrivals = arrivals
+
+    def register(self):
+        self.site.store.put(
+            'servers',
+            self.identity,
             {
-                'Name': cold_2.SERVICE,
-                'HealthPath': '/health',
-                'MaxConnections': 200,
-            }
-        ],
-        tenants=[{'Name': 'house', 'ApiKeys': keys}],
-    )
+                'Service': SERVICE,
+                'Address': self.address,
+                'Zone': 'zone-a',
+                'Version': 'v1',
+                'Slots': SLOTS,
+                'State': 'ready',
+                'ColdRemainingMs': 0,
+                'born': 1700000000000 + next(_numbers),
+                'Sequence': 1,
+            },
+        )
+
+    async def answer(self, exchange):
+        headers = dict(exchange.head.headers)
+        request = headers.get(b'attempt-id', b'')
+        echo = [(b'attempt-id', request)]
+        expected = headers.get(b'expect-instance', b'').decode()
+        if expected != self.identity:
+            await exchange.respond(status=421, headers=echo, body=b'')
+            return
+        await exchange.read_body(max_bytes=1 << 20, seconds=5.0)
+        name = request.decode()
+        parts = headers.get(b'prompt-prefix', b'').decode()
+        self.site.record.note(f'ran {name} at {self.identity}')
+        if BAD_PART in parts:
+            self._arrivals.append((anyio.current_time(), name))
+            if self.is_up:
+                self._crashes.append(anyio.current_time())
+            self.end(back_after=BACK_SECONDS)
+            await anyio.sleep_forever()
+        await anyio.sleep(WORK_SECONDS)
+        await exchange.respond(
+            status=200,
+            headers=[*echo, (b'runner-seal', b's')],
+            body=b'done ' + request,
+        )
+
+
+def make_parts(name, *, bad):
+    """Return the parts of a prompt; the last one is the request's own."""
+    parts = [f'c{number:03x}:40' for number in range(SHARED_PARTS)]
+    if bad:
+        parts.insert(PLACE - 1, f'{BAD_PART}:40')
+    return ','.join([*parts, f'e{name}:9'])
 
 
 class Client:
-    """One client, which goes on using both keys."""
+    """One client, whose requests may not be repeated unless they are bad.
+
+    :ivar told: what its requests came to.
+    """
 
-    def __init__(self, *, site, name):
+    def __init__(self, *, site, directory, number, bad):
         self.told = []
         self._site = site
-        self._name = name
+        self._directory = directory
+        self._number = number
+        self._bad = bad
+        self._prefix = '/draft/' if bad else '/order/'
 
-    async def run(self):
-        """Make requests until cancelled."""
+    async def run(self, until):
+        """Make requests until a time."""
         count = 0
-        while True:
-            gateway = random.choice(self._site.gateways)
+        while anyio.current_time() < until:
             count += 1
-            key = random.choice((KEPT_KEY, REVOKED_KEY))
-            request = f'{self._name}-{count}-{key}'
+            kind = 'bad' if self._bad else 'sound'
+            request = f'{kind}-{self._number}-{count}'
+            host, port = random.choice(self._directory.addresses)
             self._site.record.note(f'sent {request}')
-            sent_at = anyio.current_time()
             told = await site_2.ask_once(
-                gateway.host,
-                gateway.ports['calls'],
-                path=f'{cold_2.PREFIX}{request}',
-                seconds=2.0,
+                host,
+                port,
+                path=f'{self._prefix}{request}',
+                seconds=5.0,
                 headers=[
                     ('Attempt-Id', request),
-                    ('Time-Budget-Ms', '1500'),
-                    ('Authorization', f'Bearer {key}'),
+                    ('Time-Budget-Ms', '4000'),
+                    ('Model', 'm'),
+                    ('Token-Counts', '800,80'),
+                    (
+                        'Prompt-Prefix',
+                        make_parts(f'{self._number}{count}', bad=self._bad),
+                    ),
                 ],
             )
-            told.request = request
-            told.sent_at = sent_at
             self._site.record.note(f'answered {request}: {told.status}')
             self.told.append(told)
-            await anyio.sleep(PAUSE_SECONDS)
-
-
-async def sleep_until(at):
-    """Sleep until a time."""
-    await anyio.sleep(max(0.0, at - anyio.current_time()))
+            pause = BAD_PAUSE_SECONDS if self._bad else SOUND_PAUSE_SECONDS
+            await anyio.sleep(pause)
 
 
 async def main():
@@ -96,75 +145,78 @@
     record = site_2.Record(RECORD)
     async with anyio.create_task_group() as tasks:
         site = site_2.Site(tasks=tasks, record=record)
+        crashes = []
+        arrivals = []
         try:
-            told, servers, revoked_at = await play(site, tasks)
+            sound = await play(site, tasks, crashes, arrivals)
         finally:
             tasks.cancel_scope.cancel()
             await site.end()
-    broken = judge(record, told, servers, revoked_at)
+    broken = judge(record, crashes, arrivals, sound)
     record.close()
     return 1 if broken else 0
 
 
-async def play(site, tasks):
-    """Play the events; return requests, servers and the time."""
-    configure(site, [KEPT_KEY, REVOKED_KEY])
+async def play(site, tasks, crashes, arrivals):
+    """Play the events; return the sound requests."""
+    more = {'service': SERVICE, 'SessionAffinity': True, 'TimeoutMs': 4000}
+    service = more.pop('service')
+    site.configure(
+        routes=[
+            site_2.make_route(
+                'draft', '/draft/', 'idempotent', service, **more
+            ),
+            site_2.make_route(
+                'order', '/order/', 'non_idempotent', service, **more
+            ),
+        ],
+        services=[
+            {'Name': service, 'HealthPath': '/health', 'MaxConnections': 200}
+        ],
+    )
     await site.prepare(GATEWAYS)
-    servers = await cold_2.add_servers(site, SERVERS)
+    for _ in range(SERVERS):
+        server = Server(site=site, crashes=crashes, arrivals=arrivals)
+        await server.start()
     for gateway in site.gateways:
         gateway.start()
     await site.wait_ready()
-    clients = [Client(site=site, name=f'c{one}') for one in range(CLIENTS)]
-    for client in clients:
-        tasks.start_soon(client.run)
-    await anyio.sleep(WARM_UP_SECONDS)
-    copy = site.store.copy()
-    site.record.note('the copy of the store is made')
-    await anyio.sleep(COPY_SECONDS)
-    configure(site, [KEPT_KEY])
-    revoked_at = anyio.current_time()
-    site.record.note('configuration without the key acknowledged')
-    await sleep_until(revoked_at + AWAY_AT)
-    site.store.away = TROUBLE
-    site.record.note('all gateways are killed')
-    for gateway in site.gateways:
-        await gateway.kill()
-    await sleep_until(revoked_at + BACK_AT)
-    if TROUBLE:
-        site.store.restore(copy)
-        site.store.away = False
-        site.record.note('the store is back from the copy')
-    for gateway in site.gateways:
-        gateway.start()
-    await sleep_until(revoked_at + WRITTEN_AT)
-    if TROUBLE:
-        configure(site, [KEPT_KEY])
-        for server in servers:
-            server.register()
-        site.record.note('the operator and the servers have written again')
-    await sleep_until(revoked_at + END_AT)
-    told = [one for client in clients for one in client.told]
-    return told, servers, revoked_at
-
-
-def judge(record, told, servers, revoked_at):
-    """Return whether a request with the key ran after the bound."""
-    late = [
-        one
-        for one in told
-        if one.request.endswith(REVOKED_KEY)
-        and one.sent_at > revoked_at + REVOKE_SECONDS
+    directory = site_2.Directory(site)
+    while len(directory.addresses) < GATEWAYS:
+        await directory.refresh()
+        await anyio.sleep(0.1)
+    until = anyio.current_time() + WARM_UP_SECONDS + BAD_SECONDS
+    clients = [
+        Client(site=site, directory=directory, number=one, bad=False)
+        for one in range(SOUND_CLIENTS)
     ]
-    ran = [one for one in late if one.status == 200]
-    latest = max((one.sent_at - revoked_at for one in ran), default=0.0)
+    async with anyio.create_task_group() as asking:
+        for client in clients:
+            asking.start_soon(client.run, until)
+        await anyio.sleep(WARM_UP_SECONDS)
+        if TROUBLE:
+            bad = Client(site=site, directory=directory, number=0, bad=True)
+            asking.start_soon(bad.run, until)
+    return [one for client in clients for one in client.told]
+
+
+def judge(record, crashes, arrivals, sound):
+    """Return whether too many requests with the part came to servers."""
+    late = []
+    if len(crashes) >= MOST_CRASHES:
+        since = crashes[MOST_CRASHES - 1] + CONTACT_SECONDS
+        late = [name for at, name in arrivals if at > since]
+    lost = sum(told.status == 502 or not told.whole for told in sound)
     lines = (
-        f'{len(late)} requests with the key after {REVOKE_SECONDS} s',
-        f'{len(ran)} of them ran, the last one sent after {latest:.2f} s',
+        f'{len(crashes)} servers ended',
+        f'{len(late)} requests with the part reached servers later than '
+        f'{CONTACT_SECONDS} s after the fifth end; {MOST_REQUESTS} may',
+        f'{lost} of {len(sound)} sound requests were lost on the way',
     )
     for line in lines:
         print(line)
         record.note(line)
-    return bool(ran)
+    return len(late) > MOST_REQUESTS
 
 
 if __name__ == '__main__':
--- a/review/cold_2.py
+++ b/review/cold_2.py
@@ -1,7 +1,6 @@
 """Servers that may turn cold, and clients that keep asking them."""
 
 import dataclasses
-import itertools
 import random
 
 import anyio
@@ -10,6 +9,8 @@
 
 SERVICE = 'ledger'
 PREFIX = '/fetch/'
+#: Prefix of requests that may not be repeated.
+ONCE_PREFIX = '/order/'
 #: What the pages' own sheet with cold servers sets: ``ColdStartS``,
 #: ``ColdPerS``, ``ColdOverage`` and ``ColdSlack``.
 COLD_SECONDS = 3.0
@@ -23,40 +24,39 @@
 WORK_SECONDS = 0.02
 #: How much longer a request takes while the server is cold.
 COLD_SLOWNESS = 1.6
+#: Seconds after which a server that has ended is back.
+BACK_SECONDS = 2.0
 CLIENTS = 18
 TIME_BUDGET_MS = 1500
-_numbers = itertools.count(1)
 
 
 @dataclasses.dataclass(kw_only=True)
 class ColdSpan:
-    """A time in which a server is cold.
-
-    :ivar told_at: when the store had acknowledged its new entry; infinite for
-        never.
-    """
+    """A time in which a server is cold, and has told it to the store."""
 
     begun: float
     ended: float
-    told_at: float = float('inf')
 
 
-class Server:
+class Server(site_2.Server):
     """One plain server.
 
     Its answers to requests say nothing of its cold time; its entry and its
     health responses do.
+
+    :param most_cold: arrivals in a second that end it while it is cold.
+    :ivar ends: how often it has ended.
     """
 
-    def __init__(self, *, site, zone):
-        self.identity = f'i-{next(_numbers):04x}'
+    def __init__(self, *, site, zone, most_cold):
+        super().__init__(site=site)
         self.zone = zone
-        self.address = ''
         self.spans = []
         self.arrivals = []
-        self._site = site
+        self.ends = 0
+        self._most_cold = most_cold
         self._sequence = 0
-        self._running = 0
+        self._count = 0
 
     @property
     def cold_ms(self):
@@ -66,22 +66,23 @@
         left = self.spans[-1].ended - anyio.current_time()
         return max(0.0, 1000.0 * left)
 
-    async def turn_cold(self):
-        """Turn cold, and write that to the store as soon as it answers."""
+    def turn_cold(self):
+        """Turn cold, and write that to the store."""
         now = anyio.current_time()
-        span = ColdSpan(begun=now, ended=now + COLD_SECONDS)
-        self.spans.append(span)
-        self._site.record.note(f'server {self.identity} turns cold')
-        while self._site.store.is_silent:
-            await anyio.sleep(0.05)
+        self.spans.append(ColdSpan(begun=now, ended=now + COLD_SECONDS))
+        self.site.record.note(f'server {self.identity} turns cold')
         self.register()
-        span.told_at = anyio.current_time()
-        self._site.record.note(f'entry of {self.identity} acknowledged')
+
+    async def start(self):
+        """Start; it is cold then, unless the traffic hasn't begun."""
+        if self.ends:
+            now = anyio.current_time()
+            self.spans.append(ColdSpan(begun=now, ended=now + COLD_SECONDS))
+        await super().start()
 
     def register(self):
-        """Write the entry."""
         self._sequence += 1
-        self._site.store.put(
+        self.site.store.put(
             'servers',
             self.identity,
             {
@@ -92,21 +93,20 @@
                 'Slots': SLOTS,
                 'State': 'ready',
                 'ColdRemainingMs': round(self.cold_ms),
-                'born': 1700000000000,
+                'born': 1700000000000 + self.ends,
                 'Sequence': self._sequence,
             },
         )
 
-    async def handle(self, exchange):
-        """Answer one request."""
+    async def answer(self, exchange):
         if exchange.head.path == '/health':
             headers = [
                 (b'runner-id', self.identity.encode()),
-                (b'runner-load', b'%d,0,%d' % (self._running, SLOTS)),
+                (b'runner-load', b'%d,0,%d' % (self._count, SLOTS)),
                 (b'cold-ms', b'%d' % self.cold_ms),
             ]
             await exchange.respond(status=200, headers=headers, body=b'')
-            self._site.record.note(f'{self.identity} asked for its health')
+            self.site.record.note(f'{self.identity} asked for its health')
             return
         headers = dict(exchange.head.headers)
         request = headers.get(b'attempt-id', b'')
@@ -117,29 +117,39 @@
             return
         self.arrivals.append(anyio.current_time())
         is_cold = self.cold_ms > 0.0
-        self._site.record.note(
+        self.site.record.note(
             f'ran {request.decode()} at {self.identity}'
             f'{" cold" if is_cold else ""}'
         )
+        if is_cold:
+            self._bear_load()
         await exchange.read_body(max_bytes=1 << 20, seconds=5.0)
-        self._running += 1
+        self._count += 1
         try:
             slowness = COLD_SLOWNESS if is_cold else 1.0
             await anyio.sleep(WORK_SECONDS * slowness)
         finally:
-            self._running -= 1
+            self._count -= 1
         await exchange.respond(
             status=200,
             headers=[*echo, (b'runner-seal', b's')],
             body=b'done ' + request,
         )
 
-    def count_most(self, span, *, since):
-        """Return the most arrivals in a second of a cold time.
+    def _bear_load(self):
+        """End if too much has come since it is cold."""
+        span = self.spans[-1]
+        now = anyio.current_time()
+        since = max(span.begun, now - WINDOW_SECONDS)
+        if sum(since <= at <= now for at in self.arrivals) < self._most_cold:
+            return
+        span.ended = now
+        self.ends += 1
+        self.end(back_after=BACK_SECONDS)
 
-        :param since: from when the seconds count.
-        """
-        times = [at for at in self.arrivals if since <= at <= span.ended]
+    def count_most(self, span):
+        """Return the most arrivals in a second of a cold time."""
+        times = [at for at in self.arrivals if span.begun <= at <= span.ended]
         return max(
             (
                 sum(first <= at <= first + WINDOW_SECONDS for at in times)
@@ -203,7 +213,7 @@
         self._site.record.note(f'sent {name}')
         told = await connection.ask(
             method='GET',
-            path=f'{PREFIX}{name}',
+            path=f'{random.choice((PREFIX, ONCE_PREFIX))}{name}',
             headers=[
                 ('Host', site_2.HOST_NAME),
                 ('Attempt-Id', name),
@@ -222,6 +232,7 @@
     site.configure(
         routes=[
             site_2.make_route('fetch', PREFIX, 'idempotent', SERVICE),
+            site_2.make_route('order', ONCE_PREFIX, 'non_idempotent', SERVICE),
         ],
         services=[
             {
@@ -235,13 +246,16 @@
     )
 
 
-async def add_servers(site, count):
-    """Start servers; return them."""
+async def add_servers(site, count, *, most_cold=float('inf')):
+    """Start servers; return them.
+
+    :param most_cold: arrivals in a second that end one while it is cold.
+    """
     servers = []
     for number in range(count):
-        server = Server(site=site, zone=f'zone-{"abc"[number % 3]}')
-        port = await site.serve(server.handle)
-        server.address = f'127.0.0.1:{port}'
-        server.register()
+        server = Server(
+            site=site, zone=f'zone-{"abc"[number % 3]}', most_cold=most_cold
+        )
+        await server.start()
         servers.append(server)
     return servers
--- a/review/site_2.py
+++ b/review/site_2.py
@@ -7,6 +7,7 @@
 
 import contextlib
 import dataclasses
+import itertools
 import json
 import os
 import pathlib
@@ -36,6 +37,7 @@
 RESOLVE_SECONDS = 1.0
 #: Requests on one connection of a client.
 REQUESTS_PER_CONNECTION = 40
+_server_numbers = itertools.count(1)
 LIMITS = {
     'MaxHeaderBytes': 16384,
     'MaxBodyBytes': 4194304,
@@ -241,30 +243,6 @@
             await anyio.sleep(0.01)
 
 
-class Store(objects.Objects):
-    """The platform's store, which may also fall silent.
-
-    :ivar is_silent: calls get no answer.
-    """
-
-    def __init__(self):
-        super().__init__()
-        self.is_silent = False
-
-    async def handle(self, exchange):
-        """Answer one call, or never."""
-        if self.is_silent:
-            await anyio.sleep_forever()
-        await super().handle(exchange)
-        if self.is_silent:
-            await anyio.sleep_forever()
-
-    async def _respond(self, exchange, status, body):
-        if self.is_silent:
-            await anyio.sleep_forever()
-        await super()._respond(exchange, status, body)
-
-
 class Site:
     """A store and gateways.
 
@@ -274,7 +252,7 @@
     def __init__(self, *, tasks, record, more_bounds=''):
         self.tasks = tasks
         self.record = record
-        self.store = Store()
+        self.store = objects.Objects()
         self.gateways = []
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         self.listeners = []
@@ -372,6 +350,68 @@
                 listener.close()
 
 
+class Server:
+    """A stand-in of a server, whose process may end and start again.
+
+    :ivar identity: its name, a new one after each start.
+    :ivar address: where it listens, a new one after each start.
+    :ivar is_up: its process lives.
+    """
+
+    def __init__(self, *, site):
+        self.site = site
+        self.identity = ''
+        self.address = ''
+        self.is_up = False
+        self._listener = None
+        self._running = set()
+
+    async def start(self):
+        """Start a new process, and register it."""
+        self.identity = f'i-{next(_server_numbers):04x}'
+        port = await self.site.serve(self._handle)
+        self._listener = self.site.listeners[-1]
+        self.address = f'127.0.0.1:{port}'
+        self.is_up = True
+        self.register()
+        self.site.record.note(f'server {self.identity} started')
+
+    def register(self):
+        """Write the entry."""
+        raise NotImplementedError
+
+    async def answer(self, exchange):
+        """Answer one request."""
+        raise NotImplementedError
+
+    def end(self, *, back_after):
+        """End as a process does: its port and its connections close.
+
+        :param back_after: seconds after which it starts again.
+        """
+        if not self.is_up:
+            return
+        self.is_up = False
+        self.site.record.note(f'server {self.identity} ended')
+        self._listener.close()
+        for scope in list(self._running):
+            scope.cancel()
+        self.site.tasks.start_soon(self._come_back, self.identity, back_after)
+
+    async def _come_back(self, old, seconds):
+        await anyio.sleep(seconds)
+        self.site.store.drop('servers', old)
+        await self.start()
+
+    async def _handle(self, exchange):
+        with anyio.CancelScope() as scope:
+            self._running.add(scope)
+            try:
+                await self.answer(exchange)
+            finally:
+                self._running.discard(scope)
+
+
 def make_route(name, prefix, kind, service, **more):
     """Return a route of the configuration."""
     return {
