--- a/review/6/case.py
+++ b/review/6/case.py
@@ -55,6 +55,7 @@
     def __init__(self):
         super().__init__()
         self._foreign = make_foreign_value()
+        self.foreign_lists = 0
 
     def write_foreign(self):
         """Have another writer write its entry."""
@@ -78,6 +79,8 @@
             if page and (size > PAGE_BYTES or len(page) >= PAGE_ITEMS):
                 break
             page.append(items[one])
+        if any(one['Spec'] == MARK for one in page):
+            self.foreign_lists += 1
         return 200, {
             'Items': page,
             'More': len(page) < len(names),
@@ -132,6 +135,7 @@
     for gateway in site.gateways:
         gateway.start()
     back_at = anyio.current_time()
+    lists_before = site.store.foreign_lists
     site.record.note('all gateways are started')
     await anyio.sleep(RECOVERY_SECONDS + JUDGED_SECONDS)
     ready = [await site.is_ready(gateway) for gateway in site.gateways]
@@ -140,6 +144,12 @@
     site.record.note(line)
     clients.stop()
     await anyio.sleep(1.0)
+    site.check()
+    if TROUBLE:
+        site_2.require(
+            site.store.foreign_lists > lists_before,
+            'no gateway has listed the entry',
+        )
     before = [one for one in clients.told if one.sent_at < killed_at]
     after = [
         one for one in clients.told if one.sent_at > back_at + RECOVERY_SECONDS
@@ -156,7 +166,9 @@
         line = f'{name}: {served} of {len(requests)} requests served'
         print(line)
         record.note(line)
-    return shares[0] >= LEAST_SHARE > shares[1]
+    site_2.require(shares[0] >= LEAST_SHARE, 'too little served before')
+    site_2.require(bool(after), 'no request after the recovery')
+    return shares[1] < LEAST_SHARE
 
 
 if __name__ == '__main__':
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -3,7 +3,6 @@
 import itertools
 import os
 import pathlib
-import random
 import sys
 
 import anyio
@@ -15,6 +14,8 @@
 SERVICE = 'drafting'
 SLOTS = 6
 WORK_SECONDS = 0.3
+#: Time until a server begins to write an answer.
+BEGIN_SECONDS = 0.1
 #: Parts of a prompt that all requests share, and the place of the part that
 #: ends servers among those of its requests, counted from 1.
 SHARED_PARTS = 19
@@ -74,6 +75,7 @@
         parts = headers.get(b'prompt-prefix', b'').decode()
         self.site.record.note(f'ran {name} at {self.identity}')
         if BAD_PART in parts:
+            await anyio.sleep(BEGIN_SECONDS)
             self._arrivals.append((anyio.current_time(), name))
             if self.is_up:
                 self._crashes.append(anyio.current_time())
@@ -116,7 +118,7 @@
             count += 1
             kind = 'bad' if self._bad else 'sound'
             request = f'{kind}-{self._number}-{count}'
-            host, port = random.choice(self._directory.addresses)
+            host, port = self._directory.pick()
             self._site.record.note(f'sent {request}')
             told = await site_2.ask_once(
                 host,
@@ -197,7 +199,13 @@
         if TROUBLE:
             bad = Client(site=site, directory=directory, number=0, bad=True)
             asking.start_soon(bad.run, until)
-    return [one for client in clients for one in client.told]
+    site.check()
+    if TROUBLE:
+        site_2.require(bool(crashes), 'no server has ended')
+    told = [one for client in clients for one in client.told]
+    served = sum(one.whole and one.status == 200 for one in told)
+    site_2.require(2 * served > len(told), 'too little served')
+    return told
 
 
 def judge(record, crashes, arrivals, sound):
--- a/review/site_2.py
+++ b/review/site_2.py
@@ -20,6 +20,7 @@
 
 import anyio
 import h11
+import httpcore
 
 from marigoldramp.gateway import deployment
 from marigoldramp.gateway import inbound
@@ -31,6 +32,9 @@
 #: Port of the metrics, which the program does not take from its settings.
 METRICS_PORT = 9464
 START_TIMEOUT_SECONDS = 30.0
+#: Seconds after which the entry of a server that has ended is removed: three
+#: heartbeats.
+LAPSE_SECONDS = 3.6
 #: Time of a whole run in seconds.
 MOST_SECONDS = 110
 #: Seconds between two questions of a client for addresses.
@@ -117,6 +121,19 @@
 """
 
 
+class CouldNotRun(Exception):
+    """A stand-in or a program failed, or the disruption didn't come about."""
+
+
+def require(condition, text):
+    """Check that a case was played as planned.
+
+    :raises CouldNotRun: it was not.
+    """
+    if not condition:
+        raise CouldNotRun(text)
+
+
 class Record:
     """Writes what was sent, answered and run to ``record.txt``."""
 
@@ -256,16 +273,27 @@
         self.gateways = []
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         self.listeners = []
+        self.failures = []
         self._more_bounds = more_bounds
         self._version = 0
 
     async def serve(self, handler, host='127.0.0.1'):
         """Serve HTTP by a handler; return the port."""
 
+        async def handle(exchange):
+            try:
+                await handler(exchange)
+            except (httpcore.NetworkError, httpcore.TimeoutException):
+                raise
+            except Exception as error:
+                if not exchange.ended and not stream_ended(exchange):
+                    self.failures.append(repr(error))
+                raise
+
         async def serve_connection(stream, _):
             connection = inbound.Connection(
                 stream=stream,
-                handler=handler,
+                handler=handle,
                 limits=lambda: STANDIN_LIMITS,
                 is_stopping=lambda: False,
             )
@@ -341,6 +369,15 @@
         )
         return told.whole and told.status == 200
 
+    def check(self):
+        """Check that all stand-ins worked and that all gateways live.
+
+        :raises CouldNotRun: that is not so.
+        """
+        require(not self.failures, f'stand-ins failed: {self.failures[:3]}')
+        for gateway in self.gateways:
+            require(gateway.runs, f'{gateway.name} has ended by itself')
+
     async def end(self):
         """End every process that was started, and all listeners."""
         with anyio.CancelScope(shield=True):
@@ -396,11 +433,15 @@
         self._listener.close()
         for scope in list(self._running):
             scope.cancel()
-        self.site.tasks.start_soon(self._come_back, self.identity, back_after)
+        self.site.tasks.start_soon(self._lapse, self.identity)
+        self.site.tasks.start_soon(self._come_back, back_after)
 
-    async def _come_back(self, old, seconds):
-        await anyio.sleep(seconds)
+    async def _lapse(self, old):
+        await anyio.sleep(LAPSE_SECONDS)
         self.site.store.drop('servers', old)
+
+    async def _come_back(self, seconds):
+        await anyio.sleep(seconds)
         await self.start()
 
     async def _handle(self, exchange):
@@ -507,8 +548,21 @@
 
     def __init__(self, site):
         self._site = site
+        self._failed = set()
         self.addresses = []
 
+    def pick(self):
+        """Return an address by chance, without those that have failed.
+
+        All of them count again where none is left.
+        """
+        good = [one for one in self.addresses if one not in self._failed]
+        return random.choice(good or self.addresses)
+
+    def note_failure(self, address):
+        """Use an address no longer until the next answer."""
+        self._failed.add(address)
+
     async def run(self):
         """Ask for addresses until cancelled."""
         while True:
@@ -533,9 +587,15 @@
             if told.whole and told.status == 200:
                 found = json.loads(told.body)['Addresses']
                 self.addresses = [split(one) for one in found]
+                self._failed.clear()
                 return
 
 
+def stream_ended(exchange):
+    """Return whether the peer of an exchange has gone."""
+    return exchange._stream.has_ended
+
+
 def split(address):
     """Return host and port of an address."""
     host, _, port = address.rpartition(':')
@@ -547,7 +607,8 @@
 
     A request to stop, and the end of the time, end all processes as well.
     """
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
+        signal.signal(number, signal.default_int_handler)
     signal.signal(signal.SIGALRM, signal.default_int_handler)
     signal.alarm(MOST_SECONDS)
     try:
