Review: gateways that start together know nothing of each other

BUDGET, review/8: under a slow store and with stale seeds each of six gateways lists the others' rows before any is written, and lists them again a minute later; each lets one part of a prompt end three servers.

What 7 and 8 share is in parts_2.py.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -11,5 +11,6 @@
 import marigoldramp.platform.__main__  # noqa: F401
 import marigoldramp_soak.objects  # noqa: F401
 from review import cold_2  # noqa: F401
+from review import parts_2  # noqa: F401
 from review import site_2  # noqa: F401
 END
--- a/review/site_2.py
+++ b/review/site_2.py
@@ -306,13 +306,16 @@
         self.listeners.append(listener)
         return port
 
-    async def prepare(self, count):
-        """Start the store, and write the settings of gateways."""
+    async def prepare(self, count, *, seeds=None):
+        """Start the store, and write the settings of gateways.
+
+        :param seeds: hosts of the seeds; the first gateways without any.
+        """
         port = await self.serve(self.store.handle)
         hosts = choose_hosts(count)
         names = ('calls', 'ready', 'control', 'directory', 'peers')
         ports = find_ports('0.0.0.0', names)
-        seeds = [f'{host}:{ports["control"]}' for host in hosts[:3]]
+        seeds = [f'{host}:{ports["control"]}' for host in seeds or hosts[:3]]
         for number, host in enumerate(hosts):
             zone = f'zone-{"abc"[number % 3]}'
             name = f'edge-{zone}-{number}'
@@ -575,21 +578,27 @@
             self._site.gateways, min(3, len(self._site.gateways))
         )
         for node in nodes:
-            told = await ask_once(
-                node.host,
-                node.ports['directory'],
-                path=(
-                    f'/marigoldramp/resolve?Name={HOST_NAME}'
-                    f'&Region=r&Zone={node.zone}'
-                ),
-                seconds=1.0,
-            )
-            if told.whole and told.status == 200:
-                found = json.loads(told.body)['Addresses']
-                self.addresses = [split(one) for one in found]
-                self._failed.clear()
+            if await self.ask_node(node):
                 return
 
+    async def ask_node(self, node):
+        """Ask a gateway for addresses; return whether it has named any."""
+        told = await ask_once(
+            node.host,
+            node.ports['directory'],
+            path=(
+                f'/marigoldramp/resolve?Name={HOST_NAME}'
+                f'&Region=r&Zone={node.zone}'
+            ),
+            seconds=1.0,
+        )
+        if not told.whole or told.status != 200:
+            return False
+        found = json.loads(told.body)['Addresses']
+        self.addresses = [split(one) for one in found]
+        self._failed.clear()
+        return True
+
 
 def stream_ended(exchange):
     """Return whether the peer of an exchange has gone."""
