--- a/review/parts_2.py
+++ b/review/parts_2.py
@@ -62,8 +62,8 @@
         parts = headers.get(b'prompt-prefix', b'').decode()
         self.site.record.note(f'ran {name} at {self.identity}')
         if BAD_PART in parts:
-            await anyio.sleep(BEGIN_SECONDS)
             self._arrivals.append((anyio.current_time(), name))
+            await anyio.sleep(BEGIN_SECONDS)
             if self.is_up:
                 self._crashes.append(anyio.current_time())
             self.end(back_after=BACK_SECONDS)
